--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,809 @@
+// Package balance decides what a node does with its ops: which backend gets a push, what is held, what is
+// given up. A host starts a Node with its Terms, tells it what happens through the inputs (Listed, Arrived,
+// Left, Begun, Ended, Due), which only update what is known, and after each batch pulls decisions with Next,
+// one by one, until there is none. The types that pass between host and node are in types.go; the bench's
+// wire is translated in internal/simwire. The ordinary path is CDA(c), see docs/design.md.
+package balance
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"sort"
+)
+
+const (
+	cutoffShare = 0.96 // the design's start for c
+	hintsNeeded = 50   // below this many hints all ops count as short, by the design
+	skipMargin  = 2.0  // the rotation passes a backend above this many times the mean, by the design
+	lateShare   = 0.25 // a held op goes out late when this share of its time is left, by the design
+
+	sweepEvery   = 100.0 // ms; several looks within the shortest target latency of human-facing services
+	distrustHalf = 4e3   // ms; distrust halves in this time, so a shunned backend is tried again in seconds
+	waitHalf     = 1e3   // ms; a queue seen is believed about as long as one lasts
+	shunAt       = 2.0   // distrust from which a backend gets no traffic: two clear failures in a row
+	extraShare   = 0.2   // further pushes an op earns for the budget; a retry storm can add no more load
+	extraMost    = 20.0  // further pushes that may be saved up: one backend's work in flight at a failure
+	coldSafety   = 0.6   // share of the cold budget used; hints are rough, connections cost work too
+	serviceHalf  = 10e3  // ms; the span over which the categories' service is compared
+)
+
+// Node decides for one instance. Nothing is shared between nodes.
+type Node struct {
+	t        *Terms
+	now      float64
+	rng      mwc
+	backends []*Backend // all that the list named, in the order of their first naming
+	cutoff   window
+	waiting  []*Op // ops that want a decision
+	held     []*Op // longs without a backend
+	idle     bool  // a backend turned idle since held ops were last looked at
+	out      []Decision
+	due      dues
+	seq      uint64
+	armed    float64 // when the earliest timer out falls due
+	sweepAt  float64
+	round    float64  // how far the rotation has come
+	extra    float64  // budget for further pushes
+	stretch  quantile // how much longer than predicted answers take, at the high end
+	value    float64  // fading mean of an op's benefit
+	doubt    float64  // the fleet's median distrust; a backend is judged against it
+	unit     float64  // what a warm backend does in a millisecond for each unit of weight
+	weight   float64  // mean weight of the ready backends
+	asked    bool
+	tracked  bool
+	failures int
+}
+
+// New starts a node; now is the host's clock.
+func New(t *Terms, now float64) *Node {
+	n := &Node{t: t, now: now, rng: newMWC(t.Seed), armed: math.Inf(1), sweepAt: now, weight: 1, extra: extraMost / 2}
+	for range 8 { // the first numbers follow the seed too closely
+		n.rng.unit()
+	}
+	if t.MustAsk {
+		// Nodes restarted together must not call the list's one service together.
+		n.at(due{at: now + 200*n.rng.unit()})
+	}
+	return n
+}
+
+// Listing is one line of the list of backends.
+type Listing struct {
+	Backend         *Backend
+	State           State
+	Zone, Cell      int
+	Weight, Started float64
+}
+
+// Listed takes news of the list; where full, a backend not in it is gone.
+func (n *Node) Listed(now float64, lines []Listing, full, cached bool) {
+	n.now = now
+	if !cached {
+		n.tracked, n.asked, n.failures = true, false, 0
+	}
+	if full {
+		for _, b := range n.backends {
+			b.State = Gone
+		}
+	}
+	for _, l := range lines {
+		b := l.Backend
+		if b.position == 0 {
+			n.backends = append(n.backends, b)
+			b.position = len(n.backends)
+			b.pass = n.round + n.rng.unit() // the rotation starts at random
+		}
+		if l.Started > b.Started { // a new process: what was learned of the old one's state is void
+			b.wait, b.distrust, b.lingers = fader{}, fader{}, 0
+		}
+		b.Zone, b.Cell, b.State, b.Started = l.Zone, l.Cell, l.State, l.Started
+		b.Weight = l.Weight
+		if !(b.Weight > 0) || math.IsInf(b.Weight, 0) {
+			b.Weight = 1
+		}
+	}
+	sum, count := 0.0, 0.0
+	for _, b := range n.backends {
+		if b.State == Ready {
+			sum, count = sum+b.Weight, count+1
+		}
+	}
+	if count > 0 {
+		n.weight = sum / count
+	}
+	n.idle = true
+}
+
+// ListFailed takes a failed call for the list; the old list still holds.
+func (n *Node) ListFailed(now float64) {
+	n.now, n.tracked, n.asked = now, false, false
+	// Growing, spread waits: a service of fixed capacity must not meet a storm of repeats.
+	wait := math.Min(500*math.Exp2(float64(n.failures)), n.t.AskWithin/3)
+	n.failures++
+	n.at(due{at: now + wait*(0.5+n.rng.unit())})
+	n.log("list call failed, %d in a row", n.failures)
+}
+
+// Arrived takes an op.
+func (n *Node) Arrived(now float64, op *Op) {
+	n.now = now
+	c := &n.t.Categories[op.Category]
+	op.cat, op.Arrived = c, now
+	op.HasHint = op.HasHint && op.Hint > 0 && !math.IsInf(op.Hint, 0)
+	if op.HasHint {
+		if len(n.cutoff.ring) >= hintsNeeded {
+			op.long = op.Hint > n.cutoff.share(cutoffShare)
+		}
+		n.cutoff.add(op.Hint)
+		op.work = op.Hint
+	} else {
+		op.work = c.meanWork
+	}
+	if c.meanWork == 0 {
+		c.meanWork = op.work
+	}
+	c.meanWork += (op.work - c.meanWork) / 50
+	if op.work == 0 {
+		op.work = c.TargetLatency / 20 // nothing is known: a small part of what the category allows
+	}
+	if !op.Repeat {
+		c.asked.set(now, c.asked.get(now, serviceHalf)+op.work)
+	}
+	if op.Tenant < len(n.t.Tenants) {
+		w := &n.t.Tenants[op.Tenant]
+		w.rate.set(now, w.rate.get(now, 1e3)+1)
+		// The sum over a half-life of 1 s is the rate times 1/ln 2; this node sees its part of it only.
+		op.overfull = w.Quota > 0 && w.rate.sum*math.Ln2*float64(n.t.Nodes) > w.Quota
+	}
+	n.value += (n.worth(op) - n.value) / 50
+	n.extra = math.Min(n.extra+extraShare, extraMost)
+	n.want(op)
+}
+
+// Left takes the news that the op's client is gone.
+func (n *Node) Left(now float64, op *Op) {
+	n.now = now
+	n.end(op)
+}
+
+// Begun takes the start of a streamed answer: the push is the client's from now on.
+func (n *Node) Begun(now float64, p *Push) {
+	n.now = now
+	if p.Op.stage != ended {
+		p.Op.stage = streaming
+	}
+}
+
+// Ended takes a push's ending; finished tells that the op has ended with it or before.
+func (n *Node) Ended(now float64, p *Push, how Ending, elapsed float64, finished bool) {
+	n.now = now
+	op, b := p.Op, p.Backend
+	p.out, p.ending = false, how
+	for i, o := range b.out {
+		if o == p {
+			b.out = append(b.out[:i], b.out[i+1:]...)
+			break
+		}
+	}
+	if op.long {
+		b.longs--
+	}
+	switch how {
+	case Answered:
+		n.learn(b, p, elapsed)
+		if op.stage != ended && elapsed >= 0 && now-op.Arrived <= op.cat.TargetLatency {
+			op.cat.met.set(now, op.cat.met.get(now, serviceHalf)+op.work)
+		}
+	case Failed, NoConnection, Reset:
+		n.suspect(b, 1)
+	case TimedOut:
+		n.suspect(b, 1)
+	case Rejected: // a full waiting room tells of load, not of a fault
+		b.wait.set(now, math.Max(b.wait.get(now, waitHalf), op.cat.TargetLatency/2))
+	}
+	if how == TimedOut || how == Revoked {
+		// Work given up on may go on: the backend is not idle before it could be done.
+		b.lingers = math.Max(b.lingers, now+op.work*n.paceOf(b))
+	}
+	n.idle = n.idle || len(b.out) == 0
+	if finished {
+		n.end(op)
+	} else if op.stage == pushed && op.out() == 0 {
+		n.want(op)
+	}
+}
+
+// Due takes a timer.
+func (n *Node) Due(now float64) {
+	n.now = now
+	if now >= n.armed {
+		n.armed = math.Inf(1)
+	}
+}
+
+// Next gives the next decision, if there is one. The clock is that of the latest input.
+func (n *Node) Next() (Decision, bool) {
+	for len(n.out) == 0 {
+		switch {
+		case len(n.waiting) > 0:
+			op := n.waiting[0]
+			n.waiting = n.waiting[1:]
+			op.queued = false
+			n.decide(op)
+		case len(n.due) > 0 && n.due[0].at <= n.now:
+			n.fallDue(heap.Pop(&n.due).(due))
+		case n.idle:
+			n.idle = false
+			n.release()
+		case n.now >= n.sweepAt:
+			n.sweepAt = n.now + sweepEvery
+			n.sweep()
+		default:
+			at := n.sweepAt
+			if len(n.due) > 0 {
+				at = math.Min(at, n.due[0].at)
+			}
+			if at >= n.armed {
+				return Decision{}, false
+			}
+			n.armed = at
+			return Decision{Kind: DoTimer, Wait: at - n.now}, true
+		}
+	}
+	d := n.out[0]
+	n.out = n.out[1:]
+	return d, true
+}
+
+func (n *Node) want(op *Op) {
+	if !op.queued && op.stage != ended {
+		op.queued = true
+		n.waiting = append(n.waiting, op)
+	}
+}
+
+func (n *Node) at(d due) {
+	n.seq++
+	d.seq = n.seq
+	heap.Push(&n.due, d)
+}
+
+func (n *Node) log(format string, args ...any) {
+	n.out = append(n.out, Decision{Kind: DoLog, Text: fmt.Sprintf(format, args...)})
+}
+
+// decide places an op that has nothing out.
+func (n *Node) decide(op *Op) {
+	switch {
+	case op.stage == ended || op.stage == streaming || op.out() > 0:
+	case op.stage == pushed:
+		n.again(op)
+	case op.long && n.placeLong(op):
+	case op.long:
+		n.hold(op)
+	default:
+		b := n.rotate(op)
+		if b == nil || n.predict(b, op) > n.patienceOf(op) || !n.send(op, b) {
+			n.giveUp(op)
+		}
+	}
+}
+
+// again answers the failure of all an op's pushes so far: another backend within the budget, or the end.
+func (n *Node) again(op *Op) {
+	if n.left(op) > 0 && n.extra >= 1 {
+		if b := n.rotate(op); b != nil && n.predict(b, op) < n.left(op) && n.send(op, b) {
+			n.extra--
+			return
+		}
+	}
+	n.giveUp(op)
+}
+
+// left is the time in which an answer still earns something.
+func (n *Node) left(op *Op) float64 {
+	until := op.GiveUp
+	if op.cat.LateBenefit == 0 {
+		until = math.Min(until, op.Arrived+op.cat.TargetLatency)
+	}
+	return until - n.now
+}
+
+// leftToTarget is the time in which an answer earns all, or what little is left where that has passed.
+func (n *Node) leftToTarget(op *Op) float64 {
+	return math.Max(1, math.Min(op.GiveUp, op.Arrived+op.cat.TargetLatency)-n.now)
+}
+
+// placeLong sends a long to a backend with none of this node's work in flight, picked at random; own zone
+// first, others where the op's benefit pays for the way.
+func (n *Node) placeLong(op *Op) bool {
+	var near, far []*Backend
+	for _, b := range n.backends {
+		// A quick error makes a backend idle at once and a cold one is idle by nature: neither may draw longs.
+		if len(b.out) > 0 || b.lingers > n.now || n.distrust(b) >= shunAt/2 || n.warmth(b) < 1 || !n.may(op, b) {
+			continue
+		}
+		if n.predict(b, op) > n.leftToTarget(op) {
+			continue
+		}
+		if n.isNear(b) {
+			near = append(near, b)
+		} else {
+			far = append(far, b)
+		}
+	}
+	if len(near) > 0 {
+		return n.send(op, near[n.rng.below(len(near))])
+	}
+	if len(far) > 0 && n.crossCost(op) < 0.5 {
+		return n.send(op, far[n.rng.below(len(far))])
+	}
+	return false
+}
+
+func (n *Node) hold(op *Op) {
+	best := math.Inf(1)
+	for _, b := range n.backends {
+		if b.State == Ready && n.distrust(b) < shunAt {
+			best = math.Min(best, op.work*n.paceOf(b))
+		}
+	}
+	if best > n.left(op) { // no backend could answer in time: holding it would only delay the nack
+		n.giveUp(op)
+		return
+	}
+	op.stage = held
+	n.held = append(n.held, op)
+	n.at(due{at: n.now + (1-lateShare)*n.leftToTarget(op), op: op})
+}
+
+// release gives idle backends the held longs, smallest estimate first.
+func (n *Node) release() {
+	if len(n.held) == 0 {
+		return
+	}
+	estimate := func(op *Op) float64 {
+		whole := math.Min(op.GiveUp, op.Arrived+op.cat.TargetLatency) - op.Arrived
+		return op.work * n.leftToTarget(op) / math.Max(whole, 1)
+	}
+	sort.SliceStable(n.held, func(i, j int) bool { return estimate(n.held[i]) < estimate(n.held[j]) })
+	rest := n.held[:0]
+	for _, op := range n.held {
+		if op.stage != held || n.placeLong(op) {
+			continue
+		}
+		rest = append(rest, op)
+	}
+	n.held = rest
+}
+
+func (n *Node) fallDue(d due) {
+	switch {
+	case d.op != nil && d.op.stage == held: // the late send: the backend with fewest own in flight
+		n.unhold(d.op)
+		if b := n.fewest(d.op); b == nil || !n.send(d.op, b) {
+			n.giveUp(d.op)
+		}
+	case d.push != nil && d.push.out:
+		n.overdue(d.push)
+	case d.op == nil && d.push == nil && !n.tracked:
+		n.asked = true
+		n.out = append(n.out, Decision{Kind: DoWatch})
+		n.at(due{at: n.now + n.t.AskWithin/2}) // asks again where no reply comes at all
+	}
+}
+
+func (n *Node) unhold(op *Op) {
+	for i, o := range n.held {
+		if o == op {
+			n.held = append(n.held[:i], n.held[i+1:]...)
+			return
+		}
+	}
+}
+
+// overdue answers a push that is out longer than its fellows' high quantile: silence is the first sign of a
+// backend that takes work and answers none, long before a time-out.
+func (n *Node) overdue(p *Push) {
+	op := p.Op
+	if op.stage != pushed || p.revoked {
+		return
+	}
+	p.overdue = true
+	n.suspect(p.Backend, 0.5)
+	if op.cat.Effect != Redeliverable || n.extra < 1 || op.out() > 1 {
+		return
+	}
+	b := n.rotate(op)
+	if b == nil || n.predict(b, op) > n.left(op) {
+		return
+	}
+	if !n.t.SecondCopies {
+		if n.t.Cancel {
+			n.extra--
+			n.revoke(p) // its ending brings the op back for another backend
+		}
+		return
+	}
+	if n.send(op, b) {
+		n.extra--
+	}
+}
+
+// rotate picks a backend by the rotation: own zone first, the others where that gains more than it costs.
+func (n *Node) rotate(op *Op) *Backend {
+	near, far := n.inTurn(op, true), n.inTurn(op, false)
+	if near == nil || far == nil {
+		if near == nil {
+			return far
+		}
+		return near
+	}
+	time := n.leftToTarget(op)
+	risk := func(b *Backend) float64 { return math.Min(1, math.Max(0, n.predict(b, op)/time-0.25)) }
+	if risk(near)-risk(far) > math.Min(n.crossCost(op), 0.9) {
+		return far
+	}
+	return near
+}
+
+// inTurn is the rotation over one side: the backend whose turn is longest due, without those that run an own
+// long or have more than the margin in flight; where none is left, the least loaded.
+func (n *Node) inTurn(op *Op, near bool) *Backend {
+	out, room := 0.0, 0.0
+	for _, b := range n.backends {
+		if b.State == Ready && n.isNear(b) == near {
+			out, room = out+float64(len(b.out)), room+n.size(b, op)
+		}
+	}
+	margin := skipMargin * out / room
+	var turn, least, warm *Backend
+	var leastLoad, warmest float64
+	for _, b := range n.backends {
+		if n.isNear(b) != near || !n.may(op, b) || n.tried(op, b) || n.distrust(b) >= shunAt {
+			continue
+		}
+		load := float64(len(b.out)) / n.size(b, op)
+		if b.longs > 0 {
+			load += 2 // behind a long is the last place for a short
+		}
+		if least == nil || load < leastLoad {
+			least, leastLoad = b, load
+		}
+		if b.longs > 0 {
+			continue
+		}
+		if n.t.WarmKeys && op.Key != 0 && load <= margin+1 {
+			if h := mix(op.Key, b.Ref); warm == nil || h > warmest {
+				warm, warmest = b, h
+			}
+		}
+		if load <= margin && (turn == nil || b.pass < turn.pass) {
+			turn = b
+		}
+	}
+	if warm != nil {
+		return warm
+	}
+	if turn != nil {
+		return turn
+	}
+	return least
+}
+
+// fewest is the backend for a late send: fewest own in flight, own zone first among equals.
+func (n *Node) fewest(op *Op) (best *Backend) {
+	least := math.Inf(1)
+	for _, b := range n.backends {
+		if !n.may(op, b) || n.distrust(b) >= shunAt {
+			continue
+		}
+		load := float64(len(b.out)) / n.size(b, op)
+		if !n.isNear(b) {
+			load += math.Min(n.crossCost(op), 1)
+		}
+		if load < least {
+			best, least = b, load
+		}
+	}
+	return best
+}
+
+// mix hashes a key with a backend to [0, 1), so that a key keeps its backend while others come and go.
+func mix(key, ref uint64) float64 {
+	x := (key ^ ref*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>31) * 0x94d049bb133111eb
+	return float64((x^x>>29)>>11) / (1 << 53)
+}
+
+func (n *Node) tried(op *Op, b *Backend) bool {
+	for _, p := range op.Pushes {
+		if p.Backend == b {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) isNear(b *Backend) bool { return n.t.CrossPrice == 0 || b.Zone == n.t.Zone }
+
+// worth is what an op answered in time earns.
+func (n *Node) worth(op *Op) float64 {
+	v := op.cat.Benefit
+	if n.t.ByWork {
+		v *= op.work
+	}
+	if op.overfull {
+		v *= n.t.ExcessBenefit
+	}
+	return v
+}
+
+// crossCost is the price of crossing zones as a share of what the op earns.
+func (n *Node) crossCost(op *Op) float64 {
+	return n.t.CrossPrice * n.value / math.Max(n.worth(op), 1e-9)
+}
+
+// patienceOf is the predicted answer time above which an op is nacked at once. Under overload the benefit
+// that a unit of work earns decides, with the worst-served category counted as the goal counts it.
+func (n *Node) patienceOf(op *Op) float64 {
+	most, own, least := 0.0, 0.0, math.Inf(1)
+	for i := range n.t.Categories {
+		least = math.Min(least, n.served(&n.t.Categories[i]))
+	}
+	total := 0.0
+	for i := range n.t.Categories {
+		total += n.t.Categories[i].asked.get(n.now, serviceHalf) * n.t.Categories[i].Benefit
+	}
+	for i := range n.t.Categories {
+		c := &n.t.Categories[i]
+		asked := c.asked.get(n.now, serviceHalf)
+		if asked <= 0 || total <= 0 {
+			continue
+		}
+		gain := n.t.WholeGoal*c.Benefit/total +
+			n.t.WorstGoal/asked*math.Max(0, 1-10*(n.served(c)-least))
+		most = math.Max(most, gain)
+		if c == op.cat {
+			own = gain
+		}
+	}
+	share := 0.9
+	if most > 0 {
+		share = 0.4 + 0.5*own/most
+	}
+	if op.overfull {
+		share *= 0.5
+	}
+	if op.Repeat {
+		share *= 0.8 // part of its time is gone already
+	}
+	return share * n.leftToTarget(op)
+}
+
+func (n *Node) served(c *Category) float64 {
+	asked := c.asked.get(n.now, serviceHalf)
+	if asked <= 0 {
+		return 1
+	}
+	return math.Min(1, c.met.get(n.now, serviceHalf)/asked)
+}
+
+// predict is the answer time expected of a backend: the work at its pace behind the queue last seen there.
+func (n *Node) predict(b *Backend, op *Op) float64 {
+	wait := b.wait.get(n.now, waitHalf)
+	if len(b.out) > 0 { // the oldest push out tells of a queue before its answer does
+		p := b.out[0]
+		wait = math.Max(wait, (n.now-p.SentAt-p.expect)/2)
+	}
+	return wait + op.work*n.paceOf(b)
+}
+
+func (n *Node) paceOf(b *Backend) float64 { return b.pace.get(1) }
+
+// size is what share of the rotation a backend gets: its weight against the mean, less while it is cold or
+// distrusted. An op that can't be sent twice shies from doubt twice as much.
+func (n *Node) size(b *Backend, op *Op) float64 {
+	trust := 1 / (1 + n.distrust(b))
+	if op.cat.Effect != Redeliverable {
+		trust *= trust
+	}
+	return math.Max(b.Weight/n.weight*n.warmth(b)*trust, 1e-3)
+}
+
+// warmth is the share of its capacity that a backend is sure to have.
+func (n *Node) warmth(b *Backend) float64 {
+	if age := n.now - b.Started; b.Started > 0 && age < n.t.WarmWithin {
+		return n.t.ColdFrom + (1-n.t.ColdFrom)*math.Max(age, 0)/n.t.WarmWithin
+	}
+	return 1
+}
+
+// distrust is the fading score against the fellows': what all show is not the backend's fault.
+func (n *Node) distrust(b *Backend) float64 {
+	return math.Max(0, b.distrust.get(n.now, distrustHalf)-n.doubt)
+}
+
+func (n *Node) suspect(b *Backend, by float64) {
+	before := n.distrust(b)
+	b.distrust.set(n.now, math.Min(b.distrust.get(n.now, distrustHalf)+by, 3*shunAt))
+	if after := n.distrust(b); before < shunAt && after >= shunAt {
+		n.log("backend %x shunned, %d out", b.Ref, len(b.out))
+	}
+}
+
+// learn takes what an answer tells of its backend.
+func (n *Node) learn(b *Backend, p *Push, elapsed float64) {
+	work := p.Op.work
+	b.pace.add(math.Max(elapsed, 0.1)/work, 0.3, 0.05)
+	b.tail.add(math.Max(elapsed, 0.1)/work, 0.9, 0.1)
+	wait := b.wait.get(n.now, waitHalf)
+	b.wait.set(n.now, math.Max(0, wait+0.2*(elapsed-work*n.paceOf(b)-wait)))
+	n.stretch.add(math.Max(elapsed, 0.1)/math.Max(p.expect, 1), 0.95, 0.02)
+	if !p.overdue {
+		b.distrust.set(n.now, b.distrust.get(n.now, distrustHalf)*0.8)
+	}
+}
+
+// sweep is the periodic look at what backends are against their fellows.
+func (n *Node) sweep() {
+	var doubts, tails, units []float64
+	for _, b := range n.backends {
+		if b.State != Ready {
+			continue
+		}
+		doubts = append(doubts, b.distrust.get(n.now, distrustHalf))
+		if b.tail.seen > 5 {
+			tails = append(tails, b.tail.value)
+		}
+		if b.pace.seen > 5 && n.warmth(b) == 1 {
+			units = append(units, 1/b.pace.value/b.Weight)
+		}
+	}
+	n.doubt, n.unit = median(doubts), median(units)
+	usual := median(tails)
+	for _, b := range n.backends {
+		if b.tail.seen <= 5 || usual == 0 {
+			continue
+		}
+		if ratio := b.tail.value / usual; ratio > 4 { // slower than the slowest of unlike machines would be
+			b.distrust.set(n.now, math.Max(b.distrust.get(n.now, distrustHalf), math.Min(ratio/4, shunAt)))
+		}
+		b.tail.value *= math.Pow(usual/b.tail.value, 0.01) // what isn't seen again is forgotten
+	}
+	n.idle = true
+}
+
+func median(x []float64) float64 {
+	if len(x) == 0 {
+		return 0
+	}
+	sort.Float64s(x)
+	return x[len(x)/2]
+}
+
+// may is the one gate that every push passes; it holds all four rules.
+func (n *Node) may(op *Op, b *Backend) bool {
+	if op.stage == ended || op.stage == streaming || op.GiveUp <= n.now || len(op.Pushes) >= n.t.MaxPushes {
+		return false
+	}
+	if b.State != Ready { // at once on being told: no grace is needed
+		return false
+	}
+	if op.out() > 0 && !n.t.SecondCopies {
+		return false
+	}
+	for _, p := range op.Pushes {
+		if !p.out && p.ending.NeverRan() {
+			continue
+		}
+		switch op.cat.Effect {
+		case AtMostOnce:
+			return false
+		case Deduplicated:
+			first := p.Backend
+			if op.cat.Group == GroupZone && first.Zone != b.Zone || op.cat.Group == GroupCell && first.Cell != b.Cell ||
+				n.now-p.SentAt >= op.cat.Remembered {
+				return false
+			}
+		}
+	}
+	return n.coldRoom(b, op.work)
+}
+
+// coldRoom tells whether this node's part of a cold backend's budget has room for the work, in the window that
+// ends now. One part in the number of nodes, so that all keep the rule without agreement.
+func (n *Node) coldRoom(b *Backend, work float64) bool {
+	warm := n.warmth(b)
+	if warm == 1 {
+		return true
+	}
+	spent := work
+	for _, s := range b.recent {
+		if s.at > n.now-n.t.OverloadFor {
+			spent += s.work
+		}
+	}
+	unit := n.unit
+	if unit == 0 { // nothing seen yet: half a standard core for a backend of mean weight
+		unit = 0.5 / n.weight
+	}
+	capacity := b.Weight * unit * warm
+	return spent <= coldSafety*n.t.FallMultiple*capacity*n.t.OverloadFor/float64(max(n.t.Nodes, 1))
+}
+
+// send is the only way out for a push.
+func (n *Node) send(op *Op, b *Backend) bool {
+	if !n.may(op, b) {
+		return false
+	}
+	p := &Push{Op: op, Backend: b, Number: len(op.Pushes), SentAt: n.now, expect: n.predict(b, op), out: true}
+	op.Pushes, op.stage = append(op.Pushes, p), pushed
+	b.out = append(b.out, p)
+	if op.long {
+		b.longs++
+	}
+	keep := b.recent[:0]
+	for _, s := range b.recent {
+		if s.at > n.now-n.t.OverloadFor {
+			keep = append(keep, s)
+		}
+	}
+	b.recent = append(keep, sent{n.now, math.Max(op.work, op.cat.meanWork/2)})
+	// A backend that comes back from being skipped takes its next turn, not all those it missed.
+	n.round = math.Max(n.round, b.pass)
+	b.pass = math.Max(b.pass, n.round-1) + 1/n.size(b, op)
+	wait := 0.0
+	if op.cat.LateBenefit == 0 {
+		wait = math.Max(n.left(op), 0.1)
+	}
+	n.out = append(n.out, Decision{Kind: DoPush, Op: op, Push: p, Wait: wait})
+	patience := 20 + p.expect*math.Min(math.Max(n.stretch.get(4), 2), 8) // 20 ms: a connection's set-up, some ticks
+	if patience < n.left(op) {
+		n.at(due{at: n.now + patience, push: p})
+	}
+	return true
+}
+
+func (n *Node) revoke(p *Push) {
+	if n.t.Cancel && p.out && !p.revoked {
+		p.revoked = true
+		n.out = append(n.out, Decision{Kind: DoRevoke, Op: p.Op, Push: p})
+	}
+}
+
+// giveUp is the only way to a final answer of the node's own, and gives it at once.
+func (n *Node) giveUp(op *Op) {
+	if op.stage == ended || op.stage == streaming {
+		return
+	}
+	mayHaveRun := false
+	for _, p := range op.Pushes {
+		mayHaveRun = mayHaveRun || p.out || !p.ending.NeverRan()
+	}
+	kind := DoDeadLetter
+	if !mayHaveRun || op.cat.Effect == Redeliverable || op.cat.Effect == Deduplicated && op.cat.Group == GroupAll {
+		kind = DoNack
+	}
+	d := Decision{Kind: kind, Op: op}
+	if kind == DoNack && n.t.ComeBack {
+		d.Wait = math.Min(n.t.MaxComeBack, op.cat.TargetLatency*(0.2+0.6*n.rng.unit()))
+	}
+	n.out = append(n.out, d)
+	n.end(op)
+}
+
+// end closes an op and calls off what is still out for it.
+func (n *Node) end(op *Op) {
+	if op.stage == held {
+		n.unhold(op)
+	}
+	streamed := op.stage == streaming
+	op.stage = ended
+	for _, p := range op.Pushes {
+		if !streamed {
+			n.revoke(p)
+		}
+	}
+}
--- /dev/null
+++ b/balance/measure.go
@@ -0,0 +1,107 @@
+package balance
+
+import (
+	"math"
+	"sort"
+)
+
+// fader is a sum that fades with time.
+type fader struct{ sum, at float64 }
+
+func (f *fader) get(now, half float64) float64 {
+	if f.sum == 0 || now <= f.at {
+		return f.sum
+	}
+	return f.sum * math.Exp2((f.at-now)/half)
+}
+
+func (f *fader) set(now, sum float64) { f.sum, f.at = sum, now }
+
+// quantile follows one quantile of a stream of ratios, in steps of equal proportion.
+type quantile struct {
+	value float64
+	seen  int
+}
+
+func (q *quantile) add(x, share, step float64) {
+	q.seen++
+	switch {
+	case q.seen == 1:
+		q.value = x
+	case x > q.value:
+		q.value *= math.Exp(math.Max(step, 1/float64(q.seen)) * share)
+	default:
+		q.value *= math.Exp(-math.Max(step, 1/float64(q.seen)) * (1 - share))
+	}
+}
+
+func (q *quantile) get(unknown float64) float64 {
+	if q.seen == 0 {
+		return unknown
+	}
+	return q.value
+}
+
+// mwc is a multiply-with-carry generator.
+type mwc struct{ x, carry uint64 }
+
+func newMWC(seed uint64) mwc { return mwc{x: seed&0xffffffff | 1, carry: seed>>32 | 1} }
+
+func (m *mwc) unit() float64 {
+	t := 4294957665*m.x + m.carry
+	m.x, m.carry = t&0xffffffff, t>>32
+	return float64(m.x) / (1 << 32)
+}
+
+func (m *mwc) below(n int) int { return int(m.unit() * float64(n)) }
+
+// due is something that falls due at a time; equal times keep the order in which they were set.
+type due struct {
+	at   float64
+	seq  uint64
+	op   *Op   // a held op's late send
+	push *Push // a push's patience; with neither, the list is to be asked for
+}
+
+type dues []due
+
+func (d dues) Len() int      { return len(d) }
+func (d dues) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d dues) Less(i, j int) bool {
+	return d[i].at < d[j].at || d[i].at == d[j].at && d[i].seq < d[j].seq
+}
+func (d *dues) Push(x any) { *d = append(*d, x.(due)) }
+func (d *dues) Pop() any {
+	last := len(*d) - 1
+	x := (*d)[last]
+	*d = (*d)[:last]
+	return x
+}
+
+// window keeps the last hints, also in order of size.
+type window struct {
+	ring, sorted []float64
+	next         int
+}
+
+const windowSize = 500 // hints; twenty of them lie above the cutoff, enough to place it
+
+func (w *window) add(x float64) {
+	if len(w.ring) < windowSize {
+		w.ring = append(w.ring, x)
+	} else {
+		i := sort.SearchFloat64s(w.sorted, w.ring[w.next])
+		w.sorted = append(w.sorted[:i], w.sorted[i+1:]...)
+		w.ring[w.next] = x
+		w.next = (w.next + 1) % windowSize
+	}
+	i := sort.SearchFloat64s(w.sorted, x)
+	w.sorted = append(w.sorted, 0)
+	copy(w.sorted[i+1:], w.sorted[i:])
+	w.sorted[i] = x
+}
+
+func (w *window) share(s float64) float64 {
+	i := int(math.Ceil(s*float64(len(w.sorted)))) - 1
+	return w.sorted[max(i, 0)]
+}
--- /dev/null
+++ b/balance/types.go
@@ -0,0 +1,199 @@
+package balance
+
+// Effect says what a category's ops allow after a push that may have run.
+type Effect uint8
+
+const (
+	Redeliverable Effect = iota
+	Deduplicated
+	AtMostOnce
+)
+
+// Group is the set of backends that drop a deduplicated op's repeats.
+type Group uint8
+
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+// Category is one kind of op with what the deployment says of it.
+type Category struct {
+	Effect        Effect
+	Group         Group
+	Remembered    float64 // how long a deduplicated op's mark is kept, from its first push
+	TargetLatency float64
+	TTL           float64
+	Benefit       float64
+	LateBenefit   float64 // share of the benefit left after the target latency
+
+	meanWork   float64 // fading mean of the hints
+	asked, met fader   // fading sums of work arrived, and of work acked within the target latency
+}
+
+// Tenant is one customer with its share of the service over all nodes.
+type Tenant struct {
+	Quota float64 // ops a second; 0 means no limit
+
+	rate fader
+}
+
+// Terms are what a deployment tells a node at its start.
+type Terms struct {
+	Seed          uint64
+	Zone          int
+	Nodes         int
+	Categories    []Category
+	Tenants       []Tenant
+	ExcessBenefit float64
+	ByWork        bool // benefit is counted for each unit of work
+
+	WholeGoal    float64 // what the whole day's service weighs
+	WorstGoal    float64 // what the worst-served category weighs
+	CrossPrice   float64
+	WarmKeys     bool
+	MaxPushes    int
+	SecondCopies bool
+	Cancel       bool
+	ComeBack     bool // clients are told when to come back
+	MaxComeBack  float64
+
+	MustAsk      bool // the list of backends comes only when asked for
+	AskWithin    float64
+	ColdFrom     float64
+	WarmWithin   float64
+	FallMultiple float64
+	OverloadFor  float64
+}
+
+// State is what the list says of a backend.
+type State uint8
+
+const (
+	Gone State = iota
+	Draining
+	Ready
+)
+
+// Backend is a server as the list gives it, with what this node has learned of it.
+type Backend struct {
+	Ref     uint64 // the host's name for it, the same at every node
+	Zone    int
+	Cell    int
+	State   State
+	Weight  float64
+	Started float64 // clock time of its latest start; 0 is long ago
+
+	out      []*Push // pushes not yet ended, oldest first
+	longs    int     // of those, the long ones
+	lingers  float64 // until then, work given up on may still run here
+	pace     quantile
+	tail     quantile
+	wait     fader // answer times beyond the work's own
+	distrust fader
+	pass     float64 // its place in the rotation
+	recent   []sent  // sends of the last window while it may be cold
+	position int
+}
+
+type sent struct{ at, work float64 }
+
+// Ending is how a push ended.
+type Ending uint8
+
+const (
+	Answered Ending = iota
+	Failed
+	Rejected
+	TimedOut
+	NoConnection
+	Reset
+	Revoked
+	NotSent
+)
+
+// NeverRan tells whether the ending proves that the push did not run.
+func (e Ending) NeverRan() bool { return e == Rejected || e == NoConnection || e == NotSent }
+
+// Op is one client op taken by this node.
+type Op struct {
+	Ref      uint64 // the host's name for it
+	Category int
+	Tenant   int
+	Key      uint64 // 0 is none
+	Hint     float64
+	HasHint  bool
+	Repeat   bool
+	Arrived  float64
+	GiveUp   float64 // clock time at which the client gives up on this try
+	Pushes   []*Push
+
+	cat      *Category
+	work     float64
+	long     bool
+	overfull bool // beyond its tenant's share
+	stage    stage
+	queued   bool
+}
+
+// Over tells whether the op has ended and nothing of it is out, so that the host may forget it.
+func (o *Op) Over() bool { return o.stage == ended && o.out() == 0 }
+
+func (o *Op) out() (n int) {
+	for _, p := range o.Pushes {
+		if p.out {
+			n++
+		}
+	}
+	return n
+}
+
+type stage uint8
+
+const (
+	fresh stage = iota
+	held
+	pushed
+	streaming
+	ended
+)
+
+// Push is one send of an op to a backend.
+type Push struct {
+	Op      *Op
+	Backend *Backend
+	Number  int
+	SentAt  float64
+
+	expect  float64 // predicted answer time
+	out     bool
+	revoked bool
+	overdue bool
+	ending  Ending
+}
+
+// Kind is what a decision asks the host to do.
+type Kind uint8
+
+const (
+	DoPush Kind = iota
+	DoNack
+	DoDeadLetter
+	DoRevoke
+	DoWatch
+	DoTimer
+	DoLog
+)
+
+// Decision is one thing for the host to do.
+type Decision struct {
+	Kind Kind
+	Op   *Op
+	Push *Push
+	Wait float64 // DoPush: its time-out, 0 for none; DoNack: when to come back; DoTimer: how far from now
+	Text string  // DoLog: the line
+}
+
+// Out tells whether the push has not ended yet.
+func (p *Push) Out() bool { return p.out }
--- /dev/null
+++ b/internal/simwire/terms.go
@@ -0,0 +1,128 @@
+package simwire
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"pearknot/balance"
+)
+
+// pairs are the start-up lines of an instance; the first fault is kept.
+type pairs struct {
+	values map[string]string
+	err    error
+}
+
+func (p *pairs) text(path string) string {
+	v, ok := p.values[path]
+	if !ok && p.err == nil {
+		p.err = fmt.Errorf("setting %s is missing", path)
+	}
+	return v
+}
+
+func (p *pairs) number(path string) float64 {
+	v := p.text(path)
+	if p.err != nil {
+		return 0
+	}
+	x, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+		p.err = fmt.Errorf("setting %s is no number: %q", path, v)
+	}
+	return x
+}
+
+func (p *pairs) flag(path string) bool {
+	v := p.text(path)
+	if p.err == nil && v != "true" && v != "false" {
+		p.err = fmt.Errorf("setting %s is neither true nor false: %q", path, v)
+	}
+	return v == "true"
+}
+
+// word finds the place of a setting's value among the words allowed.
+func (p *pairs) word(path string, words ...string) int {
+	v := p.text(path)
+	for i, w := range words {
+		if v == w {
+			return i
+		}
+	}
+	if p.err == nil {
+		p.err = fmt.Errorf("setting %s has an unknown value: %q", path, v)
+	}
+	return 0
+}
+
+// count reads how many items a list of objects has; each item needs lines of its own.
+func (p *pairs) count(path string) int {
+	n := p.number(path + ".count")
+	if p.err == nil && (n < 0 || n != math.Trunc(n) || int(n) > len(p.values)) {
+		p.err = fmt.Errorf("setting %s.count can't be: %v", path, n)
+	}
+	if p.err != nil {
+		return 0
+	}
+	return int(n)
+}
+
+// optional settings are absent at some sites; unset is what their absence means.
+func optional[T any](p *pairs, path string, read func(string) T, unset T) T {
+	if v, ok := p.values[path]; ok && v != "" {
+		return read(path)
+	}
+	return unset
+}
+
+func readTerms(data []byte) (*balance.Terms, error) {
+	p := &pairs{values: map[string]string{}}
+	for line := range strings.Lines(string(data)) {
+		if path, value, ok := strings.Cut(strings.TrimRight(line, "\r\n"), "="); ok {
+			p.values[path] = value
+		}
+	}
+	t := &balance.Terms{
+		Zone:          int(p.number("az")),
+		Nodes:         int(p.number("balancers")),
+		ByWork:        p.text("benefitBy") == "work",
+		ExcessBenefit: optional(p, "excessBenefit", p.number, 1),
+		WholeGoal:     optional(p, "goal.whole", p.number, 1),
+		WorstGoal:     optional(p, "goal.worstClass", p.number, 0),
+		CrossPrice:    optional(p, "prices.crossZone", p.number, 0),
+		WarmKeys:      optional(p, "familyInfo.warmKeys", p.flag, false),
+		MaxPushes:     int(p.number("bounds.mostPushes")),
+		SecondCopies:  p.flag("bounds.secondCopies"),
+		Cancel:        p.flag("bounds.cancel"),
+		ComeBack:      p.flag("bounds.retryAfter"),
+		MaxComeBack:   optional(p, "bounds.maxRetryAfter", p.number, 0),
+		MustAsk:       p.word("registryMode", "automatic", "subscribe") == 1,
+		AskWithin:     p.number("rules.askWithin"),
+		ColdFrom:      p.number("rules.coldFrom"),
+		WarmWithin:    p.number("rules.warmWithin"),
+		FallMultiple:  p.number("rules.fallMultiple"),
+		OverloadFor:   p.number("rules.overloadFor"),
+	}
+	for k := range p.count("categories") {
+		at := fmt.Sprintf("categories.%d.", k)
+		t.Categories = append(t.Categories, balance.Category{
+			Effect:        balance.Effect(p.word(at+"idempotency", "pure", "token", "side_effect")),
+			Group:         balance.Group(optional(p, at+"dedupScope", func(s string) int { return p.word(s, "all", "zone", "cell") }, 0)),
+			Remembered:    optional(p, at+"keyTtl", p.number, 0),
+			TargetLatency: p.number(at + "targetLatency"),
+			TTL:           p.number(at + "ttl"),
+			Benefit:       p.number(at + "benefit"),
+			LateBenefit:   optional(p, at+"overdueBenefit", p.number, 0),
+		})
+	}
+	if p.values["tenants"] == "" && p.values["tenants.count"] != "" {
+		for k := range p.count("tenants") {
+			t.Tenants = append(t.Tenants, balance.Tenant{
+				Quota: optional(p, fmt.Sprintf("tenants.%d.quotaPerS", k), p.number, 0),
+			})
+		}
+	}
+	return t, p.err
+}
