Predict answer times by a backend's own drain and cap pushes in flight there

Change: answer time is predicted from the work this node has out and the rate at which it lately drained; no more than three pushes for each op worked on at once; a rejecting backend rests, longer each time.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,7 +20,10 @@
 
 	sweepEvery   = 100.0 // ms; several looks within the shortest target latency of human-facing services
 	distrustHalf = 4e3   // ms; distrust halves in this time, so a shunned backend is tried again in seconds
-	waitHalf     = 1e3   // ms; a queue seen is believed about as long as one lasts
+	drainHalf    = 2e3   // ms; a queue seen is believed about as long as one lasts
+	drainPrior   = 100.0 // ms of work at the usual pace that the drain starts from
+	queueDepth   = 3.0   // pushes in flight for each op worked on at once: one in work, one next, one on its way
+	restFirst    = 25.0  // ms; doubled at each rejection in a row, a backend's rest before the next push
 	shunAt       = 2.0   // distrust from which a backend gets no traffic: two clear failures in a row
 	extraShare   = 0.2   // further pushes an op earns for the budget; a retry storm can add no more load
 	extraMost    = 20.0  // further pushes that may be saved up: one backend's work in flight at a failure
@@ -95,7 +98,7 @@
 			b.pass = n.round + n.rng.unit() // the rotation starts at random
 		}
 		if l.Started > b.Started { // a new process: what was learned of the old one's state is void
-			b.wait, b.distrust, b.lingers = fader{}, fader{}, 0
+			b.did, b.busy, b.peak, b.distrust, b.lingers, b.restUntil = 0, 0, 0, fader{}, 0, 0
 		}
 		b.Zone, b.Cell, b.State, b.Started = l.Zone, l.Cell, l.State, l.Started
 		b.Weight = l.Weight
@@ -179,7 +182,9 @@
 func (n *Node) Ended(now float64, p *Push, how Ending, elapsed float64, finished bool) {
 	n.now = now
 	op, b := p.Op, p.Backend
+	n.tally(b)
 	p.out, p.ending = false, how
+	b.workOut -= op.work
 	for i, o := range b.out {
 		if o == p {
 			b.out = append(b.out[:i], b.out[i+1:]...)
@@ -199,8 +204,9 @@
 		n.suspect(b, 1)
 	case TimedOut:
 		n.suspect(b, 1)
-	case Rejected: // a full waiting room tells of load, not of a fault
-		b.wait.set(now, math.Max(b.wait.get(now, waitHalf), op.cat.TargetLatency/2))
+	case Rejected: // a full waiting room tells of load, not of a fault; it answers quickly and would draw more
+		b.rejections = math.Min(b.rejections+1, 4)
+		b.restUntil = now + restFirst*math.Exp2(b.rejections)
 	}
 	if how == TimedOut || how == Revoked {
 		// Work given up on may go on: the backend is not idle before it could be done.
@@ -461,7 +467,7 @@
 	var turn, least, warm *Backend
 	var leastLoad, warmest float64
 	for _, b := range n.backends {
-		if n.isNear(b) != near || !n.may(op, b) || n.tried(op, b) || n.distrust(b) >= shunAt {
+		if n.isNear(b) != near || !n.may(op, b) || n.tried(op, b) || n.distrust(b) >= shunAt || n.full(b) {
 			continue
 		}
 		load := float64(len(b.out)) / n.size(b, op)
@@ -496,7 +502,7 @@
 func (n *Node) fewest(op *Op) (best *Backend) {
 	least := math.Inf(1)
 	for _, b := range n.backends {
-		if !n.may(op, b) || n.distrust(b) >= shunAt {
+		if !n.may(op, b) || n.distrust(b) >= shunAt || n.full(b) {
 			continue
 		}
 		load := float64(len(b.out)) / n.size(b, op)
@@ -590,14 +596,38 @@
 	return math.Min(1, c.met.get(n.now, serviceHalf)/asked)
 }
 
-// predict is the answer time expected of a backend: the work at its pace behind the queue last seen there.
+// predict is the answer time expected of a backend: the work this node has there and the new op's at the rate
+// at which it lately drained such work, and never less than the op alone takes.
 func (n *Node) predict(b *Backend, op *Op) float64 {
-	wait := b.wait.get(n.now, waitHalf)
-	if len(b.out) > 0 { // the oldest push out tells of a queue before its answer does
-		p := b.out[0]
-		wait = math.Max(wait, (n.now-p.SentAt-p.expect)/2)
+	return math.Max((b.workOut+op.work)/n.drain(b), op.work*n.paceOf(b))
+}
+
+// drain is the work a backend lately did for this node per millisecond with any there. It holds what others
+// send, slowness, and silence: with pushes out and no answers it falls by itself.
+func (n *Node) drain(b *Backend) float64 {
+	busy, fade := b.busy, math.Exp2((b.tallied-n.now)/drainHalf)
+	if len(b.out) > 0 {
+		busy += n.now - b.tallied
+	}
+	return (b.did*fade + drainPrior/n.paceOf(b)) / (busy*fade + drainPrior)
+}
+
+func (n *Node) tally(b *Backend) {
+	fade := math.Exp2((b.tallied - n.now) / drainHalf)
+	if len(b.out) > 0 {
+		b.busy += n.now - b.tallied
+	}
+	b.did, b.busy, b.tallied = b.did*fade, b.busy*fade, n.now
+}
+
+// full tells whether more pushes to a backend would only queue there: more in flight than a few for each op it
+// is seen to work on at once, by the best drain seen. Beyond that it may slow down, and others' ops wait too.
+func (n *Node) full(b *Backend) bool {
+	if b.restUntil > n.now {
+		return true
 	}
-	return wait + op.work*n.paceOf(b)
+	atOnce := math.Max(1, b.peak*n.paceOf(b))
+	return float64(len(b.out)) >= queueDepth*atOnce
 }
 
 func (n *Node) paceOf(b *Backend) float64 { return b.pace.get(1) }
@@ -636,10 +666,11 @@
 // learn takes what an answer tells of its backend.
 func (n *Node) learn(b *Backend, p *Push, elapsed float64) {
 	work := p.Op.work
-	b.pace.add(math.Max(elapsed, 0.1)/work, 0.3, 0.05)
+	b.pace.add(math.Max(elapsed, 0.1)/work, 0.3, 0.02)
 	b.tail.add(math.Max(elapsed, 0.1)/work, 0.9, 0.1)
-	wait := b.wait.get(n.now, waitHalf)
-	b.wait.set(n.now, math.Max(0, wait+0.2*(elapsed-work*n.paceOf(b)-wait)))
+	b.did += work
+	b.peak = math.Max(b.peak*0.998, n.drain(b)) // forgets a peak over some hundreds of answers
+	b.rejections = 0
 	n.stretch.add(math.Max(elapsed, 0.1)/math.Max(p.expect, 1), 0.95, 0.02)
 	if !p.overdue {
 		b.distrust.set(n.now, b.distrust.get(n.now, distrustHalf)*0.8)
@@ -740,7 +771,9 @@
 	}
 	p := &Push{Op: op, Backend: b, Number: len(op.Pushes), SentAt: n.now, expect: n.predict(b, op), out: true}
 	op.Pushes, op.stage = append(op.Pushes, p), pushed
+	n.tally(b)
 	b.out = append(b.out, p)
+	b.workOut += op.work
 	if op.long {
 		b.longs++
 	}
--- a/balance/types.go
+++ b/balance/types.go
@@ -85,16 +85,21 @@
 	Weight  float64
 	Started float64 // clock time of its latest start; 0 is long ago
 
-	out      []*Push // pushes not yet ended, oldest first
-	longs    int     // of those, the long ones
-	lingers  float64 // until then, work given up on may still run here
-	pace     quantile
-	tail     quantile
-	wait     fader // answer times beyond the work's own
-	distrust fader
-	pass     float64 // its place in the rotation
-	recent   []sent  // sends of the last window while it may be cold
-	position int
+	out                   []*Push // pushes not yet ended, oldest first
+	longs                 int     // of those, the long ones
+	lingers               float64 // until then, work given up on may still run here
+	pace                  quantile
+	tail                  quantile
+	workOut               float64 // their work
+	did                   float64 // fading sum of work answered
+	busy                  float64 // fading sum of time with pushes out
+	tallied               float64 // when the two were last brought up to date
+	peak                  float64 // the best drain seen
+	restUntil, rejections float64
+	distrust              fader
+	pass                  float64 // its place in the rotation
+	recent                []sent  // sends of the last window while it may be cold
+	position              int
 }
 
 type sent struct{ at, work float64 }
