--- a/balance/balance.go
+++ b/balance/balance.go
@@ -575,9 +575,9 @@
 			own = gain
 		}
 	}
-	share := 0.9
+	share := 0.75
 	if most > 0 {
-		share = 0.4 + 0.5*own/most
+		share = 0.25 + 0.5*own/most
 	}
 	if op.overfull {
 		share *= 0.5
