--- a/balance/balance.go
+++ b/balance/balance.go
@@ -290,7 +290,7 @@
 		n.hold(op)
 	default:
 		b := n.rotate(op)
-		if b == nil || n.predict(b, op) > n.patienceOf(op) || !n.send(op, b) {
+		if b == nil || n.hopeless(b, op) || !n.send(op, b) {
 			n.giveUp(op)
 		}
 	}
@@ -551,7 +551,14 @@
 	return n.t.CrossPrice * n.value / math.Max(n.worth(op), 1e-9)
 }
 
-// patienceOf is the predicted answer time above which an op is nacked at once. Under overload the benefit
+// hopeless tells whether an op is better nacked at once than pushed: its answer would come too late, or it would
+// wait behind others longer than ops of its benefit may. A heavy op's own time is not held against it.
+func (n *Node) hopeless(b *Backend, op *Op) bool {
+	time := n.predict(b, op)
+	return time > n.left(op) || time-op.work*n.paceOf(b) > n.patienceOf(op)
+}
+
+// patienceOf is the wait behind others above which an op is nacked. Under overload the benefit
 // that a unit of work earns decides, with the worst-served category counted as the goal counts it.
 func (n *Node) patienceOf(op *Op) float64 {
 	most, own, least := 0.0, 0.0, math.Inf(1)
