Cap pushes in flight by a square-root rule on the uncongested pace

Change: the cap is what a backend works on at once plus twice its root; pace is learned only from pushes sent with next to nothing of this node's out.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,7 +22,7 @@
 	distrustHalf = 4e3   // ms; distrust halves in this time, so a shunned backend is tried again in seconds
 	drainHalf    = 2e3   // ms; a queue seen is believed about as long as one lasts
 	drainPrior   = 100.0 // ms of work at the usual pace that the drain starts from
-	queueDepth   = 3.0   // pushes in flight for each op worked on at once: one in work, one next, one on its way
+	queueDepth   = 2.0   // pushes queued, times the root of those worked on at once: the usual staffing rule
 	restFirst    = 25.0  // ms; doubled at each rejection in a row, a backend's rest before the next push
 	shunAt       = 2.0   // distrust from which a backend gets no traffic: two clear failures in a row
 	extraShare   = 0.2   // further pushes an op earns for the budget; a retry storm can add no more load
@@ -634,7 +634,7 @@
 		return true
 	}
 	atOnce := math.Max(1, b.peak*n.paceOf(b))
-	return float64(len(b.out)) >= queueDepth*atOnce
+	return float64(len(b.out)) >= atOnce+queueDepth*math.Sqrt(atOnce)
 }
 
 func (n *Node) paceOf(b *Backend) float64 { return b.pace.get(1) }
@@ -673,7 +673,9 @@
 // learn takes what an answer tells of its backend.
 func (n *Node) learn(b *Backend, p *Push, elapsed float64) {
 	work := p.Op.work
-	b.pace.add(math.Max(elapsed, 0.1)/work, 0.3, 0.02)
+	if p.alone || b.pace.seen < 10 { // behind own pushes the time tells of the queue, not of the backend
+		b.pace.add(math.Max(elapsed, 0.1)/work, 0.3, 0.02)
+	}
 	b.tail.add(math.Max(elapsed, 0.1)/work, 0.9, 0.1)
 	b.did += work
 	b.peak = math.Max(b.peak*0.998, n.drain(b)) // forgets a peak over some hundreds of answers
@@ -776,7 +778,7 @@
 	if !n.may(op, b) {
 		return false
 	}
-	p := &Push{Op: op, Backend: b, Number: len(op.Pushes), SentAt: n.now, expect: n.predict(b, op), out: true}
+	p := &Push{Op: op, Backend: b, Number: len(op.Pushes), SentAt: n.now, expect: n.predict(b, op), out: true, alone: len(b.out) < 2}
 	op.Pushes, op.stage = append(op.Pushes, p), pushed
 	n.tally(b)
 	b.out = append(b.out, p)
--- a/balance/types.go
+++ b/balance/types.go
@@ -175,6 +175,7 @@
 	out     bool
 	revoked bool
 	overdue bool
+	alone   bool // sent with next to nothing else of this node's out there
 	ending  Ending
 }
 
