Halve the queue allowed behind work in hand

Cause: a node sees its own pushes only; with several nodes the allowance adds up and still crowds backends.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,7 +22,7 @@
 	distrustHalf = 4e3   // ms; distrust halves in this time, so a shunned backend is tried again in seconds
 	drainHalf    = 2e3   // ms; a queue seen is believed about as long as one lasts
 	drainPrior   = 100.0 // ms of work at the usual pace that the drain starts from
-	queueDepth   = 2.0   // pushes queued, times the root of those worked on at once: the usual staffing rule
+	queueDepth   = 1.0   // pushes queued, times the root of those worked on at once: the usual staffing rule
 	restFirst    = 25.0  // ms; doubled at each rejection in a row, a backend's rest before the next push
 	shunAt       = 2.0   // distrust from which a backend gets no traffic: two clear failures in a row
 	extraShare   = 0.2   // further pushes an op earns for the budget; a retry storm can add no more load
