Let answer times set how many pushes a backend may have out

Change: a backend's cap rises by one while answers come without a queue and falls by a fifth where they queue; every node yields to queues any node causes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,7 +22,9 @@
 	distrustHalf = 4e3   // ms; distrust halves in this time, so a shunned backend is tried again in seconds
 	drainHalf    = 2e3   // ms; a queue seen is believed about as long as one lasts
 	drainPrior   = 100.0 // ms of work at the usual pace that the drain starts from
-	queueDepth   = 1.0   // pushes queued, times the root of those worked on at once: the usual staffing rule
+	queueShare   = 0.06  // of the target latency: a queue this long is answered with fewer pushes in flight
+	mostFirst    = 3.0   // pushes in flight to a backend of which nothing is known
+	paceKnown    = 3.0   // mean ops' work that counts as the fleet's against a backend's own pace
 	restFirst    = 25.0  // ms; doubled at each rejection in a row, a backend's rest before the next push
 	shunAt       = 2.0   // distrust from which a backend gets no traffic: two clear failures in a row
 	extraShare   = 0.2   // further pushes an op earns for the budget; a retry storm can add no more load
@@ -50,6 +52,8 @@
 	extra    float64  // budget for further pushes
 	stretch  quantile // how much longer than predicted answers take, at the high end
 	value    float64  // fading mean of an op's benefit
+	meanWork float64  // and of its work
+	pace     pace     // all backends' together
 	doubt    float64  // the fleet's median distrust; a backend is judged against it
 	unit     float64  // what a warm backend does in a millisecond for each unit of weight
 	weight   float64  // mean weight of the ready backends
@@ -95,10 +99,11 @@
 		if b.position == 0 {
 			n.backends = append(n.backends, b)
 			b.position = len(n.backends)
+			b.most = mostFirst
 			b.pass = n.round + n.rng.unit() // the rotation starts at random
 		}
 		if l.Started > b.Started { // a new process: what was learned of the old one's state is void
-			b.did, b.busy, b.peak, b.distrust, b.lingers, b.restUntil = 0, 0, 0, fader{}, 0, 0
+			b.did, b.busy, b.most, b.distrust, b.lingers, b.restUntil = 0, 0, mostFirst, fader{}, 0, 0
 		}
 		b.Zone, b.Cell, b.State, b.Started = l.Zone, l.Cell, l.State, l.Started
 		b.Weight = l.Weight
@@ -160,6 +165,7 @@
 		op.overfull = w.Quota > 0 && w.rate.sum*math.Ln2*float64(n.t.Nodes) > w.Quota
 	}
 	n.value += (n.worth(op) - n.value) / 50
+	n.meanWork += (op.work - n.meanWork) / 50
 	n.extra = math.Min(n.extra+extraShare, extraMost)
 	n.want(op)
 }
@@ -627,17 +633,18 @@
 	b.did, b.busy, b.tallied = b.did*fade, b.busy*fade, n.now
 }
 
-// full tells whether more pushes to a backend would only queue there: more in flight than a few for each op it
-// is seen to work on at once, by the best drain seen. Beyond that it may slow down, and others' ops wait too.
+// full tells whether a backend has all the pushes that this node sends there at once. Beyond that they would
+// queue, and a crowded backend may turn slower for all nodes.
 func (n *Node) full(b *Backend) bool {
-	if b.restUntil > n.now {
-		return true
-	}
-	atOnce := math.Max(1, b.peak*n.paceOf(b))
-	return float64(len(b.out)) >= atOnce+queueDepth*math.Sqrt(atOnce)
+	return b.restUntil > n.now || float64(len(b.out)) >= b.most
 }
 
-func (n *Node) paceOf(b *Backend) float64 { return b.pace.get(1) }
+// paceOf is a backend's time for a unit of work, that of all backends until its own is known.
+func (n *Node) paceOf(b *Backend) float64 {
+	fleet := (n.pace.time + 1) / (n.pace.work + 1) // a standard core's, before any answer
+	known := paceKnown * n.meanWork
+	return (b.pace.time + known*fleet) / (b.pace.work + known)
+}
 
 // size is what share of the rotation a backend gets: its weight against the mean, less while it is cold or
 // distrusted. An op that can't be sent twice shies from doubt twice as much.
@@ -673,12 +680,18 @@
 // learn takes what an answer tells of its backend.
 func (n *Node) learn(b *Backend, p *Push, elapsed float64) {
 	work := p.Op.work
-	if p.alone || b.pace.seen < 10 { // behind own pushes the time tells of the queue, not of the backend
-		b.pace.add(math.Max(elapsed, 0.1)/work, 0.3, 0.02)
+	if p.alone { // behind own pushes the time tells of the queue, not of the backend
+		b.pace.add(elapsed, work)
+		n.pace.add(elapsed, work)
 	}
 	b.tail.add(math.Max(elapsed, 0.1)/work, 0.9, 0.1)
 	b.did += work
-	b.peak = math.Max(b.peak*0.998, n.drain(b)) // forgets a peak over some hundreds of answers
+	// Queues that any node causes lengthen the answers of all: each yields, and shares what there is unasked.
+	if elapsed-1.5*work*n.paceOf(b) > queueShare*p.Op.cat.TargetLatency {
+		b.most = math.Max(1, b.most*0.8)
+	} else if float64(len(b.out)+1) >= b.most {
+		b.most += 1 / b.most
+	}
 	b.rejections = 0
 	n.stretch.add(math.Max(elapsed, 0.1)/math.Max(p.expect, 1), 0.95, 0.02)
 	if !p.overdue {
@@ -697,8 +710,8 @@
 		if b.tail.seen > 5 {
 			tails = append(tails, b.tail.value)
 		}
-		if b.pace.seen > 5 && n.warmth(b) == 1 {
-			units = append(units, 1/b.pace.value/b.Weight)
+		if n.warmth(b) == 1 && b.pace.work > 0 {
+			units = append(units, 1/n.paceOf(b)/b.Weight)
 		}
 	}
 	n.doubt, n.unit = median(doubts), median(units)
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -42,6 +42,14 @@
 	return q.value
 }
 
+// pace is time spent over work done, where each sample weighs by its work: small ops' ratios say little. It
+// remembers some thirty samples.
+type pace struct{ time, work float64 }
+
+func (p *pace) add(time, work float64) {
+	p.time, p.work = 0.97*p.time+time, 0.97*p.work+work
+}
+
 // mwc is a multiply-with-carry generator.
 type mwc struct{ x, carry uint64 }
 
--- a/balance/types.go
+++ b/balance/types.go
@@ -88,13 +88,13 @@
 	out                   []*Push // pushes not yet ended, oldest first
 	longs                 int     // of those, the long ones
 	lingers               float64 // until then, work given up on may still run here
-	pace                  quantile
+	pace                  pace
 	tail                  quantile
 	workOut               float64 // their work
 	did                   float64 // fading sum of work answered
 	busy                  float64 // fading sum of time with pushes out
 	tallied               float64 // when the two were last brought up to date
-	peak                  float64 // the best drain seen
+	most                  float64 // how many pushes it may have out
 	restUntil, rejections float64
 	distrust              fader
 	pass                  float64 // its place in the rotation
