--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,7 +22,7 @@
 	distrustHalf = 4e3   // ms; distrust halves in this time, so a shunned backend is tried again in seconds
 	drainHalf    = 2e3   // ms; a queue seen is believed about as long as one lasts
 	drainPrior   = 100.0 // ms of work at the usual pace that the drain starts from
-	queueShare   = 0.06  // of the target latency: a queue this long is answered with fewer pushes in flight
+	queueShare   = 0.03  // of the target latency: a queue this long is answered with fewer pushes in flight
 	mostFirst    = 3.0   // pushes in flight to a backend of which nothing is known
 	paceKnown    = 3.0   // mean ops' work that counts as the fleet's against a backend's own pace
 	restFirst    = 25.0  // ms; doubled at each rejection in a row, a backend's rest before the next push
