Hold shorts when all backends have their most out, and split off the bookkeeping

Cause: with caps this low a short meeting none with room was nacked or crossed zones although room came within milliseconds. Change: it is held as longs are and released smallest estimate first; nacked at once where the wait foreseen is too long. Crossing is weighed against that wait.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,8 +20,6 @@
 
 	sweepEvery   = 100.0 // ms; several looks within the shortest target latency of human-facing services
 	distrustHalf = 4e3   // ms; distrust halves in this time, so a shunned backend is tried again in seconds
-	drainHalf    = 2e3   // ms; a queue seen is believed about as long as one lasts
-	drainPrior   = 100.0 // ms of work at the usual pace that the drain starts from
 	queueShare   = 0.03  // of the target latency: a queue this long is answered with fewer pushes in flight
 	mostFirst    = 3.0   // pushes in flight to a backend of which nothing is known
 	paceKnown    = 3.0   // mean ops' work that counts as the fleet's against a backend's own pace
@@ -42,7 +40,7 @@
 	cutoff   window
 	waiting  []*Op // ops that want a decision
 	held     []*Op // longs without a backend
-	idle     bool  // a backend turned idle since held ops were last looked at
+	idle     bool  // a backend has room again since held ops were last looked at
 	out      []Decision
 	due      dues
 	seq      uint64
@@ -64,7 +62,8 @@
 
 // New starts a node; now is the host's clock.
 func New(t *Terms, now float64) *Node {
-	n := &Node{t: t, now: now, rng: newMWC(t.Seed), armed: math.Inf(1), sweepAt: now, weight: 1, extra: extraMost / 2}
+	n := &Node{t: t, now: now, rng: newMWC(t.Seed), armed: math.Inf(1), sweepAt: now, weight: 1,
+		extra: extraMost / 2}
 	for range 8 { // the first numbers follow the seed too closely
 		n.rng.unit()
 	}
@@ -75,14 +74,6 @@
 	return n
 }
 
-// Listing is one line of the list of backends.
-type Listing struct {
-	Backend         *Backend
-	State           State
-	Zone, Cell      int
-	Weight, Started float64
-}
-
 // Listed takes news of the list; where full, a backend not in it is gone.
 func (n *Node) Listed(now float64, lines []Listing, full, cached bool) {
 	n.now = now
@@ -103,7 +94,7 @@
 			b.pass = n.round + n.rng.unit() // the rotation starts at random
 		}
 		if l.Started > b.Started { // a new process: what was learned of the old one's state is void
-			b.did, b.busy, b.most, b.distrust, b.lingers, b.restUntil = 0, 0, mostFirst, fader{}, 0, 0
+			b.flow, b.most, b.distrust, b.lingers, b.restUntil = flow{}, mostFirst, fader{}, 0, 0
 		}
 		b.Zone, b.Cell, b.State, b.Started = l.Zone, l.Cell, l.State, l.Started
 		b.Weight = l.Weight
@@ -188,7 +179,7 @@
 func (n *Node) Ended(now float64, p *Push, how Ending, elapsed float64, finished bool) {
 	n.now = now
 	op, b := p.Op, p.Backend
-	n.tally(b)
+	b.flow.tally(now, true)
 	p.out, p.ending = false, how
 	b.workOut -= op.work
 	for i, o := range b.out {
@@ -218,7 +209,7 @@
 		// Work given up on may go on: the backend is not idle before it could be done.
 		b.lingers = math.Max(b.lingers, now+op.work*n.paceOf(b))
 	}
-	n.idle = n.idle || len(b.out) == 0
+	n.idle = true
 	if finished {
 		n.end(op)
 	} else if op.stage == pushed && op.out() == 0 {
@@ -296,7 +287,9 @@
 		n.hold(op)
 	default:
 		b := n.rotate(op)
-		if b == nil || n.hopeless(b, op) || !n.send(op, b) {
+		if b == nil {
+			n.hold(op)
+		} else if n.hopeless(b, op) || !n.send(op, b) {
 			n.giveUp(op)
 		}
 	}
@@ -333,10 +326,8 @@
 	var near, far []*Backend
 	for _, b := range n.backends {
 		// A quick error makes a backend idle at once and a cold one is idle by nature: neither may draw longs.
-		if len(b.out) > 0 || b.lingers > n.now || n.distrust(b) >= shunAt/2 || n.warmth(b) < 1 || !n.may(op, b) {
-			continue
-		}
-		if n.predict(b, op) > n.leftToTarget(op) {
+		if len(b.out) > 0 || b.lingers > n.now || n.distrust(b) >= shunAt/2 || n.warmth(b) < 1 || !n.may(op, b) ||
+			n.predict(b, op) > n.leftToTarget(op) {
 			continue
 		}
 		if n.isNear(b) {
@@ -345,23 +336,16 @@
 			far = append(far, b)
 		}
 	}
-	if len(near) > 0 {
-		return n.send(op, near[n.rng.below(len(near))])
-	}
-	if len(far) > 0 && n.crossCost(op) < 0.5 {
-		return n.send(op, far[n.rng.below(len(far))])
+	if len(near) == 0 && n.crossCost(op) < 0.5 {
+		near = far
 	}
-	return false
+	return len(near) > 0 && n.send(op, near[n.rng.below(len(near))])
 }
 
+// hold keeps a long without an idle backend and a short for which all have their most out. Where the wait is
+// foreseen to be too long the op is nacked at once: holding it would only delay that.
 func (n *Node) hold(op *Op) {
-	best := math.Inf(1)
-	for _, b := range n.backends {
-		if b.State == Ready && n.distrust(b) < shunAt {
-			best = math.Min(best, op.work*n.paceOf(b))
-		}
-	}
-	if best > n.left(op) { // no backend could answer in time: holding it would only delay the nack
+	if time := n.holdTime(op); time > n.left(op) || !op.long && time > n.patienceOf(op) {
 		n.giveUp(op)
 		return
 	}
@@ -370,7 +354,30 @@
 	n.at(due{at: n.now + (1-lateShare)*n.leftToTarget(op), op: op})
 }
 
-// release gives idle backends the held longs, smallest estimate first.
+// holdTime is the time an op would be held behind what is held already, at the rate at which this node's work
+// is lately drained by its own zone, or by all where that has nothing to offer.
+func (n *Node) holdTime(op *Op) float64 {
+	near, all, ahead := 0.0, 0.0, op.work
+	for _, b := range n.backends {
+		if b.State == Ready && n.distrust(b) < shunAt {
+			drain := n.drain(b)
+			all += drain
+			if n.isNear(b) {
+				near += drain
+			}
+		}
+	}
+	for _, o := range n.held {
+		ahead += o.work
+	}
+	if near == 0 {
+		near = all
+	}
+	return ahead / near
+}
+
+// release gives backends that turned idle the held longs, and those with room again the held shorts, smallest
+// estimate first.
 func (n *Node) release() {
 	if len(n.held) == 0 {
 		return
@@ -382,9 +389,14 @@
 	sort.SliceStable(n.held, func(i, j int) bool { return estimate(n.held[i]) < estimate(n.held[j]) })
 	rest := n.held[:0]
 	for _, op := range n.held {
-		if op.stage != held || n.placeLong(op) {
+		if op.stage != held || op.long && n.placeLong(op) {
 			continue
 		}
+		if !op.long {
+			if b := n.rotate(op); b != nil && n.send(op, b) {
+				continue
+			}
+		}
 		rest = append(rest, op)
 	}
 	n.held = rest
@@ -446,15 +458,18 @@
 // rotate picks a backend by the rotation: own zone first, the others where that gains more than it costs.
 func (n *Node) rotate(op *Op) *Backend {
 	near, far := n.inTurn(op, true), n.inTurn(op, false)
-	if near == nil || far == nil {
-		if near == nil {
-			return far
-		}
+	if far == nil {
 		return near
 	}
+	wait := 0.0
+	if near != nil {
+		wait = n.predict(near, op)
+	} else {
+		wait = n.holdTime(op)
+	}
 	time := n.leftToTarget(op)
-	risk := func(b *Backend) float64 { return math.Min(1, math.Max(0, n.predict(b, op)/time-0.25)) }
-	if risk(near)-risk(far) > math.Min(n.crossCost(op), 0.9) {
+	risk := func(wait float64) float64 { return math.Min(1, math.Max(0, wait/time-0.25)) }
+	if risk(wait)-risk(n.predict(far, op)) > math.Min(n.crossCost(op), 0.9) {
 		return far
 	}
 	return near
@@ -473,7 +488,7 @@
 	var turn, least, warm *Backend
 	var leastLoad, warmest float64
 	for _, b := range n.backends {
-		if n.isNear(b) != near || !n.may(op, b) || n.tried(op, b) || n.distrust(b) >= shunAt || n.full(b) {
+		if n.isNear(b) != near || !n.may(op, b) || op.tried(b) || n.distrust(b) >= shunAt || n.full(b) {
 			continue
 		}
 		load := float64(len(b.out)) / n.size(b, op)
@@ -522,22 +537,6 @@
 	return best
 }
 
-// mix hashes a key with a backend to [0, 1), so that a key keeps its backend while others come and go.
-func mix(key, ref uint64) float64 {
-	x := (key ^ ref*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>31) * 0x94d049bb133111eb
-	return float64((x^x>>29)>>11) / (1 << 53)
-}
-
-func (n *Node) tried(op *Op, b *Backend) bool {
-	for _, p := range op.Pushes {
-		if p.Backend == b {
-			return true
-		}
-	}
-	return false
-}
-
 func (n *Node) isNear(b *Backend) bool { return n.t.CrossPrice == 0 || b.Zone == n.t.Zone }
 
 // worth is what an op answered in time earns.
@@ -557,8 +556,8 @@
 	return n.t.CrossPrice * n.value / math.Max(n.worth(op), 1e-9)
 }
 
-// hopeless tells whether an op is better nacked at once than pushed: its answer would come too late, or it would
-// wait behind others longer than ops of its benefit may. A heavy op's own time is not held against it.
+// hopeless tells whether an op is better nacked at once than pushed: its answer would come too late, or it
+// would wait behind others longer than ops of its benefit may. A heavy op's own time is not held against it.
 func (n *Node) hopeless(b *Backend, op *Op) bool {
 	time := n.predict(b, op)
 	return time > n.left(op) || time-op.work*n.paceOf(b) > n.patienceOf(op)
@@ -618,19 +617,7 @@
 // drain is the work a backend lately did for this node per millisecond with any there. It holds what others
 // send, slowness, and silence: with pushes out and no answers it falls by itself.
 func (n *Node) drain(b *Backend) float64 {
-	busy, fade := b.busy, math.Exp2((b.tallied-n.now)/drainHalf)
-	if len(b.out) > 0 {
-		busy += n.now - b.tallied
-	}
-	return (b.did*fade + drainPrior/n.paceOf(b)) / (busy*fade + drainPrior)
-}
-
-func (n *Node) tally(b *Backend) {
-	fade := math.Exp2((b.tallied - n.now) / drainHalf)
-	if len(b.out) > 0 {
-		b.busy += n.now - b.tallied
-	}
-	b.did, b.busy, b.tallied = b.did*fade, b.busy*fade, n.now
+	return b.flow.rate(n.now, len(b.out) > 0, 1/n.paceOf(b))
 }
 
 // full tells whether a backend has all the pushes that this node sends there at once. Beyond that they would
@@ -685,7 +672,7 @@
 		n.pace.add(elapsed, work)
 	}
 	b.tail.add(math.Max(elapsed, 0.1)/work, 0.9, 0.1)
-	b.did += work
+	b.flow.done += work
 	// Queues that any node causes lengthen the answers of all: each yields, and shares what there is unasked.
 	if elapsed-1.5*work*n.paceOf(b) > queueShare*p.Op.cat.TargetLatency {
 		b.most = math.Max(1, b.most*0.8)
@@ -728,14 +715,6 @@
 	n.idle = true
 }
 
-func median(x []float64) float64 {
-	if len(x) == 0 {
-		return 0
-	}
-	sort.Float64s(x)
-	return x[len(x)/2]
-}
-
 // may is the one gate that every push passes; it holds all four rules.
 func (n *Node) may(op *Op, b *Backend) bool {
 	if op.stage == ended || op.stage == streaming || op.GiveUp <= n.now || len(op.Pushes) >= n.t.MaxPushes {
@@ -747,42 +726,31 @@
 	if op.out() > 0 && !n.t.SecondCopies {
 		return false
 	}
-	for _, p := range op.Pushes {
-		if !p.out && p.ending.NeverRan() {
-			continue
-		}
-		switch op.cat.Effect {
-		case AtMostOnce:
+	if p := op.mayHaveRun(); p != nil {
+		switch first := p.Backend; {
+		case op.cat.Effect == AtMostOnce:
+			return false
+		case op.cat.Effect == Deduplicated && (n.now-p.SentAt >= op.cat.Remembered ||
+			op.cat.Group == GroupZone && first.Zone != b.Zone || op.cat.Group == GroupCell && first.Cell != b.Cell):
 			return false
-		case Deduplicated:
-			first := p.Backend
-			if op.cat.Group == GroupZone && first.Zone != b.Zone || op.cat.Group == GroupCell && first.Cell != b.Cell ||
-				n.now-p.SentAt >= op.cat.Remembered {
-				return false
-			}
 		}
 	}
 	return n.coldRoom(b, op.work)
 }
 
-// coldRoom tells whether this node's part of a cold backend's budget has room for the work, in the window that
-// ends now. One part in the number of nodes, so that all keep the rule without agreement.
+// coldRoom tells whether this node's part of a cold backend's budget has room for the work, in the window
+// that ends now. One part in the number of nodes, so that all keep the rule without agreement.
 func (n *Node) coldRoom(b *Backend, work float64) bool {
 	warm := n.warmth(b)
 	if warm == 1 {
 		return true
 	}
-	spent := work
-	for _, s := range b.recent {
-		if s.at > n.now-n.t.OverloadFor {
-			spent += s.work
-		}
-	}
 	unit := n.unit
 	if unit == 0 { // nothing seen yet: half a standard core for a backend of mean weight
 		unit = 0.5 / n.weight
 	}
 	capacity := b.Weight * unit * warm
+	spent := work + b.recent.within(n.now, n.t.OverloadFor)
 	return spent <= coldSafety*n.t.FallMultiple*capacity*n.t.OverloadFor/float64(max(n.t.Nodes, 1))
 }
 
@@ -791,21 +759,16 @@
 	if !n.may(op, b) {
 		return false
 	}
-	p := &Push{Op: op, Backend: b, Number: len(op.Pushes), SentAt: n.now, expect: n.predict(b, op), out: true, alone: len(b.out) < 2}
+	p := &Push{Op: op, Backend: b, Number: len(op.Pushes), SentAt: n.now, expect: n.predict(b, op), out: true,
+		alone: len(b.out) < 2}
 	op.Pushes, op.stage = append(op.Pushes, p), pushed
-	n.tally(b)
+	b.flow.tally(n.now, len(b.out) > 0)
 	b.out = append(b.out, p)
 	b.workOut += op.work
 	if op.long {
 		b.longs++
 	}
-	keep := b.recent[:0]
-	for _, s := range b.recent {
-		if s.at > n.now-n.t.OverloadFor {
-			keep = append(keep, s)
-		}
-	}
-	b.recent = append(keep, sent{n.now, math.Max(op.work, op.cat.meanWork/2)})
+	b.recent.add(n.now, n.t.OverloadFor, math.Max(op.work, op.cat.meanWork/2))
 	// A backend that comes back from being skipped takes its next turn, not all those it missed.
 	n.round = math.Max(n.round, b.pass)
 	b.pass = math.Max(b.pass, n.round-1) + 1/n.size(b, op)
@@ -814,7 +777,8 @@
 		wait = math.Max(n.left(op), 0.1)
 	}
 	n.out = append(n.out, Decision{Kind: DoPush, Op: op, Push: p, Wait: wait})
-	patience := 20 + p.expect*math.Min(math.Max(n.stretch.get(4), 2), 8) // 20 ms: a connection's set-up, some ticks
+	// 20 ms for a connection's set-up and some ticks; the bounds keep odd days from ending all patience or none.
+	patience := 20 + p.expect*math.Min(math.Max(n.stretch.get(4), 2), 8)
 	if patience < n.left(op) {
 		n.at(due{at: n.now + patience, push: p})
 	}
@@ -833,12 +797,9 @@
 	if op.stage == ended || op.stage == streaming {
 		return
 	}
-	mayHaveRun := false
-	for _, p := range op.Pushes {
-		mayHaveRun = mayHaveRun || p.out || !p.ending.NeverRan()
-	}
 	kind := DoDeadLetter
-	if !mayHaveRun || op.cat.Effect == Redeliverable || op.cat.Effect == Deduplicated && op.cat.Group == GroupAll {
+	if op.mayHaveRun() == nil || op.cat.Effect == Redeliverable ||
+		op.cat.Effect == Deduplicated && op.cat.Group == GroupAll {
 		kind = DoNack
 	}
 	d := Decision{Kind: kind, Op: op}
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -50,6 +50,46 @@
 	p.time, p.work = 0.97*p.time+time, 0.97*p.work+work
 }
 
+// flow is work done over time with any in hand, both fading.
+type flow struct{ done, busy, at float64 }
+
+const (
+	flowHalf  = 2e3   // ms; a queue seen is believed about as long as one lasts
+	flowPrior = 100.0 // ms at the usual rate that count before anything is seen
+)
+
+func (f *flow) tally(now float64, inHand bool) {
+	fade := math.Exp2((f.at - now) / flowHalf)
+	if inHand {
+		f.busy += now - f.at
+	}
+	f.done, f.busy, f.at = f.done*fade, f.busy*fade, now
+}
+
+func (f flow) rate(now float64, inHand bool, usual float64) float64 {
+	f.tally(now, inHand)
+	return (f.done + flowPrior*usual) / (f.busy + flowPrior)
+}
+
+// spend keeps what was spent within a span that ends now.
+type spend struct{ at, amount []float64 }
+
+func (s *spend) add(now, span, amount float64) {
+	for len(s.at) > 0 && s.at[0] <= now-span {
+		s.at, s.amount = s.at[1:], s.amount[1:]
+	}
+	s.at, s.amount = append(s.at, now), append(s.amount, amount)
+}
+
+func (s *spend) within(now, span float64) (sum float64) {
+	for i, at := range s.at {
+		if at > now-span {
+			sum += s.amount[i]
+		}
+	}
+	return sum
+}
+
 // mwc is a multiply-with-carry generator.
 type mwc struct{ x, carry uint64 }
 
@@ -113,3 +153,18 @@
 	i := int(math.Ceil(s*float64(len(w.sorted)))) - 1
 	return w.sorted[max(i, 0)]
 }
+
+// mix hashes a key with a backend to [0, 1), so that a key keeps its backend while others come and go.
+func mix(key, ref uint64) float64 {
+	x := (key ^ ref*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>31) * 0x94d049bb133111eb
+	return float64((x^x>>29)>>11) / (1 << 53)
+}
+
+func median(x []float64) float64 {
+	if len(x) == 0 {
+		return 0
+	}
+	sort.Float64s(x)
+	return x[len(x)/2]
+}
--- a/balance/types.go
+++ b/balance/types.go
@@ -91,19 +91,15 @@
 	pace                  pace
 	tail                  quantile
 	workOut               float64 // their work
-	did                   float64 // fading sum of work answered
-	busy                  float64 // fading sum of time with pushes out
-	tallied               float64 // when the two were last brought up to date
+	flow                  flow    // how fast they are answered
 	most                  float64 // how many pushes it may have out
 	restUntil, rejections float64
 	distrust              fader
 	pass                  float64 // its place in the rotation
-	recent                []sent  // sends of the last window while it may be cold
+	recent                spend   // work sent in the last window, for the time when it may be cold
 	position              int
 }
 
-type sent struct{ at, work float64 }
-
 // Ending is how a push ended.
 type Ending uint8
 
@@ -154,6 +150,25 @@
 	return n
 }
 
+func (o *Op) tried(b *Backend) bool {
+	for _, p := range o.Pushes {
+		if p.Backend == b {
+			return true
+		}
+	}
+	return false
+}
+
+// mayHaveRun gives the first push that is not known never to have run.
+func (o *Op) mayHaveRun() *Push {
+	for _, p := range o.Pushes {
+		if p.out || !p.ending.NeverRan() {
+			return p
+		}
+	}
+	return nil
+}
+
 type stage uint8
 
 const (
@@ -203,3 +218,11 @@
 
 // Out tells whether the push has not ended yet.
 func (p *Push) Out() bool { return p.out }
+
+// Listing is one line of the list of backends.
+type Listing struct {
+	Backend         *Backend
+	State           State
+	Zone, Cell      int
+	Weight, Started float64
+}
