Tables of tests; longs go to any idle backend, a lost zone's neighbours count as near

Found by the tests: one freak first answer time kept a backend distrusted for hundreds of answers (the fade towards its fellows is faster now, and small ops weigh less); a held long stayed held beside an idle backend that looked slow; ops were held where the own zone had nothing to offer; before any answer a tiny op's pace made later ops look hopeless.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -55,8 +55,8 @@
 	doubt    float64  // the fleet's median distrust; a backend is judged against it
 	unit     float64  // what a warm backend does in a millisecond for each unit of weight
 	weight   float64  // mean weight of the ready backends
-	asked    bool
-	tracked  bool
+	tracked  bool     // changes of the list come by themselves
+	astray   bool     // no backend of the own zone can be used
 	failures int
 }
 
@@ -78,7 +78,7 @@
 func (n *Node) Listed(now float64, lines []Listing, full, cached bool) {
 	n.now = now
 	if !cached {
-		n.tracked, n.asked, n.failures = true, false, 0
+		n.tracked, n.failures = true, 0
 	}
 	if full {
 		for _, b := range n.backends {
@@ -111,12 +111,12 @@
 	if count > 0 {
 		n.weight = sum / count
 	}
-	n.idle = true
+	n.sweep()
 }
 
 // ListFailed takes a failed call for the list; the old list still holds.
 func (n *Node) ListFailed(now float64) {
-	n.now, n.tracked, n.asked = now, false, false
+	n.now, n.tracked = now, false
 	// Growing, spread waits: a service of fixed capacity must not meet a storm of repeats.
 	wait := math.Min(500*math.Exp2(float64(n.failures)), n.t.AskWithin/3)
 	n.failures++
@@ -156,6 +156,9 @@
 		op.overfull = w.Quota > 0 && w.rate.sum*math.Ln2*float64(n.t.Nodes) > w.Quota
 	}
 	n.value += (n.worth(op) - n.value) / 50
+	if n.meanWork == 0 {
+		n.meanWork = op.work
+	}
 	n.meanWork += (op.work - n.meanWork) / 50
 	n.extra = math.Min(n.extra+extraShare, extraMost)
 	n.want(op)
@@ -323,23 +326,29 @@
 // placeLong sends a long to a backend with none of this node's work in flight, picked at random; own zone
 // first, others where the op's benefit pays for the way.
 func (n *Node) placeLong(op *Op) bool {
-	var near, far []*Backend
+	var best []*Backend
+	rank := 0
 	for _, b := range n.backends {
 		// A quick error makes a backend idle at once and a cold one is idle by nature: neither may draw longs.
 		if len(b.out) > 0 || b.lingers > n.now || n.distrust(b) >= shunAt/2 || n.warmth(b) < 1 || !n.may(op, b) ||
-			n.predict(b, op) > n.leftToTarget(op) {
+			!n.isNear(b) && n.crossCost(op) >= 0.5 {
 			continue
 		}
+		r := 1
 		if n.isNear(b) {
-			near = append(near, b)
-		} else {
-			far = append(far, b)
+			r++
+		}
+		if op.work*n.paceOf(b) <= n.leftToTarget(op) { // a slow machine may not do in time what another does
+			r += 2
+		}
+		if r > rank {
+			best, rank = best[:0], r
+		}
+		if r == rank {
+			best = append(best, b)
 		}
 	}
-	if len(near) == 0 && n.crossCost(op) < 0.5 {
-		near = far
-	}
-	return len(near) > 0 && n.send(op, near[n.rng.below(len(near))])
+	return len(best) > 0 && n.send(op, best[n.rng.below(len(best))])
 }
 
 // hold keeps a long without an idle backend and a short for which all have their most out. Where the wait is
@@ -355,25 +364,18 @@
 }
 
 // holdTime is the time an op would be held behind what is held already, at the rate at which this node's work
-// is lately drained by its own zone, or by all where that has nothing to offer.
+// is lately drained by its own zone.
 func (n *Node) holdTime(op *Op) float64 {
-	near, all, ahead := 0.0, 0.0, op.work
+	rate, ahead := 0.0, op.work
 	for _, b := range n.backends {
-		if b.State == Ready && n.distrust(b) < shunAt {
-			drain := n.drain(b)
-			all += drain
-			if n.isNear(b) {
-				near += drain
-			}
+		if n.isNear(b) && b.State == Ready && n.distrust(b) < shunAt {
+			rate += n.drain(b)
 		}
 	}
 	for _, o := range n.held {
 		ahead += o.work
 	}
-	if near == 0 {
-		near = all
-	}
-	return ahead / near
+	return ahead / rate
 }
 
 // release gives backends that turned idle the held longs, and those with room again the held shorts, smallest
@@ -412,7 +414,6 @@
 	case d.push != nil && d.push.out:
 		n.overdue(d.push)
 	case d.op == nil && d.push == nil && !n.tracked:
-		n.asked = true
 		n.out = append(n.out, Decision{Kind: DoWatch})
 		n.at(due{at: n.now + n.t.AskWithin/2}) // asks again where no reply comes at all
 	}
@@ -537,7 +538,8 @@
 	return best
 }
 
-func (n *Node) isNear(b *Backend) bool { return n.t.CrossPrice == 0 || b.Zone == n.t.Zone }
+// isNear tells whether a backend costs no crossing, or the own zone has nothing to offer instead.
+func (n *Node) isNear(b *Backend) bool { return n.t.CrossPrice == 0 || b.Zone == n.t.Zone || n.astray }
 
 // worth is what an op answered in time earns.
 func (n *Node) worth(op *Op) float64 {
@@ -628,8 +630,8 @@
 
 // paceOf is a backend's time for a unit of work, that of all backends until its own is known.
 func (n *Node) paceOf(b *Backend) float64 {
-	fleet := (n.pace.time + 1) / (n.pace.work + 1) // a standard core's, before any answer
-	known := paceKnown * n.meanWork
+	known := paceKnown * math.Max(n.meanWork, 1)
+	fleet := (n.pace.time + known) / (n.pace.work + known) // a standard core's, before any answer
 	return (b.pace.time + known*fleet) / (b.pace.work + known)
 }
 
@@ -671,7 +673,8 @@
 		b.pace.add(elapsed, work)
 		n.pace.add(elapsed, work)
 	}
-	b.tail.add(math.Max(elapsed, 0.1)/work, 0.9, 0.1)
+	// The mean work keeps small ops, or hints that say nothing, from making a backend look slow.
+	b.tail.add(math.Max(elapsed, 0.1)/(work+n.meanWork), 0.9, 0.1)
 	b.flow.done += work
 	// Queues that any node causes lengthen the answers of all: each yields, and shares what there is unasked.
 	if elapsed-1.5*work*n.paceOf(b) > queueShare*p.Op.cat.TargetLatency {
@@ -703,14 +706,18 @@
 	}
 	n.doubt, n.unit = median(doubts), median(units)
 	usual := median(tails)
+	n.astray = true
 	for _, b := range n.backends {
+		if b.State == Ready && b.Zone == n.t.Zone && n.distrust(b) < shunAt {
+			n.astray = false
+		}
 		if b.tail.seen <= 5 || usual == 0 {
 			continue
 		}
 		if ratio := b.tail.value / usual; ratio > 4 { // slower than the slowest of unlike machines would be
 			b.distrust.set(n.now, math.Max(b.distrust.get(n.now, distrustHalf), math.Min(ratio/4, shunAt)))
 		}
-		b.tail.value *= math.Pow(usual/b.tail.value, 0.01) // what isn't seen again is forgotten
+		b.tail.value *= math.Pow(usual/b.tail.value, 0.03) // what isn't seen again is forgotten in seconds
 	}
 	n.idle = true
 }
--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,495 @@
+package balance
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// What may follow a push of each category once it has ended, by rule 2.
+func TestAfterAnEnding(t *testing.T) {
+	const again, nack, dead = "push:a", "nack:a", "dead:a"
+	for _, c := range []struct {
+		category int
+		how      Ending
+		backends int
+		want     string
+	}{
+		{0, Failed, 2, again}, {0, Failed, 1, nack}, {0, TimedOut, 2, again}, {0, Reset, 2, again}, {0, Rejected, 2, again},
+		{1, Failed, 2, dead}, {1, TimedOut, 2, dead}, {1, Reset, 2, dead}, {1, Revoked, 2, dead},
+		{1, Rejected, 2, again}, {1, NoConnection, 2, again}, {1, NotSent, 2, again}, {1, Rejected, 1, nack},
+		{2, Failed, 2, again}, {2, Failed, 1, dead}, {2, Rejected, 1, nack},
+		{3, Failed, 1, nack}, {3, TimedOut, 2, again},
+		{0, Answered, 2, ""}, {1, Answered, 2, ""},
+	} {
+		d := sit(t, plain(), c.backends)
+		op := d.arrive("a", c.category, 10)
+		require.Equal(t, again, d.pull())
+		d.after(5).end(op.Pushes[0], c.how)
+		assert.Equal(t, c.want, d.pull(), "%+v", c)
+		assert.Equal(t, c.want != again, op.Over(), "%+v", c)
+		if c.want != again {
+			assert.Empty(t, d.after(5000).pull(), "after the final answer nothing is sent: %+v", c)
+		}
+	}
+}
+
+// The gate that every push passes.
+func TestGate(t *testing.T) {
+	for name, c := range map[string]struct {
+		category int
+		before   func(*desk, *Op)
+		want     bool
+	}{
+		"open":                             {0, func(*desk, *Op) {}, true},
+		"drain told":                       {0, func(d *desk, _ *Op) { d.list(Draining, 0, d.backends[1]) }, false},
+		"gone":                             {0, func(d *desk, _ *Op) { d.list(Gone, 0, d.backends[1]) }, false},
+		"client gave up":                   {0, func(d *desk, _ *Op) { d.now += 4000; d.node.now = d.now }, false},
+		"client left":                      {0, func(d *desk, op *Op) { d.node.Left(d.now, op) }, false},
+		"stream begun":                     {0, func(d *desk, op *Op) { d.node.Begun(d.now, op.Pushes[0]) }, false},
+		"second copy not allowed":          {0, func(d *desk, _ *Op) { d.node.t.SecondCopies = false }, false},
+		"pushes spent":                     {0, func(d *desk, _ *Op) { d.node.t.MaxPushes = 1 }, false},
+		"at-most-once, out":                {1, func(*desk, *Op) {}, false},
+		"at-most-once, quick error":        {1, func(d *desk, op *Op) { d.end(op.Pushes[0], Failed) }, false},
+		"at-most-once, never ran":          {1, func(d *desk, op *Op) { d.end(op.Pushes[0], Rejected) }, true},
+		"deduplicated, same group":         {2, func(*desk, *Op) {}, true},
+		"deduplicated, other group":        {2, func(d *desk, _ *Op) { d.backends[1].Zone = 1 }, false},
+		"deduplicated, forgotten":          {2, func(d *desk, _ *Op) { d.node.now += 500 }, false},
+		"deduplicated, never ran":          {2, func(d *desk, op *Op) { d.end(op.Pushes[0], NoConnection); d.node.now += 600 }, true},
+		"deduplicated all, any zone":       {3, func(d *desk, _ *Op) { d.backends[1].Zone = 1 }, true},
+		"just started, budget left":        {0, func(d *desk, _ *Op) { d.list(Ready, d.now, d.backends[1]) }, true},
+		"just started, budget spent":       {0, spendBudget, false},
+		"budget spent, window over":        {0, func(d *desk, op *Op) { spendBudget(d, op); d.node.now += 2001 }, true},
+		"budget spent before it restarted": {0, func(d *desk, op *Op) { d.backends[1].recent.add(d.now, 2000, 1e4); spendBudget(d, op) }, false},
+	} {
+		d := sit(t, plain(), 2)
+		op := d.arrive("a", c.category, 10)
+		op.GiveUp = d.now + 3000
+		d.pull()
+		if op.Pushes[0].Backend != d.backends[0] {
+			d.backends[0], d.backends[1] = d.backends[1], d.backends[0]
+		}
+		c.before(d, op)
+		assert.Equal(t, c.want, d.node.may(op, d.backends[1]), name)
+		if !c.want {
+			assert.False(t, d.node.send(op, d.backends[1]), name)
+		}
+	}
+}
+
+func spendBudget(d *desk, _ *Op) {
+	d.list(Ready, d.now, d.backends[1])
+	for range 1000 {
+		d.node.send(&Op{GiveUp: d.now + 4000, cat: &d.node.t.Categories[0], work: 10}, d.backends[1])
+	}
+}
+
+// A burst in a cold backend's first second, and every window after it, stays within this node's part.
+func TestColdBudgetInEveryWindow(t *testing.T) {
+	for _, nodes := range []int{1, 3} {
+		terms := plain()
+		terms.Nodes = nodes
+		d := sit(t, terms, 1)
+		b := d.backends[0]
+		d.list(Ready, d.now, b)
+		type at struct{ when, work float64 }
+		var sent []at
+		for range 5000 {
+			op := &Op{GiveUp: d.now + 4000, cat: &terms.Categories[0], work: 10}
+			if d.node.send(op, b) {
+				sent = append(sent, at{d.now, op.work})
+				d.pull()
+				d.end(op.Pushes[0], Answered)
+			}
+			d.after(2).pull()
+		}
+		require.NotEmpty(t, sent)
+		for i, first := range sent {
+			sum := 0.0
+			for _, s := range sent[i:] {
+				if s.when < first.when+terms.OverloadFor && s.when < 1000+terms.WarmWithin {
+					sum += s.work
+				}
+			}
+			// A backend of one standard core, with what it has by the window's end.
+			warm := math.Min(1, 0.25+0.75*(first.when+terms.OverloadFor-1000)/terms.WarmWithin)
+			assert.LessOrEqual(t, sum, 3*warm*terms.OverloadFor/float64(nodes))
+		}
+	}
+}
+
+func TestShortAndLong(t *testing.T) {
+	for name, c := range map[string]struct {
+		hints int
+		hint  float64
+		long  bool
+	}{
+		"under the cutoff": {100, 96, false}, "above": {100, 97, true}, "too few hints": {49, 1e6, false},
+		"no hint": {100, 0, false}, "not a number": {100, math.NaN(), false}, "endless": {100, math.Inf(1), false},
+		"negative": {100, -5, false},
+	} {
+		d := sit(t, plain(), 2)
+		for k := range c.hints {
+			d.node.cutoff.add(float64(k + 1))
+		}
+		assert.Equal(t, c.long, d.arrive("a", 0, c.hint).long, name)
+	}
+}
+
+// Constant hints, none, and hints that say nothing leave plain rotation: no jam of held ops.
+func TestBrokenHintsRotate(t *testing.T) {
+	for name, hint := range map[string]func(int) float64{
+		"constant": func(int) float64 { return 20 }, "none": func(int) float64 { return 0 },
+		"unrelated": func(k int) float64 { return float64(k*7919%997) + 1 },
+	} {
+		d := sit(t, plain(), 4)
+		count := map[*Backend]int{}
+		for k := range 400 {
+			op := d.arrive(fmt.Sprint(k), 0, hint(k))
+			d.pull()
+			require.NotEmpty(t, op.Pushes, name)
+			count[op.Pushes[0].Backend]++
+			d.after(20).end(op.Pushes[0], Answered)
+			d.pull()
+			d.after(20).pull()
+		}
+		for _, b := range d.backends {
+			assert.InDelta(t, 100, count[b], 25, name)
+		}
+		assert.Empty(t, d.node.held, name)
+	}
+}
+
+// Longs wait for a backend without own work; the smallest estimate goes first.
+func TestHeldLongs(t *testing.T) {
+	d := sit(t, plain(), 1)
+	d.seen()
+	p := d.busy(d.backends[0])
+	d.arrive("large", 0, 300)
+	assert.Empty(t, d.pull())
+	d.after(10)
+	d.arrive("small", 0, 150)
+	assert.Empty(t, d.pull())
+	d.end(p, Answered)
+	assert.Equal(t, "push:small", d.pull(), "one long, the smaller, to the backend that turned idle")
+	d.arrive("short", 0, 10)
+	assert.Equal(t, "push:short", d.pull(), "where all run a long, the least loaded takes shorts")
+}
+
+func TestRotationPassesLongsAndLoad(t *testing.T) {
+	d := sit(t, plain(), 3)
+	d.seen()
+	long := d.arrive("long", 0, 200)
+	require.Equal(t, "push:long", d.pull())
+	loaded := d.backends[0]
+	if long.Pushes[0].Backend == loaded {
+		loaded = d.backends[1]
+	}
+	d.busy(loaded)
+	short := d.arrive("short", 0, 10)
+	d.pull()
+	assert.NotEqual(t, long.Pushes[0].Backend, short.Pushes[0].Backend, "passes a backend with an own long")
+	assert.NotEqual(t, loaded, short.Pushes[0].Backend, "passes a backend above the margin")
+}
+
+// Waiting lowers an estimate: an old large op goes before a new one that is little smaller.
+func TestWaitingLowersTheEstimate(t *testing.T) {
+	d := sit(t, plain(), 1)
+	d.seen()
+	p := d.busy(d.backends[0])
+	d.arrive("old", 0, 200)
+	d.pull()
+	d.after(500).pull()
+	d.arrive("new", 0, 150)
+	d.pull()
+	d.end(p, Answered)
+	assert.Equal(t, "push:old", d.pull())
+}
+
+func TestLateSend(t *testing.T) {
+	d := sit(t, plain(), 1)
+	d.seen()
+	d.busy(d.backends[0])
+	d.arrive("a", 1, 200)
+	assert.Empty(t, d.pull())
+	assert.NotContains(t, d.after(740).pull(), "push:a")
+	assert.Contains(t, d.after(10).pull(), "push:a", "at a quarter of its time left")
+}
+
+// A short that finds all backends with their most out waits for room; one that would wait too long is nacked.
+func TestShortsHeldAndNacked(t *testing.T) {
+	d := sit(t, plain(), 1)
+	var out []*Push
+	for !d.node.full(d.backends[0]) {
+		out = append(out, d.busy(d.backends[0]))
+	}
+	d.arrive("a", 0, 10)
+	assert.Empty(t, d.pull())
+	d.after(5).end(out[0], Answered)
+	assert.Equal(t, "push:a", d.pull())
+	d.arrive("b", 0, 9000)
+	assert.Equal(t, "nack:b", d.pull(), "no hope: at once")
+}
+
+func TestDistrust(t *testing.T) {
+	for name, c := range map[string]struct {
+		trouble func(*desk, *Backend)
+		shunned bool
+	}{
+		"errors": {func(d *desk, b *Backend) {
+			for range 3 {
+				d.end(d.busy(b), Failed)
+			}
+		}, true},
+		"no connection": {func(d *desk, b *Backend) {
+			for range 3 {
+				d.end(d.busy(b), NoConnection)
+			}
+		}, true},
+		"silence": {func(d *desk, b *Backend) {
+			for range 4 {
+				d.busy(b)
+			}
+			d.after(900)
+		}, true},
+		"rejections are load": {func(d *desk, b *Backend) { d.end(d.busy(b), Rejected) }, false},
+		"fades":               {func(d *desk, b *Backend) { d.end(d.busy(b), Failed); d.end(d.busy(b), Failed); d.after(20e3) }, false},
+		"all alike": {func(d *desk, _ *Backend) {
+			for _, b := range d.backends {
+				for range 3 {
+					d.end(d.busy(b), Failed)
+				}
+			}
+			d.after(200)
+		}, false},
+	} {
+		d := sit(t, plain(), 4)
+		b := d.backends[0]
+		c.trouble(d, b)
+		d.pull()
+		assert.Equal(t, c.shunned, d.node.distrust(b) >= shunAt, name)
+		if c.shunned {
+			require.NotEmpty(t, d.texts, name)
+			assert.Contains(t, d.texts[0], "shunned", name)
+		}
+		for k := range 8 {
+			op := d.arrive(fmt.Sprint(k), 0, 10)
+			d.pull()
+			for _, p := range op.Pushes {
+				assert.False(t, c.shunned && p.Backend == b, name)
+			}
+		}
+	}
+}
+
+// A backend that answers longs with quick errors turns idle at once, and must not draw every held long.
+func TestQuickErrorsDrawNoLongs(t *testing.T) {
+	d := sit(t, plain(), 3)
+	d.seen()
+	bad := d.backends[0]
+	drawn := 0
+	for k := range 30 {
+		op := d.arrive(fmt.Sprint(k), 0, 200)
+		d.pull()
+		for len(op.Pushes) > 0 && op.Pushes[len(op.Pushes)-1].Backend == bad && op.Pushes[len(op.Pushes)-1].out {
+			drawn++
+			d.end(op.Pushes[len(op.Pushes)-1], Failed)
+			d.pull()
+		}
+		d.after(20)
+		for _, p := range op.Pushes {
+			if p.out {
+				d.end(p, Answered)
+			}
+		}
+		d.pull()
+	}
+	assert.LessOrEqual(t, drawn, 4)
+}
+
+// An overdue push brings a copy elsewhere, on a budget; the first answer calls the other off.
+func TestOverduePushes(t *testing.T) {
+	for _, c := range []struct {
+		category int
+		extra    float64
+		want     string
+	}{{0, 5, "push:a"}, {0, 0, ""}, {1, 5, ""}} {
+		d := sit(t, plain(), 2)
+		op := d.arrive("a", c.category, 10)
+		d.pull()
+		d.node.extra = c.extra
+		assert.Equal(t, c.want, d.after(400).pull(), "%+v", c)
+		if c.want != "" {
+			assert.NotEqual(t, op.Pushes[0].Backend, op.Pushes[1].Backend)
+			d.end(op.Pushes[1], Answered)
+			assert.Equal(t, "revoke:a", d.pull())
+			d.end(op.Pushes[0], Revoked)
+			assert.True(t, op.Over())
+		}
+	}
+}
+
+// The cap falls where answers queue and rises while they come promptly, whoever causes the queue.
+func TestMostOut(t *testing.T) {
+	d := sit(t, plain(), 2)
+	b := d.backends[0]
+	last := 0.0
+	for _, phase := range []struct {
+		answers int
+		time    float64
+		rises   bool
+	}{{40, 10, true}, {10, 100, false}, {40, 10, true}} {
+		for range phase.answers {
+			out := []*Push{d.busy(b)}
+			for !d.node.full(b) {
+				out = append(out, d.busy(b))
+			}
+			d.after(phase.time)
+			for _, p := range out {
+				d.end(p, Answered)
+			}
+			d.pull()
+		}
+		assert.Equal(t, phase.rises, b.most > last)
+		assert.GreaterOrEqual(t, b.most, 1.0)
+		last = b.most
+	}
+}
+
+// A rejecting backend answers quickly; without a rest it would draw ever more.
+func TestRejectingBackendRests(t *testing.T) {
+	d := sit(t, plain(), 2)
+	b := d.backends[0]
+	d.end(d.busy(b), Rejected)
+	assert.True(t, d.node.full(b))
+	first := b.restUntil - d.now
+	d.after(first)
+	assert.False(t, d.node.full(b))
+	d.end(d.busy(b), Rejected)
+	assert.Greater(t, b.restUntil-d.now, first)
+	d.after(1000).end(d.busy(b), Answered)
+	assert.Zero(t, b.rejections)
+}
+
+func TestZones(t *testing.T) {
+	for name, c := range map[string]struct {
+		price float64
+		shun  bool
+		cross bool
+	}{"own zone first": {0.2, false, false}, "own zone lost": {0.2, true, true}} {
+		terms := plain()
+		terms.CrossPrice, terms.Zone = c.price, 1
+		d := sit(t, terms, 4)
+		for k, b := range d.backends {
+			b.Zone = k % 2
+		}
+		d.list(Ready, 0, d.backends...)
+		if c.shun {
+			d.list(Gone, 0, d.backends[1], d.backends[3])
+		}
+		for k := range 6 {
+			op := d.arrive(fmt.Sprint(k), 0, 10)
+			d.pull()
+			require.NotEmpty(t, op.Pushes, name)
+			assert.Equal(t, c.cross, op.Pushes[0].Backend.Zone != 1, name)
+			d.after(10).end(op.Pushes[0], Answered)
+		}
+	}
+}
+
+// The list is asked for, again after failures with growing waits, and not once it is followed.
+func TestAskingForTheList(t *testing.T) {
+	terms := plain()
+	terms.MustAsk = true
+	d := &desk{t: t, now: 1000, ops: map[string]*Op{}, node: New(terms, 1000)}
+	assert.Empty(t, d.pull(), "not in the first instant: nodes restarted together spread their calls")
+	assert.Equal(t, "watch", d.after(200).pull())
+	last := 0.0
+	for range 4 {
+		d.node.ListFailed(d.now)
+		asked := d.now
+		d.pull()
+		for d.after(10).pull() != "watch" {
+			require.Less(t, d.now-asked, terms.AskWithin)
+		}
+		assert.Greater(t, d.now-asked, last/2)
+		last = d.now - asked
+	}
+	assert.Greater(t, last, 1000.0)
+	d.node.Listed(d.now, nil, false, false)
+	assert.Empty(t, d.after(20e3).pull())
+}
+
+// An empty, a full and a flapping list.
+func TestListing(t *testing.T) {
+	d := sit(t, plain(), 2)
+	d.node.Listed(d.now, nil, true, false)
+	d.arrive("a", 0, 10)
+	assert.Equal(t, "nack:a", d.pull(), "nobody to ask: at once")
+	for range 3 {
+		d.list(Ready, 0, d.backends...)
+		d.list(Gone, 0, d.backends[0])
+	}
+	for k := range 4 {
+		op := d.arrive(fmt.Sprint(k), 0, 10)
+		d.pull()
+		assert.Equal(t, d.backends[1], op.Pushes[0].Backend)
+		d.after(10).end(op.Pushes[0], Answered)
+	}
+}
+
+// A drain told between choice and push, and an op timing out in the batch that ends it.
+func TestSameBatch(t *testing.T) {
+	d := sit(t, plain(), 1)
+	op := d.arrive("a", 0, 10)
+	d.list(Draining, 0, d.backends[0])
+	assert.Equal(t, "nack:a", d.pull())
+	assert.Empty(t, op.Pushes)
+
+	d = sit(t, plain(), 2)
+	op = d.arrive("b", 1, 10)
+	d.pull()
+	d.after(4000).end(op.Pushes[0], TimedOut)
+	assert.Equal(t, "dead:b", d.pull(), "answered in the batch of its time-out")
+}
+
+// Traffic beyond a tenant's share is the first to be nacked, and shows less patience for the rest.
+func TestOverfullTenants(t *testing.T) {
+	terms := plain()
+	terms.Tenants, terms.ExcessBenefit = []Tenant{{Quota: 100}, {Quota: 2}}, 0.1
+	d := sit(t, terms, 2)
+	var last [2]*Op
+	for k := range 20 {
+		last[k%2] = &Op{Tenant: k % 2, GiveUp: d.now + 4000}
+		d.node.Arrived(d.now, last[k%2])
+		d.after(20).pull()
+	}
+	assert.False(t, last[0].overfull)
+	assert.True(t, last[1].overfull)
+	assert.Less(t, d.node.patienceOf(last[1]), d.node.patienceOf(last[0]))
+}
+
+// Same events, same decisions; and another seed draws otherwise.
+func TestDeterminism(t *testing.T) {
+	run := func(seed uint64) (trace string) {
+		terms := plain()
+		terms.Seed = seed
+		d := sit(t, terms, 5)
+		for k := range 300 {
+			op := d.arrive("a", k%4, float64(k*31%97)+1)
+			trace += d.pull()
+			for _, p := range op.Pushes {
+				trace += fmt.Sprint(p.Backend.Ref)
+				if p.out {
+					d.after(float64(k%7)).end(p, []Ending{Answered, Failed, Rejected, TimedOut}[k*k%4])
+				}
+			}
+		}
+		return trace
+	}
+	assert.Equal(t, run(1), run(1))
+	assert.NotEqual(t, run(1), run(2))
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -63,12 +63,13 @@
 }
 
 type instance struct {
-	number   uint32
-	node     *balance.Node
-	ops      map[uint64]*balance.Op
-	backends map[uint64]*balance.Backend
-	inBatch  bool
-	stopped  bool
+	number     uint32
+	node       *balance.Node
+	ops        map[uint64]*balance.Op
+	backends   map[uint64]*balance.Backend
+	categories int
+	inBatch    bool
+	stopped    bool
 }
 
 // NewHost starts a host without instances.
@@ -184,7 +185,7 @@
 		if i != nil {
 			i.stopped = true
 		}
-		i = &instance{number: number, ops: map[uint64]*balance.Op{}, backends: map[uint64]*balance.Backend{}}
+		i = &instance{number: number, categories: len(terms.Categories), ops: map[uint64]*balance.Op{}, backends: map[uint64]*balance.Backend{}}
 		h.instances[number] = i
 		h.touch(i)
 		h.guard(i, func() { i.node = balance.New(terms, h.now) })
@@ -214,6 +215,9 @@
 		op.HasHint, op.Repeat = marks&1 != 0, marks&2 != 0
 		op.Hint, op.GiveUp, op.Key = r.f64(), r.time(), r.u64()
 		op.Category, op.Tenant = int(r.u8()), int(r.u16())
+		if r.err == nil && i != nil && op.Category >= i.categories {
+			r.fail("category %d of %d", op.Category, i.categories)
+		}
 		h.input(r, i, func() {
 			i.ops[op.Ref] = op
 			i.node.Arrived(h.now, op)
