--- a/balance/balance.go
+++ b/balance/balance.go
@@ -677,7 +677,12 @@
 	b.tail.add(math.Max(elapsed, 0.1)/(work+n.meanWork), 0.9, 0.1)
 	b.flow.done += work
 	// Queues that any node causes lengthen the answers of all: each yields, and shares what there is unasked.
-	if elapsed-1.5*work*n.paceOf(b) > queueShare*p.Op.cat.TargetLatency {
+	// The best pace seen is the measure: the present one holds queues that have come to stay.
+	if b.best == 0 || n.paceOf(b) < b.best {
+		b.best = n.paceOf(b)
+	}
+	b.best *= 1.001 // forgotten over a thousand answers
+	if elapsed-1.5*work*b.best > queueShare*p.Op.cat.TargetLatency {
 		b.most = math.Max(1, b.most*0.8)
 	} else if float64(len(b.out)+1) >= b.most {
 		b.most += 1 / b.most
--- a/balance/types.go
+++ b/balance/types.go
@@ -89,6 +89,7 @@
 	longs                 int     // of those, the long ones
 	lingers               float64 // until then, work given up on may still run here
 	pace                  pace
+	best                  float64 // the lowest pace seen
 	tail                  quantile
 	workOut               float64 // their work
 	flow                  flow    // how fast they are answered
