--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,10 +6,11 @@
 package balance
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
-	"sort"
+	"slices"
 )
 
 const (
@@ -384,20 +385,24 @@
 	if len(n.held) == 0 {
 		return
 	}
-	estimate := func(op *Op) float64 {
+	for _, op := range n.held {
 		whole := math.Min(op.GiveUp, op.Arrived+op.cat.TargetLatency) - op.Arrived
-		return op.work * n.leftToTarget(op) / math.Max(whole, 1)
+		op.estimate = op.work * n.leftToTarget(op) / math.Max(whole, 1)
 	}
-	sort.SliceStable(n.held, func(i, j int) bool { return estimate(n.held[i]) < estimate(n.held[j]) })
-	rest := n.held[:0]
+	slices.SortStableFunc(n.held, func(a, b *Op) int { return cmp.Compare(a.estimate, b.estimate) })
+	rest, misses := n.held[:0], 0
 	for _, op := range n.held {
-		if op.stage != held || op.long && n.placeLong(op) {
-			continue
-		}
-		if !op.long {
-			if b := n.rotate(op); b != nil && n.send(op, b) {
+		// Where some of the smallest find no room the others hardly do: a node has little CPU for looking on.
+		if misses < 4 {
+			if op.long && n.placeLong(op) {
 				continue
 			}
+			if !op.long {
+				if b := n.rotate(op); b != nil && n.send(op, b) {
+					continue
+				}
+			}
+			misses++
 		}
 		rest = append(rest, op)
 	}
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -12,7 +12,11 @@
 	if f.sum == 0 || now <= f.at {
 		return f.sum
 	}
-	return f.sum * math.Exp2((f.at-now)/half)
+	x := f.sum * math.Exp2((f.at-now)/half)
+	if x < 1e-3 { // next to nothing costs no more reckoning
+		f.sum, x = 0, 0
+	}
+	return x
 }
 
 func (f *fader) set(now, sum float64) { f.sum, f.at = sum, now }
--- a/balance/types.go
+++ b/balance/types.go
@@ -134,7 +134,8 @@
 	cat      *Category
 	work     float64
 	long     bool
-	overfull bool // beyond its tenant's share
+	estimate float64 // its order among held ops
+	overfull bool    // beyond its tenant's share
 	stage    stage
 	queued   bool
 }
