--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,7 +22,7 @@
 	sweepEvery   = 100.0 // ms; several looks within the shortest target latency of human-facing services
 	distrustHalf = 4e3   // ms; distrust halves in this time, so a shunned backend is tried again in seconds
 	queueShare   = 0.03  // of the target latency: a queue this long is answered with fewer pushes in flight
-	mostFirst    = 3.0   // pushes in flight to a backend of which nothing is known
+	mostFirst    = 3.0   // pushes queued on a backend of which nothing is known, by all nodes together
 	paceKnown    = 3.0   // mean ops' work that counts as the fleet's against a backend's own pace
 	restFirst    = 25.0  // ms; doubled at each rejection in a row, a backend's rest before the next push
 	shunAt       = 2.0   // distrust from which a backend gets no traffic: two clear failures in a row
@@ -91,11 +91,11 @@
 		if b.position == 0 {
 			n.backends = append(n.backends, b)
 			b.position = len(n.backends)
-			b.most = mostFirst
+			b.most = n.first()
 			b.pass = n.round + n.rng.unit() // the rotation starts at random
 		}
 		if l.Started > b.Started { // a new process: what was learned of the old one's state is void
-			b.flow, b.most, b.distrust, b.lingers, b.restUntil = flow{}, mostFirst, fader{}, 0, 0
+			b.flow, b.most, b.distrust, b.lingers, b.restUntil = flow{}, n.first(), fader{}, 0, 0
 		}
 		b.Zone, b.Cell, b.State, b.Started = l.Zone, l.Cell, l.State, l.Started
 		b.Weight = l.Weight
@@ -270,6 +270,8 @@
 	}
 }
 
+func (n *Node) first() float64 { return 1 + mostFirst/float64(max(n.t.Nodes, 1)) }
+
 func (n *Node) at(d due) {
 	n.seq++
 	d.seq = n.seq
