--- a/balance/balance.go
+++ b/balance/balance.go
@@ -357,7 +357,7 @@
 // hold keeps a long without an idle backend and a short for which all have their most out. Where the wait is
 // foreseen to be too long the op is nacked at once: holding it would only delay that.
 func (n *Node) hold(op *Op) {
-	if time := n.holdTime(op); time > n.left(op) || time > n.patienceOf(op) {
+	if time := n.holdTime(op); time > math.Min(n.left(op), n.patienceOf(op)) {
 		n.giveUp(op)
 		return
 	}
