--- a/balance/balance.go
+++ b/balance/balance.go
@@ -205,6 +205,7 @@
 		n.suspect(b, 1)
 	case TimedOut:
 		n.suspect(b, 1)
+		n.yield(b, 0)
 	case Rejected: // a full waiting room tells of load, not of a fault; it answers quickly and would draw more
 		b.rejections = math.Min(b.rejections+1, 4)
 		b.restUntil = now + restFirst*math.Exp2(b.rejections)
@@ -632,7 +633,7 @@
 // full tells whether a backend has all the pushes that this node sends there at once. Beyond that they would
 // queue, and a crowded backend may turn slower for all nodes.
 func (n *Node) full(b *Backend) bool {
-	return b.restUntil > n.now || float64(len(b.out)) >= b.most
+	return b.restUntil > n.now || float64(len(b.out)) >= math.Max(b.most, 1)
 }
 
 // paceOf is a backend's time for a unit of work, that of all backends until its own is known.
@@ -690,9 +691,9 @@
 	}
 	b.best *= 1.001 // forgotten over a thousand answers
 	if elapsed-1.5*work*b.best > queueShare*p.Op.cat.TargetLatency {
-		b.most = math.Max(1, b.most*0.8)
+		n.yield(b, elapsed)
 	} else if float64(len(b.out)+1) >= b.most {
-		b.most += 1 / b.most
+		b.most += math.Min(b.most/4, 1/b.most)
 	}
 	b.rejections = 0
 	n.stretch.add(math.Max(elapsed, 0.1)/math.Max(p.expect, 1), 0.95, 0.02)
@@ -701,6 +702,15 @@
 	}
 }
 
+// yield lowers a backend's cap. Below one it stands for pauses between pushes: with many nodes one push of each
+// at all times can be more than a backend stands.
+func (n *Node) yield(b *Backend, elapsed float64) {
+	b.most = math.Max(b.most*0.8, math.Min(1, mostFirst/float64(max(n.t.Nodes, 1))))
+	if b.most < 1 {
+		b.restUntil = math.Max(b.restUntil, n.now+(1/b.most-1)*elapsed)
+	}
+}
+
 // sweep is the periodic look at what backends are against their fellows.
 func (n *Node) sweep() {
 	var doubts, tails, units []float64
