--- a/balance/balance.go
+++ b/balance/balance.go
@@ -358,7 +358,7 @@
 // hold keeps a long without an idle backend and a short for which all have their most out. Where the wait is
 // foreseen to be too long the op is nacked at once: holding it would only delay that.
 func (n *Node) hold(op *Op) {
-	if time := n.holdTime(op); time > math.Min(n.left(op), n.patienceOf(op)) {
+	if time := n.holdTime(); time > n.patienceOf(op) || time+op.work*n.paceOf(nil) > n.left(op) {
 		n.giveUp(op)
 		return
 	}
@@ -368,9 +368,9 @@
 }
 
 // holdTime is the time an op would be held behind what is held already, at the rate at which this node's work
-// is lately drained by its own zone.
-func (n *Node) holdTime(op *Op) float64 {
-	rate, ahead := 0.0, op.work
+// is lately drained by its own zone. Its own work doesn't count, or heavy ops would be nacked in quiet times.
+func (n *Node) holdTime() float64 {
+	rate, ahead := 0.0, 0.0
 	for _, b := range n.backends {
 		if n.isNear(b) && b.State == Ready && n.distrust(b) < shunAt {
 			rate += n.drain(b)
@@ -379,6 +379,9 @@
 	for _, o := range n.held {
 		ahead += o.work
 	}
+	if rate == 0 {
+		return math.Inf(1)
+	}
 	return ahead / rate
 }
 
@@ -474,7 +477,7 @@
 	if near != nil {
 		wait = n.predict(near, op)
 	} else {
-		wait = n.holdTime(op)
+		wait = n.holdTime() + op.work*n.paceOf(nil)
 	}
 	time := n.leftToTarget(op)
 	risk := func(wait float64) float64 { return math.Min(1, math.Max(0, wait/time-0.25)) }
@@ -636,10 +639,13 @@
 	return b.restUntil > n.now || float64(len(b.out)) >= math.Max(b.most, 1)
 }
 
-// paceOf is a backend's time for a unit of work, that of all backends until its own is known.
+// paceOf is a backend's time for a unit of work, that of all backends until its own is known and for none.
 func (n *Node) paceOf(b *Backend) float64 {
 	known := paceKnown * math.Max(n.meanWork, 1)
 	fleet := (n.pace.time + known) / (n.pace.work + known) // a standard core's, before any answer
+	if b == nil {
+		return fleet
+	}
 	return (b.pace.time + known*fleet) / (b.pace.work + known)
 }
 
