--- a/balance/balance.go
+++ b/balance/balance.go
@@ -293,11 +293,8 @@
 	case op.long:
 		n.hold(op)
 	default:
-		b := n.rotate(op)
-		if b == nil {
+		if b := n.rotate(op); b == nil || !n.send(op, b) {
 			n.hold(op)
-		} else if n.hopeless(b, op) || !n.send(op, b) {
-			n.giveUp(op)
 		}
 	}
 }
@@ -469,7 +466,8 @@
 
 // rotate picks a backend by the rotation: own zone first, the others where that gains more than it costs.
 func (n *Node) rotate(op *Op) *Backend {
-	near, far := n.inTurn(op, true), n.inTurn(op, false)
+	patience := n.patienceOf(op)
+	near, far := n.inTurn(op, true, patience), n.inTurn(op, false, patience)
 	if far == nil {
 		return near
 	}
@@ -489,7 +487,7 @@
 
 // inTurn is the rotation over one side: the backend whose turn is longest due, without those that run an own
 // long or have more than the margin in flight; where none is left, the least loaded.
-func (n *Node) inTurn(op *Op, near bool) *Backend {
+func (n *Node) inTurn(op *Op, near bool, patience float64) *Backend {
 	out, room := 0.0, 0.0
 	for _, b := range n.backends {
 		if b.State == Ready && n.isNear(b) == near {
@@ -500,7 +498,8 @@
 	var turn, least, warm *Backend
 	var leastLoad, warmest float64
 	for _, b := range n.backends {
-		if n.isNear(b) != near || !n.may(op, b) || op.tried(b) || n.distrust(b) >= shunAt || n.full(b) {
+		if n.isNear(b) != near || !n.may(op, b) || op.tried(b) || n.distrust(b) >= shunAt || n.full(b) ||
+			n.hopeless(b, op, patience) {
 			continue
 		}
 		load := float64(len(b.out)) / n.size(b, op)
@@ -569,11 +568,11 @@
 	return n.t.CrossPrice * n.value / math.Max(n.worth(op), 1e-9)
 }
 
-// hopeless tells whether an op is better nacked at once than pushed: its answer would come too late, or it
-// would wait behind others longer than ops of its benefit may. A heavy op's own time is not held against it.
-func (n *Node) hopeless(b *Backend, op *Op) bool {
+// hopeless tells whether an op is not to be pushed to a backend: its answer would come too late, or it would wait
+// behind others longer than ops of its benefit may. A heavy op's own time is not held against it.
+func (n *Node) hopeless(b *Backend, op *Op, patience float64) bool {
 	time := n.predict(b, op)
-	return time > n.left(op) || time-op.work*n.paceOf(b) > n.patienceOf(op)
+	return time > n.left(op) || time-op.work*n.paceOf(b) > patience
 }
 
 // patienceOf is the wait behind others above which an op is nacked. Under overload the benefit
