--- a/balance/balance.go
+++ b/balance/balance.go
@@ -355,7 +355,7 @@
 // hold keeps a long without an idle backend and a short for which all have their most out. Where the wait is
 // foreseen to be too long the op is nacked at once: holding it would only delay that.
 func (n *Node) hold(op *Op) {
-	if time := n.holdTime(); time > n.patienceOf(op) || time+op.work*n.paceOf(nil) > n.left(op) {
+	if time := n.holdTime(op); time > n.patienceOf(op) || time+op.work*n.paceOf(nil) > n.left(op) {
 		n.giveUp(op)
 		return
 	}
@@ -365,8 +365,9 @@
 }
 
 // holdTime is the time an op would be held behind what is held already, at the rate at which this node's work
-// is lately drained by its own zone. Its own work doesn't count, or heavy ops would be nacked in quiet times.
-func (n *Node) holdTime() float64 {
+// is lately drained by its own zone. Its own work counts only
+// where others are held, or heavy ops would be nacked in quiet times.
+func (n *Node) holdTime(op *Op) float64 {
 	rate, ahead := 0.0, 0.0
 	for _, b := range n.backends {
 		if n.isNear(b) && b.State == Ready && n.distrust(b) < shunAt {
@@ -376,6 +377,9 @@
 	for _, o := range n.held {
 		ahead += o.work
 	}
+	if ahead > 0 {
+		ahead += op.work
+	}
 	if rate == 0 {
 		return math.Inf(1)
 	}
@@ -475,7 +479,7 @@
 	if near != nil {
 		wait = n.predict(near, op)
 	} else {
-		wait = n.holdTime() + op.work*n.paceOf(nil)
+		wait = n.holdTime(op) + op.work*n.paceOf(nil)
 	}
 	time := n.leftToTarget(op)
 	risk := func(wait float64) float64 { return math.Min(1, math.Max(0, wait/time-0.25)) }
