Cold budget from what the zone's warm backends take of this node's work

The work that warm backends of the zone take from this node is its part of what they can do, so that all nodes together stay under the budget.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -54,7 +54,6 @@
 	meanWork float64  // and of its work
 	pace     pace     // all backends' together
 	doubt    float64  // the fleet's median distrust; a backend is judged against it
-	unit     float64  // what a warm backend does in a millisecond for each unit of weight
 	weight   float64  // mean weight of the ready backends
 	tracked  bool     // changes of the list come by themselves
 	astray   bool     // no backend of the own zone can be used
@@ -201,11 +200,11 @@
 		if op.stage != ended && elapsed >= 0 && now-op.Arrived <= op.cat.TargetLatency {
 			op.cat.met.set(now, op.cat.met.get(now, serviceHalf)+op.work)
 		}
-	case Failed, NoConnection, Reset:
-		n.suspect(b, 1)
 	case TimedOut:
-		n.suspect(b, 1)
 		n.yield(b, 0)
+		n.suspect(b, 1)
+	case Failed, NoConnection, Reset:
+		n.suspect(b, 1)
 	case Rejected: // a full waiting room tells of load, not of a fault; it answers quickly and would draw more
 		b.rejections = math.Min(b.rejections+1, 4)
 		b.restUntil = now + restFirst*math.Exp2(b.rejections)
@@ -365,8 +364,8 @@
 }
 
 // holdTime is the time an op would be held behind what is held already, at the rate at which this node's work
-// is lately drained by its own zone. Its own work counts only
-// where others are held, or heavy ops would be nacked in quiet times.
+// is lately drained by its own zone. Its own work counts only where others are held, or heavy ops would be
+// nacked in quiet times.
 func (n *Node) holdTime(op *Op) float64 {
 	rate, ahead := 0.0, 0.0
 	for _, b := range n.backends {
@@ -453,18 +452,12 @@
 		return
 	}
 	b := n.rotate(op)
-	if b == nil || n.predict(b, op) > n.left(op) {
-		return
-	}
-	if !n.t.SecondCopies {
-		if n.t.Cancel {
-			n.extra--
-			n.revoke(p) // its ending brings the op back for another backend
-		}
-		return
-	}
-	if n.send(op, b) {
+	switch {
+	case b == nil || n.predict(b, op) > n.left(op):
+	case n.t.SecondCopies && n.send(op, b):
 		n.extra--
+	case !n.t.SecondCopies:
+		n.revoke(p) // its ending brings the op back for another backend
 	}
 }
 
@@ -475,11 +468,9 @@
 	if far == nil {
 		return near
 	}
-	wait := 0.0
+	wait := n.holdTime(op) + op.work*n.paceOf(nil)
 	if near != nil {
 		wait = n.predict(near, op)
-	} else {
-		wait = n.holdTime(op) + op.work*n.paceOf(nil)
 	}
 	time := n.leftToTarget(op)
 	risk := func(wait float64) float64 { return math.Min(1, math.Max(0, wait/time-0.25)) }
@@ -502,7 +493,7 @@
 	var turn, least, warm *Backend
 	var leastLoad, warmest float64
 	for _, b := range n.backends {
-		if n.isNear(b) != near || !n.may(op, b) || op.tried(b) || n.distrust(b) >= shunAt || n.full(b) ||
+		if n.isNear(b) != near || op.tried(b) || n.distrust(b) >= shunAt || n.full(b) || !n.may(op, b) ||
 			n.hopeless(b, op, patience) {
 			continue
 		}
@@ -579,34 +570,9 @@
 	return time > n.left(op) || time-op.work*n.paceOf(b) > patience
 }
 
-// patienceOf is the wait behind others above which an op is nacked. Under overload the benefit
-// that a unit of work earns decides, with the worst-served category counted as the goal counts it.
+// patienceOf is the wait behind others above which an op is nacked.
 func (n *Node) patienceOf(op *Op) float64 {
-	most, own, least := 0.0, 0.0, math.Inf(1)
-	for i := range n.t.Categories {
-		least = math.Min(least, n.served(&n.t.Categories[i]))
-	}
-	total := 0.0
-	for i := range n.t.Categories {
-		total += n.t.Categories[i].asked.get(n.now, serviceHalf) * n.t.Categories[i].Benefit
-	}
-	for i := range n.t.Categories {
-		c := &n.t.Categories[i]
-		asked := c.asked.get(n.now, serviceHalf)
-		if asked <= 0 || total <= 0 {
-			continue
-		}
-		gain := n.t.WholeGoal*c.Benefit/total +
-			n.t.WorstGoal/asked*math.Max(0, 1-10*(n.served(c)-least))
-		most = math.Max(most, gain)
-		if c == op.cat {
-			own = gain
-		}
-	}
-	share := 0.75
-	if most > 0 {
-		share = 0.25 + 0.5*own/most
-	}
+	share := op.cat.patience
 	if op.overfull {
 		share *= 0.5
 	}
@@ -616,12 +582,30 @@
 	return share * n.leftToTarget(op)
 }
 
-func (n *Node) served(c *Category) float64 {
-	asked := c.asked.get(n.now, serviceHalf)
-	if asked <= 0 {
-		return 1
+// weigh sets the categories' patience as a share of the time left. Under overload the benefit that a unit of work
+// earns decides, with the worst-served category counted as the goal counts it.
+func (n *Node) weigh() {
+	total, least := 0.0, 1.0
+	for i := range n.t.Categories {
+		c := &n.t.Categories[i]
+		if asked := c.asked.get(n.now, serviceHalf); asked > 0 {
+			c.served = math.Min(1, c.met.get(n.now, serviceHalf)/asked)
+			total, least = total+asked*c.Benefit, math.Min(least, c.served)
+		}
+	}
+	gain, most := make([]float64, len(n.t.Categories)), 0.0
+	for i, c := range n.t.Categories {
+		if asked := c.asked.get(n.now, serviceHalf); asked > 0 {
+			gain[i] = n.t.WholeGoal*c.Benefit/total + n.t.WorstGoal/asked*math.Max(0, 1-10*(c.served-least))
+			most = math.Max(most, gain[i])
+		}
+	}
+	for i := range gain {
+		n.t.Categories[i].patience = 0.75
+		if most > 0 {
+			n.t.Categories[i].patience = 0.25 + 0.5*gain[i]/most
+		}
 	}
-	return math.Min(1, c.met.get(n.now, serviceHalf)/asked)
 }
 
 // predict is the answer time expected of a backend: the work this node has there and the new op's at the rate
@@ -722,7 +706,7 @@
 
 // sweep is the periodic look at what backends are against their fellows.
 func (n *Node) sweep() {
-	var doubts, tails, units []float64
+	var doubts, tails []float64
 	for _, b := range n.backends {
 		if b.State != Ready {
 			continue
@@ -731,11 +715,8 @@
 		if b.tail.seen > 5 {
 			tails = append(tails, b.tail.value)
 		}
-		if n.warmth(b) == 1 && b.pace.work > 0 {
-			units = append(units, 1/n.paceOf(b)/b.Weight)
-		}
 	}
-	n.doubt, n.unit = median(doubts), median(units)
+	n.doubt = median(doubts)
 	usual := median(tails)
 	n.astray = true
 	for _, b := range n.backends {
@@ -750,6 +731,7 @@
 		}
 		b.tail.value *= math.Pow(usual/b.tail.value, 0.03) // what isn't seen again is forgotten in seconds
 	}
+	n.weigh()
 	n.idle = true
 }
 
@@ -776,20 +758,28 @@
 	return n.coldRoom(b, op.work)
 }
 
-// coldRoom tells whether this node's part of a cold backend's budget has room for the work, in the window
-// that ends now. One part in the number of nodes, so that all keep the rule without agreement.
+// coldRoom tells whether this node's part of a cold backend's budget has room for the work, in the window that
+// ends now. Each node's part is its own to know, so that all keep the rule without agreement.
 func (n *Node) coldRoom(b *Backend, work float64) bool {
 	warm := n.warmth(b)
 	if warm == 1 {
 		return true
 	}
-	unit := n.unit
-	if unit == 0 { // nothing seen yet: half a standard core for a backend of mean weight
-		unit = 0.5 / n.weight
+	// At least half a standard core of a backend of mean weight, and one part of it in the number of nodes. What
+	// this node's work on the zone's warm backends shows they take may be more; that is this node's part already,
+	// for all nodes' parts together can't be more than such a backend does.
+	part := 0.5 / n.weight / float64(max(n.t.Nodes, 1))
+	took, weight := 0.0, 0.0
+	for _, f := range n.backends {
+		if f.State == Ready && f.Zone == b.Zone && n.warmth(f) == 1 {
+			took, weight = took+f.flow.perTime(n.now), weight+f.Weight
+		}
+	}
+	if weight > 0 {
+		part = math.Max(part, took/weight)
 	}
-	capacity := b.Weight * unit * warm
 	spent := work + b.recent.within(n.now, n.t.OverloadFor)
-	return spent <= coldSafety*n.t.FallMultiple*capacity*n.t.OverloadFor/float64(max(n.t.Nodes, 1))
+	return spent <= coldSafety*n.t.FallMultiple*b.Weight*part*warm*n.t.OverloadFor
 }
 
 // send is the only way out for a push.
@@ -853,11 +843,10 @@
 	if op.stage == held {
 		n.unhold(op)
 	}
-	streamed := op.stage == streaming
-	op.stage = ended
-	for _, p := range op.Pushes {
-		if !streamed {
+	if op.stage != streaming { // what streams is the client's
+		for _, p := range op.Pushes {
 			n.revoke(p)
 		}
 	}
+	op.stage = ended
 }
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -75,6 +75,11 @@
 	return (f.done + flowPrior*usual) / (f.busy + flowPrior)
 }
 
+// perTime is the work done over time, idle or not.
+func (f flow) perTime(now float64) float64 {
+	return f.done * math.Exp2((f.at-now)/flowHalf) * math.Ln2 / flowHalf
+}
+
 // spend keeps what was spent within a span that ends now.
 type spend struct{ at, amount []float64 }
 
--- a/balance/types.go
+++ b/balance/types.go
@@ -29,6 +29,8 @@
 	LateBenefit   float64 // share of the benefit left after the target latency
 
 	meanWork   float64 // fading mean of the hints
+	served     float64 // share of the work asked that was acked within the target latency
+	patience   float64 // share of an op's time left that it may wait behind others
 	asked, met fader   // fading sums of work arrived, and of work acked within the target latency
 }
 
