--- a/balance/balance.go
+++ b/balance/balance.go
@@ -601,9 +601,9 @@
 		}
 	}
 	for i := range gain {
-		n.t.Categories[i].patience = 0.75
+		n.t.Categories[i].patience = 0.5
 		if most > 0 {
-			n.t.Categories[i].patience = 0.25 + 0.5*gain[i]/most
+			n.t.Categories[i].patience = 0.1 + 0.4*gain[i]/most
 		}
 	}
 }
