Clients are told to come back when the foreseen wait is about half over

Cause: a come-back of a fifth to four fifths of the target latency brought repeats too late to count.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -832,7 +832,9 @@
 	}
 	d := Decision{Kind: kind, Op: op}
 	if kind == DoNack && n.t.ComeBack {
-		d.Wait = math.Min(n.t.MaxComeBack, op.cat.TargetLatency*(0.2+0.6*n.rng.unit()))
+		// About when half of what is held has gone: a repeat too late is lost, and all at once are a storm.
+		wait := math.Min(op.cat.TargetLatency, n.holdTime(op)) * (0.25 + 0.5*n.rng.unit())
+		d.Wait = math.Min(n.t.MaxComeBack, wait)
 	}
 	n.out = append(n.out, d)
 	n.end(op)
