Judge distrust against the fleet's sounder quarter, not its middle

Cause: more than half of the fleet was bad, the median distrust was theirs, and against it none was distrusted. Told from overload by the endings (no connection, one zone) while the other zone answered. Change: a quarter that is sound is measure enough.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -53,7 +53,7 @@
 	value    float64  // fading mean of an op's benefit
 	meanWork float64  // and of its work
 	pace     pace     // all backends' together
-	doubt    float64  // the fleet's median distrust; a backend is judged against it
+	doubt    float64  // what distrust three in four backends show; a backend is judged against it
 	weight   float64  // mean weight of the ready backends
 	tracked  bool     // changes of the list come by themselves
 	astray   bool     // no backend of the own zone can be used
@@ -716,8 +716,9 @@
 			tails = append(tails, b.tail.value)
 		}
 	}
-	n.doubt = median(doubts)
-	usual := median(tails)
+	// A quarter that is sound tells that the fault is not elsewhere, even where a lost zone is most of the fleet.
+	n.doubt = share(doubts, 0.25)
+	usual := share(tails, 0.5)
 	n.astray = true
 	for _, b := range n.backends {
 		if b.State == Ready && b.Zone == n.t.Zone && n.distrust(b) < shunAt {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -257,6 +257,14 @@
 		}, true},
 		"rejections are load": {func(d *desk, b *Backend) { d.end(d.busy(b), Rejected) }, false},
 		"fades":               {func(d *desk, b *Backend) { d.end(d.busy(b), Failed); d.end(d.busy(b), Failed); d.after(20e3) }, false},
+		"a lost zone, half the fleet": {func(d *desk, _ *Backend) {
+			for _, b := range d.backends[:2] {
+				for range 3 {
+					d.end(d.busy(b), NoConnection)
+				}
+			}
+			d.after(200)
+		}, true},
 		"all alike": {func(d *desk, _ *Backend) {
 			for _, b := range d.backends {
 				for range 3 {
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -170,10 +170,11 @@
 	return float64((x^x>>29)>>11) / (1 << 53)
 }
 
-func median(x []float64) float64 {
+// share gives the value that this share of the values lie under.
+func share(x []float64, s float64) float64 {
 	if len(x) == 0 {
 		return 0
 	}
 	sort.Float64s(x)
-	return x[len(x)/2]
+	return x[int(s*float64(len(x)))]
 }
