--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,7 +24,6 @@
 	queueShare   = 0.03  // of the target latency: a queue this long is answered with fewer pushes in flight
 	mostFirst    = 3.0   // pushes queued on a backend of which nothing is known, by all nodes together
 	paceKnown    = 3.0   // mean ops' work that counts as the fleet's against a backend's own pace
-	restFirst    = 25.0  // ms; doubled at each rejection in a row, a backend's rest before the next push
 	shunAt       = 2.0   // distrust from which a backend gets no traffic: two clear failures in a row
 	extraShare   = 0.2   // further pushes an op earns for the budget; a retry storm can add no more load
 	extraMost    = 20.0  // further pushes that may be saved up: one backend's work in flight at a failure
@@ -206,8 +205,9 @@
 	case Failed, NoConnection, Reset:
 		n.suspect(b, 1)
 	case Rejected: // a full waiting room tells of load, not of a fault; it answers quickly and would draw more
-		b.rejections = math.Min(b.rejections+1, 4)
-		b.restUntil = now + restFirst*math.Exp2(b.rejections)
+		b.rejections = math.Min(b.rejections+1, 5)
+		n.yield(b, 0)
+		b.restUntil = now + n.meanWork*n.paceOf(b)*math.Exp2(b.rejections)
 	}
 	if how == TimedOut || how == Revoked {
 		// Work given up on may go on: the backend is not idle before it could be done.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -258,6 +258,7 @@
 		"rejections are load": {func(d *desk, b *Backend) { d.end(d.busy(b), Rejected) }, false},
 		"fades":               {func(d *desk, b *Backend) { d.end(d.busy(b), Failed); d.end(d.busy(b), Failed); d.after(20e3) }, false},
 		"a lost zone, half the fleet": {func(d *desk, _ *Backend) {
+			d.node.extra = -100 // no further pushes, which would stay unanswered here
 			for _, b := range d.backends[:2] {
 				for range 3 {
 					d.end(d.busy(b), NoConnection)
@@ -370,6 +371,7 @@
 // A rejecting backend answers quickly; without a rest it would draw ever more.
 func TestRejectingBackendRests(t *testing.T) {
 	d := sit(t, plain(), 2)
+	d.seen()
 	b := d.backends[0]
 	d.end(d.busy(b), Rejected)
 	assert.True(t, d.node.full(b))
