--- a/balance/balance.go
+++ b/balance/balance.go
@@ -623,7 +623,9 @@
 // full tells whether a backend has all the pushes that this node sends there at once. Beyond that they would
 // queue, and a crowded backend may turn slower for all nodes.
 func (n *Node) full(b *Backend) bool {
-	return b.restUntil > n.now || float64(len(b.out)) >= math.Max(b.most, 1)
+	// A part of a push more is rounded up where nodes are few, down where many of them would add up.
+	most := math.Floor(b.most + math.Min(n.first()-1, 0.99))
+	return b.restUntil > n.now || float64(len(b.out)) >= math.Max(most, 1)
 }
 
 // paceOf is a backend's time for a unit of work, that of all backends until its own is known and for none.
