--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -503,3 +503,29 @@
 	assert.Equal(t, run(1), run(1))
 	assert.NotEqual(t, run(1), run(2))
 }
+
+// With many nodes a cap below one is a pause after an answer that queued; with few it stays at one push.
+func TestPausesWithManyNodes(t *testing.T) {
+	for _, nodes := range []int{2, 12} {
+		d := sit(t, plain(), 2)
+		d.seen()
+		d.node.t.Nodes, d.backends[0].best, d.backends[0].most = nodes, 1, 1.1
+		p := d.busy(d.backends[0])
+		d.after(300).end(p, Answered)
+		assert.Equal(t, nodes == 12, d.node.full(d.backends[0]), "%d nodes", nodes)
+		d.after(300).end(d.busy(d.backends[0]), Answered)
+	}
+}
+
+// A heavy op is not nacked in a quiet fleet for its own work, nor a small one because one backend is at a heavy op.
+func TestNoNeedlessNacks(t *testing.T) {
+	d := sit(t, plain(), 3)
+	d.seen()
+	d.arrive("heavy", 0, 900)
+	assert.Equal(t, "push:heavy", d.pull())
+	for k := range 3 {
+		d.after(1)
+		d.arrive(fmt.Sprint(k), 0, 5)
+		assert.Equal(t, fmt.Sprintf("push:%d", k), d.pull())
+	}
+}
