--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,7 +39,7 @@
 	backends []*Backend // all that the list named, in the order of their first naming
 	cutoff   window
 	waiting  []*Op // ops that want a decision
-	held     []*Op // longs without a backend
+	held     []*Op // ops without a backend
 	idle     bool  // a backend has room again since held ops were last looked at
 	out      []Decision
 	due      dues
@@ -204,7 +204,7 @@
 		n.suspect(b, 1)
 	case Failed, NoConnection, Reset:
 		n.suspect(b, 1)
-	case Rejected: // a full waiting room tells of load, not of a fault; it answers quickly and would draw more
+	case Rejected: // tells of load, not of a fault; so quick an ending would draw more
 		b.rejections = math.Min(b.rejections+1, 5)
 		n.yield(b, 0)
 		b.restUntil = now + n.meanWork*n.paceOf(b)*math.Exp2(b.rejections)
@@ -563,8 +563,8 @@
 	return n.t.CrossPrice * n.value / math.Max(n.worth(op), 1e-9)
 }
 
-// hopeless tells whether an op is not to be pushed to a backend: its answer would come too late, or it would wait
-// behind others longer than ops of its benefit may. A heavy op's own time is not held against it.
+// hopeless tells whether an op is not to be pushed to a backend: its answer would come too late, or it would
+// wait behind others longer than ops of its benefit may. A heavy op's own time is not held against it.
 func (n *Node) hopeless(b *Backend, op *Op, patience float64) bool {
 	time := n.predict(b, op)
 	return time > n.left(op) || time-op.work*n.paceOf(b) > patience
@@ -582,8 +582,8 @@
 	return share * n.leftToTarget(op)
 }
 
-// weigh sets the categories' patience as a share of the time left. Under overload the benefit that a unit of work
-// earns decides, with the worst-served category counted as the goal counts it.
+// weigh sets the categories' patience as a share of the time left. Under overload the benefit that a unit of
+// work earns decides, with the worst-served category counted as the goal counts it.
 func (n *Node) weigh() {
 	total, least := 0.0, 1.0
 	for i := range n.t.Categories {
@@ -697,8 +697,8 @@
 	}
 }
 
-// yield lowers a backend's cap. Below one it stands for pauses between pushes: with many nodes one push of each
-// at all times can be more than a backend stands.
+// yield lowers a backend's cap. Below one it stands for pauses between pushes: with many nodes one push of
+// each at all times can be more than a backend stands.
 func (n *Node) yield(b *Backend, elapsed float64) {
 	b.most = math.Max(b.most*0.8, math.Min(1, mostFirst/float64(max(n.t.Nodes, 1))))
 	if b.most < 1 {
@@ -761,8 +761,8 @@
 	return n.coldRoom(b, op.work)
 }
 
-// coldRoom tells whether this node's part of a cold backend's budget has room for the work, in the window that
-// ends now. Each node's part is its own to know, so that all keep the rule without agreement.
+// coldRoom tells whether this node's part of a cold backend's budget has room for the work, in the window
+// that ends now. Each node's part is its own to know, so that all keep the rule without agreement.
 func (n *Node) coldRoom(b *Backend, work float64) bool {
 	warm := n.warmth(b)
 	if warm == 1 {
