Tidy: one placing for arrivals and held ops, one division among the nodes

Behaviour as before. Arrivals and released ops are placed by the same code; the end of an op's full benefit and a node's part of what all may are each reckoned in one place; the hold time is worked out only where no backend of the own zone has room (it was on every rotation); the TTL setting, which nothing read, is gone; a backend's position was only a flag.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -86,14 +86,14 @@
 	}
 	for _, l := range lines {
 		b := l.Backend
-		if b.position == 0 {
+		if !b.known {
 			n.backends = append(n.backends, b)
-			b.position = len(n.backends)
-			b.most = n.first()
+			b.known = true
+			b.most = 1 + n.part(mostFirst)
 			b.pass = n.round + n.rng.unit() // the rotation starts at random
 		}
 		if l.Started > b.Started { // a new process: what was learned of the old one's state is void
-			b.flow, b.most, b.distrust, b.lingers, b.restUntil = flow{}, n.first(), fader{}, 0, 0
+			b.flow, b.most, b.distrust, b.lingers, b.restUntil = flow{}, 1+n.part(mostFirst), fader{}, 0, 0
 		}
 		b.Zone, b.Cell, b.State, b.Started = l.Zone, l.Cell, l.State, l.Started
 		b.Weight = l.Weight
@@ -270,7 +270,8 @@
 	}
 }
 
-func (n *Node) first() float64 { return 1 + mostFirst/float64(max(n.t.Nodes, 1)) }
+// part is this node's of what all nodes together may.
+func (n *Node) part(whole float64) float64 { return whole / float64(max(n.t.Nodes, 1)) }
 
 func (n *Node) at(d due) {
 	n.seq++
@@ -288,16 +289,20 @@
 	case op.stage == ended || op.stage == streaming || op.out() > 0:
 	case op.stage == pushed:
 		n.again(op)
-	case op.long && n.placeLong(op):
-	case op.long:
+	case !n.place(op):
 		n.hold(op)
-	default:
-		if b := n.rotate(op); b == nil || !n.send(op, b) {
-			n.hold(op)
-		}
 	}
 }
 
+// place sends an op on the ordinary path, if a backend has room for it.
+func (n *Node) place(op *Op) bool {
+	if op.long {
+		return n.placeLong(op)
+	}
+	b := n.rotate(op)
+	return b != nil && n.send(op, b)
+}
+
 // again answers the failure of all an op's pushes so far: another backend within the budget, or the end.
 func (n *Node) again(op *Op) {
 	if n.left(op) > 0 && n.extra >= 1 {
@@ -311,16 +316,15 @@
 
 // left is the time in which an answer still earns something.
 func (n *Node) left(op *Op) float64 {
-	until := op.GiveUp
 	if op.cat.LateBenefit == 0 {
-		until = math.Min(until, op.Arrived+op.cat.TargetLatency)
+		return op.target() - n.now
 	}
-	return until - n.now
+	return op.GiveUp - n.now
 }
 
 // leftToTarget is the time in which an answer earns all, or what little is left where that has passed.
 func (n *Node) leftToTarget(op *Op) float64 {
-	return math.Max(1, math.Min(op.GiveUp, op.Arrived+op.cat.TargetLatency)-n.now)
+	return math.Max(1, op.target()-n.now)
 }
 
 // placeLong sends a long to a backend with none of this node's work in flight, picked at random; own zone
@@ -392,22 +396,16 @@
 		return
 	}
 	for _, op := range n.held {
-		whole := math.Min(op.GiveUp, op.Arrived+op.cat.TargetLatency) - op.Arrived
-		op.estimate = op.work * n.leftToTarget(op) / math.Max(whole, 1)
+		op.estimate = op.work * n.leftToTarget(op) / math.Max(op.target()-op.Arrived, 1)
 	}
 	slices.SortStableFunc(n.held, func(a, b *Op) int { return cmp.Compare(a.estimate, b.estimate) })
 	rest, misses := n.held[:0], 0
 	for _, op := range n.held {
 		// Where some of the smallest find no room the others hardly do: a node has little CPU for looking on.
 		if misses < 4 {
-			if op.long && n.placeLong(op) {
+			if n.place(op) {
 				continue
 			}
-			if !op.long {
-				if b := n.rotate(op); b != nil && n.send(op, b) {
-					continue
-				}
-			}
 			misses++
 		}
 		rest = append(rest, op)
@@ -468,9 +466,11 @@
 	if far == nil {
 		return near
 	}
-	wait := n.holdTime(op) + op.work*n.paceOf(nil)
+	wait := 0.0
 	if near != nil {
 		wait = n.predict(near, op)
+	} else {
+		wait = n.holdTime(op) + op.work*n.paceOf(nil)
 	}
 	time := n.leftToTarget(op)
 	risk := func(wait float64) float64 { return math.Min(1, math.Max(0, wait/time-0.25)) }
@@ -624,7 +624,7 @@
 // queue, and a crowded backend may turn slower for all nodes.
 func (n *Node) full(b *Backend) bool {
 	// A part of a push more is rounded up where nodes are few, down where many of them would add up.
-	most := math.Floor(b.most + math.Min(n.first()-1, 0.99))
+	most := math.Floor(b.most + math.Min(n.part(mostFirst), 0.99))
 	return b.restUntil > n.now || float64(len(b.out)) >= math.Max(most, 1)
 }
 
@@ -700,7 +700,7 @@
 // yield lowers a backend's cap. Below one it stands for pauses between pushes: with many nodes one push of
 // each at all times can be more than a backend stands.
 func (n *Node) yield(b *Backend, elapsed float64) {
-	b.most = math.Max(b.most*0.8, math.Min(1, mostFirst/float64(max(n.t.Nodes, 1))))
+	b.most = math.Max(b.most*0.8, math.Min(1, n.part(mostFirst)))
 	if b.most < 1 {
 		b.restUntil = math.Max(b.restUntil, n.now+(1/b.most-1)*elapsed)
 	}
@@ -771,7 +771,7 @@
 	// At least half a standard core of a backend of mean weight, and one part of it in the number of nodes. What
 	// this node's work on the zone's warm backends shows they take may be more; that is this node's part already,
 	// for all nodes' parts together can't be more than such a backend does.
-	part := 0.5 / n.weight / float64(max(n.t.Nodes, 1))
+	part := n.part(0.5 / n.weight)
 	took, weight := 0.0, 0.0
 	for _, f := range n.backends {
 		if f.State == Ready && f.Zone == b.Zone && n.warmth(f) == 1 {
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -25,7 +25,7 @@
 		WholeGoal: 1, AskWithin: 10e3, ColdFrom: 0.25, WarmWithin: 10e3, FallMultiple: 3, OverloadFor: 2000}
 	for _, c := range []Category{{Effect: Redeliverable}, {Effect: AtMostOnce},
 		{Effect: Deduplicated, Group: GroupZone, Remembered: 500}, {Effect: Deduplicated, Remembered: 500}} {
-		c.TargetLatency, c.TTL, c.Benefit, c.LateBenefit = 1000, 4000, 1, 0.5
+		c.TargetLatency, c.Benefit, c.LateBenefit = 1000, 1, 0.5
 		t.Categories = append(t.Categories, c)
 	}
 	return t
--- a/balance/types.go
+++ b/balance/types.go
@@ -24,7 +24,6 @@
 	Group         Group
 	Remembered    float64 // how long a deduplicated op's mark is kept, from its first push
 	TargetLatency float64
-	TTL           float64
 	Benefit       float64
 	LateBenefit   float64 // share of the benefit left after the target latency
 
@@ -89,18 +88,18 @@
 
 	out                   []*Push // pushes not yet ended, oldest first
 	longs                 int     // of those, the long ones
+	workOut               float64 // their work
 	lingers               float64 // until then, work given up on may still run here
 	pace                  pace
 	best                  float64 // the lowest pace seen
 	tail                  quantile
-	workOut               float64 // their work
-	flow                  flow    // how fast they are answered
+	flow                  flow    // how fast pushes are answered
 	most                  float64 // how many pushes it may have out
 	restUntil, rejections float64
 	distrust              fader
 	pass                  float64 // its place in the rotation
 	recent                spend   // work sent in the last window, for the time when it may be cold
-	position              int
+	known                 bool    // it has been listed before
 }
 
 // Ending is how a push ended.
@@ -154,6 +153,9 @@
 	return n
 }
 
+// target is when an answer stops earning all.
+func (o *Op) target() float64 { return min(o.GiveUp, o.Arrived+o.cat.TargetLatency) }
+
 func (o *Op) tried(b *Backend) bool {
 	for _, p := range o.Pushes {
 		if p.Backend == b {
--- a/internal/simwire/terms.go
+++ b/internal/simwire/terms.go
@@ -112,7 +112,6 @@
 			Group:         balance.Group(optional(p, at+"dedupScope", func(s string) int { return p.word(s, "all", "zone", "cell") }, 0)),
 			Remembered:    optional(p, at+"keyTtl", p.number, 0),
 			TargetLatency: p.number(at + "targetLatency"),
-			TTL:           p.number(at + "ttl"),
 			Benefit:       p.number(at + "benefit"),
 			LateBenefit:   optional(p, at+"overdueBenefit", p.number, 0),
 		})
