--- a/balance/balance.go
+++ b/balance/balance.go
@@ -19,6 +19,7 @@
 	skipMargin  = 2.0  // the rotation passes a backend above this many times the mean, by the design
 	lateShare   = 0.25 // a held op goes out late when this share of its time is left, by the design
 
+	clockStep    = 1e-3  // ms; no host's clock is taken to be finer
 	sweepEvery   = 100.0 // ms; several looks within the shortest target latency of human-facing services
 	distrustHalf = 4e3   // ms; distrust halves in this time, so a shunned backend is tried again in seconds
 	queueShare   = 0.03  // of the target latency: a queue this long is answered with fewer pushes in flight
@@ -224,7 +225,9 @@
 // Due takes a timer.
 func (n *Node) Due(now float64) {
 	n.now = now
-	if now >= n.armed {
+	// A host's clock may be rounded to a hair before the time asked for: a node that then took its timer for
+	// still out would never set another, and lose what it holds.
+	if now >= n.armed-clockStep {
 		n.armed = math.Inf(1)
 	}
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -529,3 +529,13 @@
 		assert.Equal(t, fmt.Sprintf("push:%d", k), d.pull())
 	}
 }
+
+// A timer that comes a rounding before its time is followed by another: without, a node stands still for good.
+func TestTimerAHairEarly(t *testing.T) {
+	for _, early := range []float64{0, 4e-4} {
+		d := sit(t, plain(), 1)
+		d.after(d.node.armed - early - d.now)
+		x, _ := d.node.Next()
+		assert.Equal(t, DoTimer, x.Kind, "%v ms early", early)
+	}
+}
