--- a/balance/balance.go
+++ b/balance/balance.go
@@ -47,6 +47,7 @@
 	seq      uint64
 	armed    float64 // when the earliest timer out falls due
 	sweepAt  float64
+	stirred  bool     // something came in since the last sweep: without, a node of many spends nothing
 	round    float64  // how far the rotation has come
 	extra    float64  // budget for further pushes
 	stretch  quantile // how much longer than predicted answers take, at the high end
@@ -55,6 +56,7 @@
 	pace     pace     // all backends' together
 	doubt    float64  // what distrust three in four backends show; a backend is judged against it
 	weight   float64  // mean weight of the ready backends
+	zones    []zone   // what the backends of a zone have in common
 	tracked  bool     // changes of the list come by themselves
 	astray   bool     // no backend of the own zone can be used
 	failures int
@@ -97,6 +99,9 @@
 			b.flow, b.most, b.distrust, b.lingers, b.restUntil = flow{}, 1+n.part(mostFirst), fader{}, 0, 0
 		}
 		b.Zone, b.Cell, b.State, b.Started = l.Zone, l.Cell, l.State, l.Started
+		for len(n.zones) <= b.Zone {
+			n.zones = append(n.zones, zone{})
+		}
 		b.Weight = l.Weight
 		if !(b.Weight > 0) || math.IsInf(b.Weight, 0) {
 			b.Weight = 1
@@ -155,6 +160,7 @@
 		// The sum over a half-life of 1 s is the rate times 1/ln 2; this node sees its part of it only.
 		op.overfull = w.Quota > 0 && w.rate.sum*math.Ln2*float64(n.t.Nodes) > w.Quota
 	}
+	n.stirred = true
 	n.value += (n.worth(op) - n.value) / 50
 	if n.meanWork == 0 {
 		n.meanWork = op.work
@@ -182,6 +188,7 @@
 func (n *Node) Ended(now float64, p *Push, how Ending, elapsed float64, finished bool) {
 	n.now = now
 	op, b := p.Op, p.Backend
+	n.stirred = true
 	b.flow.tally(now, true)
 	p.out, p.ending = false, how
 	b.workOut -= op.work
@@ -246,11 +253,14 @@
 		case n.idle:
 			n.idle = false
 			n.release()
-		case n.now >= n.sweepAt:
+		case n.stirred && n.now >= n.sweepAt:
 			n.sweepAt = n.now + sweepEvery
 			n.sweep()
 		default:
-			at := n.sweepAt
+			at := math.Inf(1)
+			if n.stirred {
+				at = n.sweepAt
+			}
 			if len(n.due) > 0 {
 				at = math.Min(at, n.due[0].at)
 			}
@@ -266,6 +276,8 @@
 	return d, true
 }
 
+func (n *Node) zone(b *Backend) *zone { return &n.zones[b.Zone] }
+
 func (n *Node) want(op *Op) {
 	if !op.queued && op.stage != ended {
 		op.queued = true
@@ -711,11 +723,19 @@
 
 // sweep is the periodic look at what backends are against their fellows.
 func (n *Node) sweep() {
-	var doubts, tails []float64
+	n.stirred = len(n.held) > 0
+	doubts, tails := make([]float64, 0, len(n.backends)), make([]float64, 0, len(n.backends))
+	for z := range n.zones {
+		n.zones[z].took, n.zones[z].weight = 0, 0
+	}
 	for _, b := range n.backends {
 		if b.State != Ready {
 			continue
 		}
+		if n.warmth(b) == 1 {
+			z := n.zone(b)
+			z.took, z.weight = z.took+b.flow.perTime(n.now), z.weight+b.Weight
+		}
 		doubts = append(doubts, b.distrust.get(n.now, distrustHalf))
 		if b.tail.seen > 5 {
 			tails = append(tails, b.tail.value)
@@ -775,14 +795,8 @@
 	// this node's work on the zone's warm backends shows they take may be more; that is this node's part already,
 	// for all nodes' parts together can't be more than such a backend does.
 	part := n.part(0.5 / n.weight)
-	took, weight := 0.0, 0.0
-	for _, f := range n.backends {
-		if f.State == Ready && f.Zone == b.Zone && n.warmth(f) == 1 {
-			took, weight = took+f.flow.perTime(n.now), weight+f.Weight
-		}
-	}
-	if weight > 0 {
-		part = math.Max(part, took/weight)
+	if z := n.zone(b); z.weight > 0 {
+		part = math.Max(part, z.took/z.weight)
 	}
 	spent := work + b.recent.within(n.now, n.t.OverloadFor)
 	return spent <= coldSafety*n.t.FallMultiple*b.Weight*part*warm*n.t.OverloadFor
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -71,15 +71,26 @@
 }
 
 func (f flow) rate(now float64, inHand bool, usual float64) float64 {
+	if f.at == 0 { // most backends of a large fleet are new to a node: next to no reckoning for them
+		return usual
+	}
 	f.tally(now, inHand)
 	return (f.done + flowPrior*usual) / (f.busy + flowPrior)
 }
 
 // perTime is the work done over time, idle or not.
 func (f flow) perTime(now float64) float64 {
+	if f.done == 0 {
+		return 0
+	}
 	return f.done * math.Exp2((f.at-now)/flowHalf) * math.Ln2 / flowHalf
 }
 
+// zone is what a node knows of a zone's backends together.
+type zone struct {
+	took, weight float64 // its warm backends' work for this node over time, and their weight
+}
+
 // spend keeps what was spent within a span that ends now.
 type spend struct{ at, amount []float64 }
 
