Take from the zone's recent waits what a node has not seen of a backend

Cause: at full size a node hears of one backend once a minute, so predictions knew of no queue, nothing crossed out of a crowded zone (zone's traffic and servers are skewed) and little was nacked in time. Pooled by zone: waits of answers and time-outs; rejections and failed connects count a target latency.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -69,6 +69,7 @@
 	for range 8 { // the first numbers follow the seed too closely
 		n.rng.unit()
 	}
+	n.zones = make([]zone, t.Zone+1)
 	if t.MustAsk {
 		// Nodes restarted together must not call the list's one service together.
 		n.at(due{at: now + 200*n.rng.unit()})
@@ -202,6 +203,12 @@
 		b.longs--
 	}
 	switch how {
+	case Answered, TimedOut:
+		n.zone(b).wait.add(now, math.Max(0, elapsed-op.work*n.paceOf(b)))
+	case Rejected, NoConnection: // the queue there is as long as it can be, or the zone is cut off
+		n.zone(b).wait.add(now, op.cat.TargetLatency)
+	}
+	switch how {
 	case Answered:
 		n.learn(b, p, elapsed)
 		if op.stage != ended && elapsed >= 0 && now-op.Arrived <= op.cat.TargetLatency {
@@ -401,7 +408,7 @@
 	if rate == 0 {
 		return math.Inf(1)
 	}
-	return ahead / rate
+	return ahead/rate + n.zones[n.t.Zone].wait.mean(n.now)
 }
 
 // release gives backends that turned idle the held longs, and those with room again the held shorts, smallest
@@ -625,8 +632,12 @@
 
 // predict is the answer time expected of a backend: the work this node has there and the new op's at the rate
 // at which it lately drained such work, and never less than the op alone takes.
+//
+// What this node has not lately seen of the backend itself it takes from the zone: where nodes are many, each
+// hears of one backend once in a minute, but of a crowded zone every second.
 func (n *Node) predict(b *Backend, op *Op) float64 {
-	return math.Max((b.workOut+op.work)/n.drain(b), op.work*n.paceOf(b))
+	alone := op.work * n.paceOf(b)
+	return math.Max((b.workOut+op.work)/n.drain(b), alone+b.flow.unseen(n.now)*n.zone(b).wait.mean(n.now))
 }
 
 // drain is the work a backend lately did for this node per millisecond with any there. It holds what others
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -78,6 +78,11 @@
 	return (f.done + flowPrior*usual) / (f.busy + flowPrior)
 }
 
+// unseen is the share of what would be known of a busy backend that is not.
+func (f flow) unseen(now float64) float64 {
+	return flowPrior / (flowPrior + f.busy*math.Exp2((f.at-now)/flowHalf))
+}
+
 // perTime is the work done over time, idle or not.
 func (f flow) perTime(now float64) float64 {
 	if f.done == 0 {
@@ -86,8 +91,24 @@
 	return f.done * math.Exp2((f.at-now)/flowHalf) * math.Ln2 / flowHalf
 }
 
+// recent is a mean of what was lately seen, next to nothing where nothing was.
+type recent struct{ sum, count, at float64 }
+
+const recentHalf = 3e3 // ms; a zone is believed crowded a little longer than one backend
+
+func (r *recent) add(now, x float64) {
+	fade := math.Exp2((r.at - now) / recentHalf)
+	r.sum, r.count, r.at = r.sum*fade+x, r.count*fade+1, now
+}
+
+func (r *recent) mean(now float64) float64 {
+	fade := math.Exp2((r.at - now) / recentHalf)
+	return r.sum * fade / (r.count*fade + 2) // two samples of no wait at all: one alone is chance
+}
+
 // zone is what a node knows of a zone's backends together.
 type zone struct {
+	wait         recent  // of its pushes behind others
 	took, weight float64 // its warm backends' work for this node over time, and their weight
 }
 
