--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,7 +24,7 @@
 	distrustHalf = 4e3   // ms; distrust halves in this time, so a shunned backend is tried again in seconds
 	queueShare   = 0.03  // of the target latency: a queue this long is answered with fewer pushes in flight
 	mostFirst    = 3.0   // pushes queued on a backend of which nothing is known, by all nodes together
-	paceKnown    = 3.0   // mean ops' work that counts as the fleet's against a backend's own pace
+	paceKnown    = 3.0   // mean ops' work that counts as the kind's against a backend's own pace
 	shunAt       = 2.0   // distrust from which a backend gets no traffic: two clear failures in a row
 	extraShare   = 0.2   // further pushes an op earns for the budget; a retry storm can add no more load
 	extraMost    = 20.0  // further pushes that may be saved up: one backend's work in flight at a failure
@@ -57,6 +57,7 @@
 	doubt    float64  // what distrust three in four backends show; a backend is judged against it
 	weight   float64  // mean weight of the ready backends
 	zones    []zone   // what the backends of a zone have in common
+	kinds    []pace   // and those of a kind
 	tracked  bool     // changes of the list come by themselves
 	astray   bool     // no backend of the own zone can be used
 	failures int
@@ -100,9 +101,13 @@
 			b.flow, b.most, b.distrust, b.lingers, b.restUntil = flow{}, 1+n.part(mostFirst), fader{}, 0, 0
 		}
 		b.Zone, b.Cell, b.State, b.Started = l.Zone, l.Cell, l.State, l.Started
+		b.Kind = l.Kind
 		for len(n.zones) <= b.Zone {
 			n.zones = append(n.zones, zone{})
 		}
+		for len(n.kinds) <= b.Kind {
+			n.kinds = append(n.kinds, pace{})
+		}
 		b.Weight = l.Weight
 		if !(b.Weight > 0) || math.IsInf(b.Weight, 0) {
 			b.Weight = 1
@@ -661,17 +666,20 @@
 	if b == nil {
 		return fleet
 	}
-	return (b.pace.time + known*fleet) / (b.pace.work + known)
+	// Unlike machines of one weight differ threefold; where nodes are many, only their kind's pace can be known.
+	k := &n.kinds[b.Kind]
+	kind := (k.time + known*fleet) / (k.work + known)
+	return (b.pace.time + known*kind) / (b.pace.work + known)
 }
 
-// size is what share of the rotation a backend gets: its weight against the mean, less while it is cold or
-// distrusted. An op that can't be sent twice shies from doubt twice as much.
+// size is what share of the rotation a backend gets: its weight and speed against the mean, less while it is cold
+// or distrusted. An op that can't be sent twice shies from doubt twice as much.
 func (n *Node) size(b *Backend, op *Op) float64 {
 	trust := 1 / (1 + n.distrust(b))
 	if op.cat.Effect != Redeliverable {
 		trust *= trust
 	}
-	return math.Max(b.Weight/n.weight*n.warmth(b)*trust, 1e-3)
+	return math.Max(b.Weight/n.weight*n.warmth(b)*trust*n.paceOf(nil)/n.paceOf(b), 1e-3)
 }
 
 // warmth is the share of its capacity that a backend is sure to have.
@@ -700,6 +708,7 @@
 	work := p.Op.work
 	if p.alone { // behind own pushes the time tells of the queue, not of the backend
 		b.pace.add(elapsed, work)
+		n.kinds[b.Kind].add(elapsed, work)
 		n.pace.add(elapsed, work)
 	}
 	// The mean work keeps small ops, or hints that say nothing, from making a backend look slow.
--- a/balance/types.go
+++ b/balance/types.go
@@ -82,6 +82,7 @@
 	Ref     uint64 // the host's name for it, the same at every node
 	Zone    int
 	Cell    int
+	Kind    int
 	State   State
 	Weight  float64
 	Started float64 // clock time of its latest start; 0 is long ago
@@ -230,5 +231,6 @@
 	Backend         *Backend
 	State           State
 	Zone, Cell      int
+	Kind            int // of machine
 	Weight, Started float64
 }
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -304,6 +304,7 @@
 		list = append(list, balance.Listing{
 			Backend: b,
 			Zone:    int(lines[6]),
+			Kind:    int(lines[7]),
 			Cell:    int(binary.BigEndian.Uint16(lines[8:])),
 			State:   balance.State(lines[10]),
 			Weight:  float64(math.Float32frombits(binary.BigEndian.Uint32(lines[11:]))),
