Pauses between pushes only for queues of a quarter of the target latency

Cause: caps below one fell at every answer 0.03 of the target late, which hints and scatter alone make so; with 46 nodes they lay at their floor and the fleet was refused what it could do.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,6 +23,7 @@
 	sweepEvery   = 100.0 // ms; several looks within the shortest target latency of human-facing services
 	distrustHalf = 4e3   // ms; distrust halves in this time, so a shunned backend is tried again in seconds
 	queueShare   = 0.03  // of the target latency: a queue this long is answered with fewer pushes in flight
+	pauseShare   = 0.25  // of it: a queue that long is answered with pauses where one push is out at most
 	mostFirst    = 3.0   // pushes queued on a backend of which nothing is known, by all nodes together
 	paceKnown    = 3.0   // mean ops' work that counts as the kind's against a backend's own pace
 	shunAt       = 2.0   // distrust from which a backend gets no traffic: two clear failures in a row
@@ -720,7 +721,11 @@
 		b.best = n.paceOf(b)
 	}
 	b.best *= 1.001 // forgotten over a thousand answers
-	if elapsed-1.5*work*b.best > queueShare*p.Op.cat.TargetLatency {
+	share := queueShare
+	if b.most <= 1 { // a pause gives up more than a push in flight does: only for a queue that costs answers
+		share = pauseShare
+	}
+	if elapsed-1.5*work*b.best > share*p.Op.cat.TargetLatency {
 		n.yield(b, elapsed)
 	} else if float64(len(b.out)+1) >= b.most {
 		b.most += math.Min(b.most/4, 1/b.most)
