Read the backends' service time from load reports in answers

Where reports tell it, the pace comes from them and no longer from the answers' times, which hold waits.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -60,6 +60,7 @@
 	zones    []zone   // what the backends of a zone have in common
 	kinds    []pace   // and those of a kind
 	tracked  bool     // changes of the list come by themselves
+	told     bool     // backends report their service time
 	astray   bool     // no backend of the own zone can be used
 	failures int
 }
@@ -242,6 +243,12 @@
 	}
 }
 
+// Reported takes a backend's mean service time from a load report: without waits, so better than a push's time.
+func (n *Node) Reported(now float64, b *Backend, service float64) {
+	n.now, n.told = now, true
+	n.clock(b, service, n.meanWork)
+}
+
 // Due takes a timer.
 func (n *Node) Due(now float64) {
 	n.now = now
@@ -660,6 +667,13 @@
 	return b.restUntil > n.now || float64(len(b.out)) >= math.Max(most, 1)
 }
 
+// clock takes a time for some work at a backend.
+func (n *Node) clock(b *Backend, time, work float64) {
+	b.pace.add(time, work)
+	n.kinds[b.Kind].add(time, work)
+	n.pace.add(time, work)
+}
+
 // paceOf is a backend's time for a unit of work, that of all backends until its own is known and for none.
 func (n *Node) paceOf(b *Backend) float64 {
 	known := paceKnown * math.Max(n.meanWork, 1)
@@ -707,10 +721,8 @@
 // learn takes what an answer tells of its backend.
 func (n *Node) learn(b *Backend, p *Push, elapsed float64) {
 	work := p.Op.work
-	if p.alone { // behind own pushes the time tells of the queue, not of the backend
-		b.pace.add(elapsed, work)
-		n.kinds[b.Kind].add(elapsed, work)
-		n.pace.add(elapsed, work)
+	if p.alone && !n.told { // behind own pushes the time tells of the queue, not of the backend
+		n.clock(b, elapsed, work)
 	}
 	// The mean work keeps small ops, or hints that say nothing, from making a backend look slow.
 	b.tail.add(math.Max(elapsed, 0.1)/(work+n.meanWork), 0.9, 0.1)
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"math"
+	"slices"
 
 	"pearknot/balance"
 )
@@ -68,6 +69,7 @@
 	ops        map[uint64]*balance.Op
 	backends   map[uint64]*balance.Backend
 	categories int
+	fields     fields
 	inBatch    bool
 	stopped    bool
 }
@@ -173,7 +175,7 @@
 	switch code {
 	case enlist:
 		seed := r.u64()
-		terms, err := readTerms(r.take(int(r.u32())))
+		terms, fields, err := readTerms(r.take(int(r.u32())))
 		if r.err != nil {
 			return
 		}
@@ -185,7 +187,7 @@
 		if i != nil {
 			i.stopped = true
 		}
-		i = &instance{number: number, categories: len(terms.Categories), ops: map[uint64]*balance.Op{}, backends: map[uint64]*balance.Backend{}}
+		i = &instance{number: number, categories: len(terms.Categories), fields: fields, ops: map[uint64]*balance.Op{}, backends: map[uint64]*balance.Backend{}}
 		h.instances[number] = i
 		h.touch(i)
 		h.guard(i, func() { i.node = balance.New(terms, h.now) })
@@ -242,13 +244,16 @@
 		id, try := r.u64(), r.u8()
 		r.take(6)
 		how, elapsed, finished := r.u8(), r.time(), r.u8()
-		r.take(4 * int(r.u8()))
+		report := r.take(4 * int(r.u8()))
 		ending, known := endings[how]
 		if r.err == nil && !known {
 			r.fail("unknown ending %d", how)
 		}
 		h.input(r, i, func() {
 			if p := i.push(id, try); p != nil {
+				if service := i.fields.value("mean_ms", report); service > 0 {
+					i.node.Reported(h.now, p.Backend, service)
+				}
 				i.node.Ended(h.now, p, ending, elapsed, finished != 0)
 				i.forget(p.Op)
 			}
@@ -318,6 +323,19 @@
 	return uint64(binary.BigEndian.Uint32(b))<<16 | uint64(binary.BigEndian.Uint16(b[4:]))
 }
 
+// fields are the names of a load report's values, in their order.
+type fields []string
+
+// value finds a report's value by name; 0 is not told.
+func (f fields) value(name string, report []byte) float64 {
+	if k := slices.Index(f, name); k >= 0 && 4*k+4 <= len(report) {
+		if x := float64(math.Float32frombits(binary.BigEndian.Uint32(report[4*k:]))); x >= 0 && !math.IsInf(x, 0) {
+			return x
+		}
+	}
+	return 0
+}
+
 func (i *instance) push(id uint64, try byte) *balance.Push {
 	if op := i.ops[id]; op != nil && int(try) < len(op.Pushes) && op.Pushes[try].Out() {
 		return op.Pushes[try]
--- a/internal/simwire/terms.go
+++ b/internal/simwire/terms.go
@@ -77,7 +77,7 @@
 	return unset
 }
 
-func readTerms(data []byte) (*balance.Terms, error) {
+func readTerms(data []byte) (*balance.Terms, fields, error) {
 	p := &pairs{values: map[string]string{}}
 	for line := range strings.Lines(string(data)) {
 		if path, value, ok := strings.Cut(strings.TrimRight(line, "\r\n"), "="); ok {
@@ -123,5 +123,5 @@
 			})
 		}
 	}
-	return t, p.err
+	return t, strings.Split(p.values["loadReport.fields"], ","), p.err
 }
