--- a/balance/balance.go
+++ b/balance/balance.go
@@ -58,7 +58,8 @@
 	doubt    float64  // what distrust three in four backends show; a backend is judged against it
 	weight   float64  // mean weight of the ready backends
 	zones    []zone   // what the backends of a zone have in common
-	kinds    []pace   // and those of a kind
+	waits    recent   // of all pushes behind others
+	kinds    []pace   // what the backends of a kind have in common
 	tracked  bool     // changes of the list come by themselves
 	told     bool     // backends report their service time
 	astray   bool     // no backend of the own zone can be used
@@ -211,9 +212,9 @@
 	}
 	switch how {
 	case Answered, TimedOut:
-		n.zone(b).wait.add(now, math.Max(0, elapsed-op.work*n.paceOf(b)))
+		n.waited(b, math.Max(0, elapsed-op.work*n.paceOf(b)))
 	case Rejected, NoConnection: // the queue there is as long as it can be, or the zone is cut off
-		n.zone(b).wait.add(now, op.cat.TargetLatency)
+		n.waited(b, op.cat.TargetLatency)
 	}
 	switch how {
 	case Answered:
@@ -421,7 +422,7 @@
 	if rate == 0 {
 		return math.Inf(1)
 	}
-	return ahead/rate + n.zones[n.t.Zone].wait.mean(n.now)
+	return ahead/rate + n.wait(n.t.Zone)
 }
 
 // release gives backends that turned idle the held longs, and those with room again the held shorts, smallest
@@ -480,6 +481,7 @@
 		return
 	}
 	p.overdue = true
+	n.waited(p.Backend, n.now-p.SentAt) // seconds before a time-out would tell
 	n.suspect(p.Backend, 0.5)
 	if op.cat.Effect != Redeliverable || n.extra < 1 || op.out() > 1 {
 		return
@@ -536,7 +538,7 @@
 		if b.longs > 0 {
 			load += 2 // behind a long is the last place for a short
 		}
-		if least == nil || load < leastLoad {
+		if least == nil || load < leastLoad || load == leastLoad && b.pass < least.pass {
 			least, leastLoad = b, load
 		}
 		if b.longs > 0 {
@@ -571,7 +573,8 @@
 		if !n.isNear(b) {
 			load += math.Min(n.crossCost(op), 1)
 		}
-		if load < least {
+		// Equals by the rotation: by the list's order the late sends of all nodes would meet at one backend.
+		if load < least || load == least && b.pass < best.pass {
 			best, least = b, load
 		}
 	}
@@ -650,7 +653,7 @@
 // hears of one backend once in a minute, but of a crowded zone every second.
 func (n *Node) predict(b *Backend, op *Op) float64 {
 	alone := op.work * n.paceOf(b)
-	return math.Max((b.workOut+op.work)/n.drain(b), alone+b.flow.unseen(n.now)*n.zone(b).wait.mean(n.now))
+	return math.Max((b.workOut+op.work)/n.drain(b), alone+b.flow.unseen(n.now)*n.wait(b.Zone))
 }
 
 // drain is the work a backend lately did for this node per millisecond with any there. It holds what others
@@ -674,6 +677,18 @@
 	n.pace.add(time, work)
 }
 
+// waited takes the time that a push was behind others.
+func (n *Node) waited(b *Backend, time float64) {
+	n.zone(b).wait.add(n.now, time)
+	n.waits.add(n.now, time)
+}
+
+// wait is what a push has lately waited in a zone. A zone that this node hardly knows is no better than the rest:
+// taken for empty, it would be tried by all nodes as soon as the fleet is crowded.
+func (n *Node) wait(zone int) float64 {
+	return n.zones[zone].wait.mean(n.now, n.waits.mean(n.now, 0, 4), 2)
+}
+
 // paceOf is a backend's time for a unit of work, that of all backends until its own is known and for none.
 func (n *Node) paceOf(b *Backend) float64 {
 	known := paceKnown * math.Max(n.meanWork, 1)
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -101,9 +101,10 @@
 	r.sum, r.count, r.at = r.sum*fade+x, r.count*fade+1, now
 }
 
-func (r *recent) mean(now float64) float64 {
+// mean counts some samples of the usual beside what was seen: one alone is chance.
+func (r *recent) mean(now, usual, some float64) float64 {
 	fade := math.Exp2((r.at - now) / recentHalf)
-	return r.sum * fade / (r.count*fade + 2) // two samples of no wait at all: one alone is chance
+	return (r.sum*fade + some*usual) / (r.count*fade + some)
 }
 
 // zone is what a node knows of a zone's backends together.
