--- a/balance/balance.go
+++ b/balance/balance.go
@@ -378,7 +378,7 @@
 		if n.isNear(b) {
 			r++
 		}
-		if op.work*n.paceOf(b) <= n.leftToTarget(op) { // a slow machine may not do in time what another does
+		if !n.slowFor(b, op) {
 			r += 2
 		}
 		if r > rank {
@@ -528,6 +528,7 @@
 	}
 	margin := skipMargin * out / room
 	var turn, least, warm *Backend
+	turnSlow := false
 	var leastLoad, warmest float64
 	for _, b := range n.backends {
 		if n.isNear(b) != near || op.tried(b) || n.distrust(b) >= shunAt || n.full(b) || !n.may(op, b) ||
@@ -549,8 +550,11 @@
 				warm, warmest = b, h
 			}
 		}
-		if load <= margin && (turn == nil || b.pass < turn.pass) {
-			turn = b
+		if load > margin {
+			continue
+		}
+		if slow := n.slowFor(b, op); turn == nil || turnSlow && !slow || slow == turnSlow && b.pass < turn.pass {
+			turn, turnSlow = b, slow
 		}
 	}
 	if warm != nil {
@@ -562,6 +566,10 @@
 	return least
 }
 
+// slowFor tells whether the op alone takes over half the time left at a backend: a heavy op earns the most, and a
+// slow machine that any other work is at may not do in time what another does.
+func (n *Node) slowFor(b *Backend, op *Op) bool { return 2*op.work*n.paceOf(b) > n.leftToTarget(op) }
+
 // fewest is the backend for a late send: fewest own in flight, own zone first among equals.
 func (n *Node) fewest(op *Op) (best *Backend) {
 	least := math.Inf(1)
