--- a/balance/balance.go
+++ b/balance/balance.go
@@ -30,7 +30,6 @@
 	extraShare   = 0.2   // further pushes an op earns for the budget; a retry storm can add no more load
 	extraMost    = 20.0  // further pushes that may be saved up: one backend's work in flight at a failure
 	coldSafety   = 0.6   // share of the cold budget used; hints are rough, connections cost work too
-	serviceHalf  = 10e3  // ms; the span over which the categories' service is compared
 )
 
 // Node decides for one instance. Nothing is shared between nodes.
@@ -48,21 +47,20 @@
 	seq      uint64
 	armed    float64 // when the earliest timer out falls due
 	sweepAt  float64
-	stirred  bool     // something came in since the last sweep: without, a node of many spends nothing
-	round    float64  // how far the rotation has come
-	extra    float64  // budget for further pushes
-	stretch  quantile // how much longer than predicted answers take, at the high end
-	value    float64  // fading mean of an op's benefit
-	meanWork float64  // and of its work
-	pace     pace     // all backends' together
-	doubt    float64  // what distrust three in four backends show; a backend is judged against it
-	weight   float64  // mean weight of the ready backends
-	zones    []zone   // what the backends of a zone have in common
-	waits    recent   // of all pushes behind others
-	kinds    []pace   // what the backends of a kind have in common
-	tracked  bool     // changes of the list come by themselves
-	told     bool     // backends report their service time
-	astray   bool     // no backend of the own zone can be used
+	stirred  bool           // something came in since the last sweep: without, a node of many spends nothing
+	round    float64        // how far the rotation has come
+	extra    float64        // budget for further pushes
+	stretch  quantile       // how much longer than predicted answers take, at the high end
+	value    float64        // fading mean of an op's benefit
+	meanWork float64        // and of its work
+	paces    paces          // of all backends and by kind of machine
+	doubt    float64        // what distrust three in four backends show; a backend is judged against it
+	weight   float64        // mean weight of the ready backends
+	crowd    crowd          // how long pushes lately waited, by zone
+	warm     perPlace[took] // what a zone's warm backends take of this node's work
+	tracked  bool           // changes of the list come by themselves
+	told     bool           // backends report their service time
+	astray   bool           // no backend of the own zone can be used
 	failures int
 }
 
@@ -73,7 +71,13 @@
 	for range 8 { // the first numbers follow the seed too closely
 		n.rng.unit()
 	}
-	n.zones = make([]zone, t.Zone+1)
+	most := 0.0
+	for _, c := range t.Categories {
+		most = math.Max(most, c.Benefit)
+	}
+	for i := range t.Categories { // under overload the benefit that a unit of work earns decides who may wait
+		t.Categories[i].patience = 0.1 + 0.4*t.Categories[i].Benefit/math.Max(most, 1e-9)
+	}
 	if t.MustAsk {
 		// Nodes restarted together must not call the list's one service together.
 		n.at(due{at: now + 200*n.rng.unit()})
@@ -105,12 +109,6 @@
 		}
 		b.Zone, b.Cell, b.State, b.Started = l.Zone, l.Cell, l.State, l.Started
 		b.Kind = l.Kind
-		for len(n.zones) <= b.Zone {
-			n.zones = append(n.zones, zone{})
-		}
-		for len(n.kinds) <= b.Kind {
-			n.kinds = append(n.kinds, pace{})
-		}
 		b.Weight = l.Weight
 		if !(b.Weight > 0) || math.IsInf(b.Weight, 0) {
 			b.Weight = 1
@@ -153,16 +151,10 @@
 	} else {
 		op.work = c.meanWork
 	}
-	if c.meanWork == 0 {
-		c.meanWork = op.work
-	}
-	c.meanWork += (op.work - c.meanWork) / 50
+	ease(&c.meanWork, op.work)
 	if op.work == 0 {
 		op.work = c.TargetLatency / 20 // nothing is known: a small part of what the category allows
 	}
-	if !op.Repeat {
-		c.asked.set(now, c.asked.get(now, serviceHalf)+op.work)
-	}
 	if op.Tenant < len(n.t.Tenants) {
 		w := &n.t.Tenants[op.Tenant]
 		w.rate.set(now, w.rate.get(now, 1e3)+1)
@@ -170,11 +162,8 @@
 		op.overfull = w.Quota > 0 && w.rate.sum*math.Ln2*float64(n.t.Nodes) > w.Quota
 	}
 	n.stirred = true
-	n.value += (n.worth(op) - n.value) / 50
-	if n.meanWork == 0 {
-		n.meanWork = op.work
-	}
-	n.meanWork += (op.work - n.meanWork) / 50
+	ease(&n.value, n.worth(op))
+	ease(&n.meanWork, op.work)
 	n.extra = math.Min(n.extra+extraShare, extraMost)
 	n.want(op)
 }
@@ -201,36 +190,27 @@
 	b.flow.tally(now, true)
 	p.out, p.ending = false, how
 	b.workOut -= op.work
-	for i, o := range b.out {
-		if o == p {
-			b.out = append(b.out[:i], b.out[i+1:]...)
-			break
-		}
-	}
+	b.out = slices.DeleteFunc(b.out, func(o *Push) bool { return o == p })
 	if op.long {
 		b.longs--
 	}
 	switch how {
 	case Answered, TimedOut:
-		n.waited(b, math.Max(0, elapsed-op.work*n.paceOf(b)))
+		n.crowd.add(b.Zone, now, math.Max(0, elapsed-op.work*n.paceOf(b)))
 	case Rejected, NoConnection: // the queue there is as long as it can be, or the zone is cut off
-		n.waited(b, op.cat.TargetLatency)
+		n.crowd.add(b.Zone, now, op.cat.TargetLatency)
 	}
 	switch how {
 	case Answered:
 		n.learn(b, p, elapsed)
-		if op.stage != ended && elapsed >= 0 && now-op.Arrived <= op.cat.TargetLatency {
-			op.cat.met.set(now, op.cat.met.get(now, serviceHalf)+op.work)
-		}
 	case TimedOut:
 		n.yield(b, 0)
 		n.suspect(b, 1)
 	case Failed, NoConnection, Reset:
 		n.suspect(b, 1)
 	case Rejected: // tells of load, not of a fault; so quick an ending would draw more
-		b.rejections = math.Min(b.rejections+1, 5)
 		n.yield(b, 0)
-		b.restUntil = now + n.meanWork*n.paceOf(b)*math.Exp2(b.rejections)
+		b.restUntil = now + n.meanWork*n.paceOf(b)
 	}
 	if how == TimedOut || how == Revoked {
 		// Work given up on may go on: the backend is not idle before it could be done.
@@ -244,10 +224,10 @@
 	}
 }
 
-// Reported takes a backend's mean service time from a load report: without waits, so better than a push's time.
+// Reported takes a backend's mean service time from a load report: it holds no waits, unlike a push's time.
 func (n *Node) Reported(now float64, b *Backend, service float64) {
 	n.now, n.told = now, true
-	n.clock(b, service, n.meanWork)
+	n.paces.add(b, service, n.meanWork)
 }
 
 // Due takes a timer.
@@ -297,8 +277,6 @@
 	return d, true
 }
 
-func (n *Node) zone(b *Backend) *zone { return &n.zones[b.Zone] }
-
 func (n *Node) want(op *Op) {
 	if !op.queued && op.stage != ended {
 		op.queued = true
@@ -422,7 +400,7 @@
 	if rate == 0 {
 		return math.Inf(1)
 	}
-	return ahead/rate + n.wait(n.t.Zone)
+	return ahead/rate + n.crowd.wait(n.t.Zone, n.now)
 }
 
 // release gives backends that turned idle the held longs, and those with room again the held shorts, smallest
@@ -465,12 +443,7 @@
 }
 
 func (n *Node) unhold(op *Op) {
-	for i, o := range n.held {
-		if o == op {
-			n.held = append(n.held[:i], n.held[i+1:]...)
-			return
-		}
-	}
+	n.held = slices.DeleteFunc(n.held, func(o *Op) bool { return o == op })
 }
 
 // overdue answers a push that is out longer than its fellows' high quantile: silence is the first sign of a
@@ -481,7 +454,7 @@
 		return
 	}
 	p.overdue = true
-	n.waited(p.Backend, n.now-p.SentAt) // seconds before a time-out would tell
+	n.crowd.add(p.Backend.Zone, n.now, n.now-p.SentAt) // seconds before a time-out would tell
 	n.suspect(p.Backend, 0.5)
 	if op.cat.Effect != Redeliverable || n.extra < 1 || op.out() > 1 {
 		return
@@ -566,8 +539,8 @@
 	return least
 }
 
-// slowFor tells whether the op alone takes over half the time left at a backend: a heavy op earns the most, and a
-// slow machine that any other work is at may not do in time what another does.
+// slowFor tells whether the op alone takes over half the time left at a backend: heavy ops earn the most, and
+// a slow machine that any other work is at may not do one in time.
 func (n *Node) slowFor(b *Backend, op *Op) bool { return 2*op.work*n.paceOf(b) > n.leftToTarget(op) }
 
 // fewest is the backend for a late send: fewest own in flight, own zone first among equals.
@@ -628,32 +601,6 @@
 	return share * n.leftToTarget(op)
 }
 
-// weigh sets the categories' patience as a share of the time left. Under overload the benefit that a unit of
-// work earns decides, with the worst-served category counted as the goal counts it.
-func (n *Node) weigh() {
-	total, least := 0.0, 1.0
-	for i := range n.t.Categories {
-		c := &n.t.Categories[i]
-		if asked := c.asked.get(n.now, serviceHalf); asked > 0 {
-			c.served = math.Min(1, c.met.get(n.now, serviceHalf)/asked)
-			total, least = total+asked*c.Benefit, math.Min(least, c.served)
-		}
-	}
-	gain, most := make([]float64, len(n.t.Categories)), 0.0
-	for i, c := range n.t.Categories {
-		if asked := c.asked.get(n.now, serviceHalf); asked > 0 {
-			gain[i] = n.t.WholeGoal*c.Benefit/total + n.t.WorstGoal/asked*math.Max(0, 1-10*(c.served-least))
-			most = math.Max(most, gain[i])
-		}
-	}
-	for i := range gain {
-		n.t.Categories[i].patience = 0.5
-		if most > 0 {
-			n.t.Categories[i].patience = 0.1 + 0.4*gain[i]/most
-		}
-	}
-}
-
 // predict is the answer time expected of a backend: the work this node has there and the new op's at the rate
 // at which it lately drained such work, and never less than the op alone takes.
 //
@@ -661,7 +608,7 @@
 // hears of one backend once in a minute, but of a crowded zone every second.
 func (n *Node) predict(b *Backend, op *Op) float64 {
 	alone := op.work * n.paceOf(b)
-	return math.Max((b.workOut+op.work)/n.drain(b), alone+b.flow.unseen(n.now)*n.wait(b.Zone))
+	return math.Max((b.workOut+op.work)/n.drain(b), alone+b.flow.unseen(n.now)*n.crowd.wait(b.Zone, n.now))
 }
 
 // drain is the work a backend lately did for this node per millisecond with any there. It holds what others
@@ -678,40 +625,18 @@
 	return b.restUntil > n.now || float64(len(b.out)) >= math.Max(most, 1)
 }
 
-// clock takes a time for some work at a backend.
-func (n *Node) clock(b *Backend, time, work float64) {
-	b.pace.add(time, work)
-	n.kinds[b.Kind].add(time, work)
-	n.pace.add(time, work)
-}
-
-// waited takes the time that a push was behind others.
-func (n *Node) waited(b *Backend, time float64) {
-	n.zone(b).wait.add(n.now, time)
-	n.waits.add(n.now, time)
-}
-
-// wait is what a push has lately waited in a zone. A zone that this node hardly knows is no better than the rest:
-// taken for empty, it would be tried by all nodes as soon as the fleet is crowded.
-func (n *Node) wait(zone int) float64 {
-	return n.zones[zone].wait.mean(n.now, n.waits.mean(n.now, 0, 4), 2)
-}
-
-// paceOf is a backend's time for a unit of work, that of all backends until its own is known and for none.
+// paceOf is a backend's time for a unit of work, its kind's until its own is known, that of all for none.
+// Machines of one weight may differ threefold; where nodes are many, only their kind's pace can be known.
 func (n *Node) paceOf(b *Backend) float64 {
 	known := paceKnown * math.Max(n.meanWork, 1)
-	fleet := (n.pace.time + known) / (n.pace.work + known) // a standard core's, before any answer
 	if b == nil {
-		return fleet
+		return n.paces.all.blend(1, known) // a standard core's, before any answer
 	}
-	// Unlike machines of one weight differ threefold; where nodes are many, only their kind's pace can be known.
-	k := &n.kinds[b.Kind]
-	kind := (k.time + known*fleet) / (k.work + known)
-	return (b.pace.time + known*kind) / (b.pace.work + known)
+	return b.pace.blend(n.paces.kind(b.Kind).blend(n.paceOf(nil), known), known)
 }
 
-// size is what share of the rotation a backend gets: its weight and speed against the mean, less while it is cold
-// or distrusted. An op that can't be sent twice shies from doubt twice as much.
+// size is what share of the rotation a backend gets: its weight and speed against the mean, less while it is
+// cold or distrusted. An op that can't be sent twice shies from doubt twice as much.
 func (n *Node) size(b *Backend, op *Op) float64 {
 	trust := 1 / (1 + n.distrust(b))
 	if op.cat.Effect != Redeliverable {
@@ -745,7 +670,7 @@
 func (n *Node) learn(b *Backend, p *Push, elapsed float64) {
 	work := p.Op.work
 	if p.alone && !n.told { // behind own pushes the time tells of the queue, not of the backend
-		n.clock(b, elapsed, work)
+		n.paces.add(b, elapsed, work)
 	}
 	// The mean work keeps small ops, or hints that say nothing, from making a backend look slow.
 	b.tail.add(math.Max(elapsed, 0.1)/(work+n.meanWork), 0.9, 0.1)
@@ -765,7 +690,6 @@
 	} else if float64(len(b.out)+1) >= b.most {
 		b.most += math.Min(b.most/4, 1/b.most)
 	}
-	b.rejections = 0
 	n.stretch.add(math.Max(elapsed, 0.1)/math.Max(p.expect, 1), 0.95, 0.02)
 	if !p.overdue {
 		b.distrust.set(n.now, b.distrust.get(n.now, distrustHalf)*0.8)
@@ -785,15 +709,13 @@
 func (n *Node) sweep() {
 	n.stirred = len(n.held) > 0
 	doubts, tails := make([]float64, 0, len(n.backends)), make([]float64, 0, len(n.backends))
-	for z := range n.zones {
-		n.zones[z].took, n.zones[z].weight = 0, 0
-	}
+	clear(n.warm)
 	for _, b := range n.backends {
 		if b.State != Ready {
 			continue
 		}
 		if n.warmth(b) == 1 {
-			z := n.zone(b)
+			z := n.warm.of(b.Zone)
 			z.took, z.weight = z.took+b.flow.perTime(n.now), z.weight+b.Weight
 		}
 		doubts = append(doubts, b.distrust.get(n.now, distrustHalf))
@@ -801,7 +723,7 @@
 			tails = append(tails, b.tail.value)
 		}
 	}
-	// A quarter that is sound tells that the fault is not elsewhere, even where a lost zone is most of the fleet.
+	// A sound quarter tells that the fault is not elsewhere, even where a lost zone is most of the fleet.
 	n.doubt = share(doubts, 0.25)
 	usual := share(tails, 0.5)
 	n.astray = true
@@ -817,7 +739,6 @@
 		}
 		b.tail.value *= math.Pow(usual/b.tail.value, 0.03) // what isn't seen again is forgotten in seconds
 	}
-	n.weigh()
 	n.idle = true
 }
 
@@ -852,10 +773,10 @@
 		return true
 	}
 	// At least half a standard core of a backend of mean weight, and one part of it in the number of nodes. What
-	// this node's work on the zone's warm backends shows they take may be more; that is this node's part already,
-	// for all nodes' parts together can't be more than such a backend does.
+	// this node's work on the zone's warm backends shows they take may be more; that is this node's part:
+	// all nodes' parts together can't be more than such a backend does.
 	part := n.part(0.5 / n.weight)
-	if z := n.zone(b); z.weight > 0 {
+	if z := n.warm.of(b.Zone); z.weight > 0 {
 		part = math.Max(part, z.took/z.weight)
 	}
 	spent := work + b.recent.within(n.now, n.t.OverloadFor)
--- a/balance/types.go
+++ b/balance/types.go
@@ -27,10 +27,8 @@
 	Benefit       float64
 	LateBenefit   float64 // share of the benefit left after the target latency
 
-	meanWork   float64 // fading mean of the hints
-	served     float64 // share of the work asked that was acked within the target latency
-	patience   float64 // share of an op's time left that it may wait behind others
-	asked, met fader   // fading sums of work arrived, and of work acked within the target latency
+	meanWork float64 // fading mean of the hints
+	patience float64 // share of an op's time left that it may wait behind others
 }
 
 // Tenant is one customer with its share of the service over all nodes.
@@ -50,8 +48,6 @@
 	ExcessBenefit float64
 	ByWork        bool // benefit is counted for each unit of work
 
-	WholeGoal    float64 // what the whole day's service weighs
-	WorstGoal    float64 // what the worst-served category weighs
 	CrossPrice   float64
 	WarmKeys     bool
 	MaxPushes    int
@@ -87,20 +83,20 @@
 	Weight  float64
 	Started float64 // clock time of its latest start; 0 is long ago
 
-	out                   []*Push // pushes not yet ended, oldest first
-	longs                 int     // of those, the long ones
-	workOut               float64 // their work
-	lingers               float64 // until then, work given up on may still run here
-	pace                  pace
-	best                  float64 // the lowest pace seen
-	tail                  quantile
-	flow                  flow    // how fast pushes are answered
-	most                  float64 // how many pushes it may have out
-	restUntil, rejections float64
-	distrust              fader
-	pass                  float64 // its place in the rotation
-	recent                spend   // work sent in the last window, for the time when it may be cold
-	known                 bool    // it has been listed before
+	out       []*Push // pushes not yet ended, oldest first
+	longs     int     // of those, the long ones
+	workOut   float64 // their work
+	lingers   float64 // until then, work given up on may still run here
+	pace      pace
+	best      float64 // the lowest pace seen
+	tail      quantile
+	flow      flow    // how fast pushes are answered
+	most      float64 // how many pushes it may have out
+	restUntil float64
+	distrust  fader
+	pass      float64 // its place in the rotation
+	recent    spend   // work sent in the last window, for the time when it may be cold
+	known     bool    // it has been listed before
 }
 
 // Ending is how a push ended.
