Far backends by slots of time; ops nacked at home cross where their benefit pays

Each node now keeps to a fifth of the far ones in a slot of 2 s, to more where they answer promptly. Paces count times above them a quarter: with one push out at most, others' queues passed for slowness.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,6 +24,8 @@
 	distrustHalf = 4e3   // ms; distrust halves in this time, so a shunned backend is tried again in seconds
 	queueShare   = 0.03  // of the target latency: a queue this long is answered with fewer pushes in flight
 	pauseShare   = 0.25  // of it: a queue that long is answered with pauses where one push is out at most
+	slot         = 2e3   // ms; long enough to see a few answers, short enough to try all in half a minute
+	farShare     = 0.2   // of the far backends a node uses at a time, until they answer promptly
 	mostFirst    = 3.0   // pushes queued on a backend of which nothing is known, by all nodes together
 	paceKnown    = 3.0   // mean ops' work that counts as the kind's against a backend's own pace
 	shunAt       = 2.0   // distrust from which a backend gets no traffic: two clear failures in a row
@@ -476,15 +478,15 @@
 	if far == nil {
 		return near
 	}
-	wait := 0.0
-	if near != nil {
-		wait = n.predict(near, op)
-	} else {
-		wait = n.holdTime(op) + op.work*n.paceOf(nil)
-	}
 	time := n.leftToTarget(op)
 	risk := func(wait float64) float64 { return math.Min(1, math.Max(0, wait/time-0.25)) }
-	if risk(wait)-risk(n.predict(far, op)) > math.Min(n.crossCost(op), 0.9) {
+	stay := 1.0 // what stays without a backend and for longer than it may wait is nacked: that is lost for sure
+	if near != nil {
+		stay = risk(n.predict(near, op))
+	} else if wait := n.holdTime(op); wait <= patience {
+		stay = risk(wait + op.work*n.paceOf(nil))
+	}
+	if stay-risk(n.predict(far, op)) > n.crossCost(op) {
 		return far
 	}
 	return near
@@ -620,6 +622,11 @@
 // full tells whether a backend has all the pushes that this node sends there at once. Beyond that they would
 // queue, and a crowded backend may turn slower for all nodes.
 func (n *Node) full(b *Backend) bool {
+	if !n.isNear(b) && mix(b.Ref+uint64(n.now/slot)<<48, n.t.Seed) > math.Max(farShare, b.most-1) {
+		// In a burst all nodes cross at once, and a single push of each is more than a backend stands: each node
+		// keeps to a few of the far ones, others in each slot of time, and to more where they answer promptly.
+		return true
+	}
 	// A part of a push more is rounded up where nodes are few, down where many of them would add up.
 	most := math.Floor(b.most + math.Min(n.part(mostFirst), 0.99))
 	return b.restUntil > n.now || float64(len(b.out)) >= math.Max(most, 1)
@@ -670,7 +677,11 @@
 func (n *Node) learn(b *Backend, p *Push, elapsed float64) {
 	work := p.Op.work
 	if p.alone && !n.told { // behind own pushes the time tells of the queue, not of the backend
-		n.paces.add(b, elapsed, work)
+		share := 1.0
+		if elapsed > work*n.paceOf(b) { // others' queues lengthen times, nothing shortens them
+			share = 0.25
+		}
+		n.paces.add(b, share*elapsed, share*work)
 	}
 	// The mean work keeps small ops, or hints that say nothing, from making a backend look slow.
 	b.tail.add(math.Max(elapsed, 0.1)/(work+n.meanWork), 0.9, 0.1)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -558,6 +558,31 @@
 	assert.InDelta(t, quiet, d.node.predict(fresh, op), 50, "and is forgotten")
 }
 
+// In a burst all nodes cross zones at once: each keeps to a few of the far backends, others after a while.
+func TestFarBackendsBySlots(t *testing.T) {
+	terms := plain()
+	terms.Nodes, terms.CrossPrice, terms.Zone = 14, 0.2, 1
+	d := sit(t, terms, 41)
+	d.backends[40].Zone = 1
+	d.list(Ready, 0, d.backends[40])
+	used := map[*Backend]bool{}
+	for range 40 {
+		open := 0
+		for _, b := range d.backends[:40] {
+			if !d.node.full(b) {
+				open, used[b] = open+1, true
+			}
+		}
+		assert.InDelta(t, 40*(farShare+0.01), open, 9)
+		d.after(slot).pull()
+	}
+	assert.Greater(t, len(used), 36)
+	for _, b := range d.backends[:40] {
+		b.most = 2
+		assert.False(t, d.node.full(b), "answers promptly")
+	}
+}
+
 // A timer that comes a rounding before its time is followed by another: without, a node stands still for good.
 func TestTimerAHairEarly(t *testing.T) {
 	d := sit(t, plain(), 1)
