--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,7 +25,7 @@
 	queueShare   = 0.03  // of the target latency: a queue this long is answered with fewer pushes in flight
 	pauseShare   = 0.25  // of it: a queue that long is answered with pauses where one push is out at most
 	slot         = 2e3   // ms; long enough to see a few answers, short enough to try all in half a minute
-	farShare     = 0.2   // of the far backends a node uses at a time, until they answer promptly
+	farShare     = 0.2   // of the far backends a node uses at a time at least; more where nodes are few
 	mostFirst    = 3.0   // pushes queued on a backend of which nothing is known, by all nodes together
 	paceKnown    = 3.0   // mean ops' work that counts as the kind's against a backend's own pace
 	shunAt       = 2.0   // distrust from which a backend gets no traffic: two clear failures in a row
@@ -622,7 +622,7 @@
 // full tells whether a backend has all the pushes that this node sends there at once. Beyond that they would
 // queue, and a crowded backend may turn slower for all nodes.
 func (n *Node) full(b *Backend) bool {
-	if !n.isNear(b) && mix(b.Ref+uint64(n.now/slot)<<48, n.t.Seed) > math.Max(farShare, b.most-1) {
+	if !n.isNear(b) && mix(b.Ref+uint64(n.now/slot)<<48, n.t.Seed) > math.Max(math.Max(farShare, n.part(mostFirst)), b.most-1) {
 		// In a burst all nodes cross at once, and a single push of each is more than a backend stands: each node
 		// keeps to a few of the far ones, others in each slot of time, and to more where they answer promptly.
 		return true
