--- a/balance/balance.go
+++ b/balance/balance.go
@@ -53,8 +53,9 @@
 	round    float64        // how far the rotation has come
 	extra    float64        // budget for further pushes
 	stretch  quantile       // how much longer than predicted answers take, at the high end
-	value    float64        // fading mean of an op's benefit
-	meanWork float64        // and of its work
+	value    mean           // of an op's benefit
+	work     mean           // of its work
+	service  mean           // of the service times that backends report
 	paces    paces          // of all backends and by kind of machine
 	doubt    float64        // what distrust three in four backends show; a backend is judged against it
 	weight   float64        // mean weight of the ready backends
@@ -151,9 +152,9 @@
 		n.cutoff.add(op.Hint)
 		op.work = op.Hint
 	} else {
-		op.work = c.meanWork
+		op.work = c.work.value
 	}
-	ease(&c.meanWork, op.work)
+	c.work.add(op.work)
 	if op.work == 0 {
 		op.work = c.TargetLatency / 20 // nothing is known: a small part of what the category allows
 	}
@@ -164,8 +165,8 @@
 		op.overfull = w.Quota > 0 && w.rate.sum*math.Ln2*float64(n.t.Nodes) > w.Quota
 	}
 	n.stirred = true
-	ease(&n.value, n.worth(op))
-	ease(&n.meanWork, op.work)
+	n.value.add(n.worth(op))
+	n.work.add(op.work)
 	n.extra = math.Min(n.extra+extraShare, extraMost)
 	n.want(op)
 }
@@ -212,7 +213,7 @@
 		n.suspect(b, 1)
 	case Rejected: // tells of load, not of a fault; so quick an ending would draw more
 		n.yield(b, 0)
-		b.restUntil = now + n.meanWork*n.paceOf(b)
+		b.restUntil = now + n.work.value*n.paceOf(b)
 	}
 	if how == TimedOut || how == Revoked {
 		// Work given up on may go on: the backend is not idle before it could be done.
@@ -229,7 +230,9 @@
 // Reported takes a backend's mean service time from a load report: it holds no waits, unlike a push's time.
 func (n *Node) Reported(now float64, b *Backend, service float64) {
 	n.now, n.told = now, true
-	n.paces.add(b, service, n.meanWork)
+	n.service.add(service)
+	// The mean of a few hints can be far off: until twenty are seen, the fleet is rather a standard core's.
+	n.paces.add(b, service, (n.work.value*n.work.seen+20*n.service.value)/(n.work.seen+20))
 }
 
 // Due takes a timer.
@@ -581,7 +584,7 @@
 
 // crossCost is the price of crossing zones as a share of what the op earns.
 func (n *Node) crossCost(op *Op) float64 {
-	return n.t.CrossPrice * n.value / math.Max(n.worth(op), 1e-9)
+	return n.t.CrossPrice * n.value.value / math.Max(n.worth(op), 1e-9)
 }
 
 // hopeless tells whether an op is not to be pushed to a backend: its answer would come too late, or it would
@@ -635,7 +638,7 @@
 // paceOf is a backend's time for a unit of work, its kind's until its own is known, that of all for none.
 // Machines of one weight may differ threefold; where nodes are many, only their kind's pace can be known.
 func (n *Node) paceOf(b *Backend) float64 {
-	known := paceKnown * math.Max(n.meanWork, 1)
+	known := paceKnown * math.Max(n.work.value, 1)
 	if b == nil {
 		return n.paces.all.blend(1, known) // a standard core's, before any answer
 	}
@@ -684,7 +687,7 @@
 		n.paces.add(b, share*elapsed, share*work)
 	}
 	// The mean work keeps small ops, or hints that say nothing, from making a backend look slow.
-	b.tail.add(math.Max(elapsed, 0.1)/(work+n.meanWork), 0.9, 0.1)
+	b.tail.add(math.Max(elapsed, 0.1)/(work+n.work.value), 0.9, 0.1)
 	b.flow.done += work
 	// Queues that any node causes lengthen the answers of all: each yields, and shares what there is unasked.
 	// The best pace seen is the measure: the present one holds queues that have come to stay.
@@ -808,7 +811,7 @@
 	if op.long {
 		b.longs++
 	}
-	b.recent.add(n.now, n.t.OverloadFor, math.Max(op.work, op.cat.meanWork/2))
+	b.recent.add(n.now, n.t.OverloadFor, math.Max(op.work, op.cat.work.value/2))
 	// A backend that comes back from being skipped takes its next turn, not all those it missed.
 	n.round = math.Max(n.round, b.pass)
 	b.pass = math.Max(b.pass, n.round-1) + 1/n.size(b, op)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -583,6 +583,28 @@
 	}
 }
 
+// A node of few ops must not take its first hints for the mean: service times reported would seem tenfold.
+func TestReportedServiceTimes(t *testing.T) {
+	d := sit(t, plain(), 3)
+	d.backends[1].Kind = 1
+	d.arrive("a", 0, 5)
+	for range 20 {
+		d.node.Reported(d.now, d.backends[0], 100)
+		d.node.Reported(d.now, d.backends[1], 300)
+	}
+	assert.Less(t, d.node.paceOf(nil), 2.0)
+	assert.InDelta(t, 3, d.node.paceOf(d.backends[1])/d.node.paceOf(d.backends[0]), 0.5)
+}
+
+// A zone that was never tried is neither empty nor as crowded as the one known.
+func TestUnknownZones(t *testing.T) {
+	var c crowd
+	for k := range 20 {
+		c.add(0, float64(k*100), 1000)
+	}
+	assert.InDelta(t, c.wait(0, 2000)/2, c.wait(1, 2000), 100)
+}
+
 // A timer that comes a rounding before its time is followed by another: without, a node stands still for good.
 func TestTimerAHairEarly(t *testing.T) {
 	d := sit(t, plain(), 1)
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -63,7 +63,7 @@
 	for k := range 100 {
 		d.node.cutoff.add(float64(k + 1))
 	}
-	d.node.meanWork = 50
+	d.node.work = mean{50, 50}
 }
 
 func (d *desk) end(p *Push, how Ending) {
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -21,12 +21,12 @@
 
 func (f *fader) set(now, sum float64) { f.sum, f.at = sum, now }
 
-// ease moves a mean a fiftieth of the way to x.
-func ease(mean *float64, x float64) {
-	if *mean == 0 {
-		*mean = x
-	}
-	*mean += (x - *mean) / 50
+// mean is that of all there was at first, then one that forgets over fifty.
+type mean struct{ value, seen float64 }
+
+func (m *mean) add(x float64) {
+	m.seen = math.Min(m.seen+1, 50)
+	m.value += (x - m.value) / m.seen
 }
 
 // quantile follows one quantile of a stream of ratios, in steps of equal proportion.
@@ -144,10 +144,10 @@
 	c.zones.of(zone).add(now, wait)
 }
 
-// wait takes a zone hardly known to be no better than the rest: taken for empty, it would be tried by all nodes as
-// soon as the fleet is crowded.
+// wait takes a zone hardly known for half as crowded as the rest: taken for empty, it would be tried by all nodes
+// as soon as the fleet is crowded, and taken for just as crowded it would never be tried.
 func (c *crowd) wait(zone int, now float64) float64 {
-	return c.zones.of(zone).mean(now, c.all.mean(now, 0, 4), 2)
+	return c.zones.of(zone).mean(now, 0.5*c.all.mean(now, 0, 4), 2)
 }
 
 // perPlace keeps something for each zone, or kind, by its place in the list of them.
--- a/balance/types.go
+++ b/balance/types.go
@@ -27,7 +27,7 @@
 	Benefit       float64
 	LateBenefit   float64 // share of the benefit left after the target latency
 
-	meanWork float64 // fading mean of the hints
+	work     mean    // of the hints
 	patience float64 // share of an op's time left that it may wait behind others
 }
 
