--- a/balance/balance.go
+++ b/balance/balance.go
@@ -63,7 +63,6 @@
 	warm     perPlace[took] // what a zone's warm backends take of this node's work
 	tracked  bool           // changes of the list come by themselves
 	told     bool           // backends report their service time
-	astray   bool           // no backend of the own zone can be used
 	failures int
 }
 
@@ -567,8 +566,8 @@
 	return best
 }
 
-// isNear tells whether a backend costs no crossing, or the own zone has nothing to offer instead.
-func (n *Node) isNear(b *Backend) bool { return n.t.CrossPrice == 0 || b.Zone == n.t.Zone || n.astray }
+// isNear tells whether a backend costs no crossing.
+func (n *Node) isNear(b *Backend) bool { return n.t.CrossPrice == 0 || b.Zone == n.t.Zone }
 
 // worth is what an op answered in time earns.
 func (n *Node) worth(op *Op) float64 {
@@ -740,11 +739,7 @@
 	// A sound quarter tells that the fault is not elsewhere, even where a lost zone is most of the fleet.
 	n.doubt = share(doubts, 0.25)
 	usual := share(tails, 0.5)
-	n.astray = true
 	for _, b := range n.backends {
-		if b.State == Ready && b.Zone == n.t.Zone && n.distrust(b) < shunAt {
-			n.astray = false
-		}
 		if b.tail.seen <= 5 || usual == 0 {
 			continue
 		}
