Cold budgets by machine speed, and halved where keys warm a backend

Cause: a node's part went by weight, that of fast and slow machines alike, and by work that met keys make half as costly on warm backends only.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -19,7 +19,6 @@
 	skipMargin  = 2.0  // the rotation passes a backend above this many times the mean, by the design
 	lateShare   = 0.25 // a held op goes out late when this share of its time is left, by the design
 
-	clockStep    = 1e-3  // ms; no host's clock is taken to be finer
 	sweepEvery   = 100.0 // ms; several looks within the shortest target latency of human-facing services
 	distrustHalf = 4e3   // ms; distrust halves in this time, so a shunned backend is tried again in seconds
 	queueShare   = 0.03  // of the target latency: a queue this long is answered with fewer pushes in flight
@@ -109,8 +108,7 @@
 		if l.Started > b.Started { // a new process: what was learned of the old one's state is void
 			b.flow, b.most, b.distrust, b.lingers, b.restUntil = flow{}, 1+n.part(mostFirst), fader{}, 0, 0
 		}
-		b.Zone, b.Cell, b.State, b.Started = l.Zone, l.Cell, l.State, l.Started
-		b.Kind = l.Kind
+		b.Zone, b.Cell, b.Kind, b.State, b.Started = l.Zone, l.Cell, l.Kind, l.State, l.Started
 		b.Weight = l.Weight
 		if !(b.Weight > 0) || math.IsInf(b.Weight, 0) {
 			b.Weight = 1
@@ -237,9 +235,9 @@
 // Due takes a timer.
 func (n *Node) Due(now float64) {
 	n.now = now
-	// A host's clock may be rounded to a hair before the time asked for: a node that then took its timer for
-	// still out would never set another, and lose what it holds.
-	if now >= n.armed-clockStep {
+	// A host's clock may be rounded, to a microsecond or so, to before the time asked for: a node that then took
+	// its timer for still out would never set another, and lose what it holds.
+	if now >= n.armed-1e-3 {
 		n.armed = math.Inf(1)
 	}
 }
@@ -729,7 +727,7 @@
 		}
 		if n.warmth(b) == 1 {
 			z := n.warm.of(b.Zone)
-			z.took, z.weight = z.took+b.flow.perTime(n.now), z.weight+b.Weight
+			z.took, z.speed = z.took+b.flow.perTime(n.now), z.speed+b.Weight/n.paceOf(b)
 		}
 		doubts = append(doubts, b.distrust.get(n.now, distrustHalf))
 		if b.tail.seen > 5 {
@@ -781,15 +779,18 @@
 	if warm == 1 {
 		return true
 	}
-	// At least half a standard core of a backend of mean weight, and one part of it in the number of nodes. What
-	// this node's work on the zone's warm backends shows they take may be more; that is this node's part:
-	// all nodes' parts together can't be more than such a backend does.
-	part := n.part(0.5 / n.weight)
-	if z := n.warm.of(b.Zone); z.weight > 0 {
-		part = math.Max(part, z.took/z.weight)
+	// At least half a standard core of a backend of mean weight, and one part of it in the number of nodes. What the
+	// zone's warm backends take of this node's work is this node's part already: more than they do can't add up.
+	part := b.Weight * n.part(0.5/n.weight)
+	if z := n.warm.of(b.Zone); z.speed > 0 { // a slow machine stands no more than its part of what fast ones take
+		took := z.took / z.speed * b.Weight / n.paceOf(b)
+		if n.t.WarmKeys { // what a backend has met lately costs it half; nothing is to one that just started
+			took *= 0.5
+		}
+		part = math.Max(part, took)
 	}
 	spent := work + b.recent.within(n.now, n.t.OverloadFor)
-	return spent <= coldSafety*n.t.FallMultiple*b.Weight*part*warm*n.t.OverloadFor
+	return spent <= coldSafety*n.t.FallMultiple*part*warm*n.t.OverloadFor
 }
 
 // send is the only way out for a push.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -605,6 +605,37 @@
 	assert.InDelta(t, c.wait(0, 2000)/2, c.wait(1, 2000), 100)
 }
 
+// A cold budget goes by what warm backends take for their speed, and no further than half where keys warm them:
+// fourteen nodes' parts by weight alone pushed a slow cold backend over.
+func TestColdBudgetOfSlowMachines(t *testing.T) {
+	room := func(kind int, warmKeys bool) (spent float64) {
+		terms := plain()
+		terms.Nodes, terms.WarmKeys = 14, warmKeys
+		d := sit(t, terms, 3)
+		cold := d.backends[2]
+		for k, b := range d.backends {
+			b.Kind = []int{0, 1, kind}[k]
+		}
+		d.list(Ready, d.now, cold)
+		for range 100 {
+			for k, b := range d.backends[:2] {
+				op := &Op{GiveUp: d.now + 4000, Arrived: d.now, cat: &terms.Categories[0], work: 20}
+				require.True(t, d.node.send(op, b))
+				d.pull()
+				d.after(float64(10+30*k)).end(op.Pushes[0], Answered)
+			}
+		}
+		d.list(Ready, d.now, cold)
+		d.node.sweep()
+		for d.node.coldRoom(cold, spent+10) {
+			spent += 10
+		}
+		return spent
+	}
+	assert.Greater(t, room(0, false), 1.5*room(1, false))
+	assert.Greater(t, room(0, false), 1.5*room(0, true))
+}
+
 // A timer that comes a rounding before its time is followed by another: without, a node stands still for good.
 func TestTimerAHairEarly(t *testing.T) {
 	d := sit(t, plain(), 1)
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -46,7 +46,8 @@
 func (d *desk) list(state State, started float64, backends ...*Backend) {
 	var lines []Listing
 	for _, b := range backends {
-		lines = append(lines, Listing{Backend: b, State: state, Zone: b.Zone, Cell: b.Cell, Weight: 1, Started: started})
+		lines = append(lines, Listing{Backend: b, State: state, Zone: b.Zone, Cell: b.Cell, Kind: b.Kind,
+			Weight: 1, Started: started})
 	}
 	d.node.Listed(d.now, lines, false, false)
 }
