--- a/balance/balance.go
+++ b/balance/balance.go
@@ -622,7 +622,8 @@
 // full tells whether a backend has all the pushes that this node sends there at once. Beyond that they would
 // queue, and a crowded backend may turn slower for all nodes.
 func (n *Node) full(b *Backend) bool {
-	if !n.isNear(b) && mix(b.Ref+uint64(n.now/slot)<<48, n.t.Seed) > math.Max(math.Max(farShare, n.part(mostFirst)), b.most-1) {
+	share := max(farShare, n.part(mostFirst), b.most-1)
+	if !n.isNear(b) && mix(b.Ref+uint64(n.now/slot)<<48, n.t.Seed) > share {
 		// In a burst all nodes cross at once, and a single push of each is more than a backend stands: each node
 		// keeps to a few of the far ones, others in each slot of time, and to more where they answer promptly.
 		return true
@@ -779,10 +780,10 @@
 	if warm == 1 {
 		return true
 	}
-	// At least half a standard core of a backend of mean weight, and one part of it in the number of nodes. What the
-	// zone's warm backends take of this node's work is this node's part already: more than they do can't add up.
+	// At least half a standard core of a backend of mean weight, and one part of it in the number of nodes. What
+	// the zone's warm backends take of this node's work is its part already: all parts add up to what they do.
 	part := b.Weight * n.part(0.5/n.weight)
-	if z := n.warm.of(b.Zone); z.speed > 0 { // a slow machine stands no more than its part of what fast ones take
+	if z := n.warm.of(b.Zone); z.speed > 0 { // a slow machine stands less than fast ones take
 		took := z.took / z.speed * b.Weight / n.paceOf(b)
 		if n.t.WarmKeys { // what a backend has met lately costs it half; nothing is to one that just started
 			took *= 0.5
