--- a/balance/balance.go
+++ b/balance/balance.go
@@ -479,7 +479,7 @@
 		return near
 	}
 	time := n.leftToTarget(op)
-	risk := func(wait float64) float64 { return math.Min(1, math.Max(0, wait/time-0.25)) }
+	risk := func(wait float64) float64 { return math.Min(1, wait/time) }
 	stay := 1.0 // what stays without a backend and for longer than it may wait is nacked: that is lost for sure
 	if near != nil {
 		stay = risk(n.predict(near, op))
