Heavy ops prefer machines by halves of their time left

Ops that no machine does in half their time went over all alike; now first to those that do them in time.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -358,9 +358,7 @@
 		if n.isNear(b) {
 			r++
 		}
-		if !n.slowFor(b, op) {
-			r += 2
-		}
+		r += 2 * (2 - n.slowFor(b, op))
 		if r > rank {
 			best, rank = best[:0], r
 		}
@@ -503,7 +501,7 @@
 	}
 	margin := skipMargin * out / room
 	var turn, least, warm *Backend
-	turnSlow := false
+	turnSlow := 0
 	var leastLoad, warmest float64
 	for _, b := range n.backends {
 		if n.isNear(b) != near || op.tried(b) || n.distrust(b) >= shunAt || n.full(b) || !n.may(op, b) ||
@@ -528,7 +526,7 @@
 		if load > margin {
 			continue
 		}
-		if slow := n.slowFor(b, op); turn == nil || turnSlow && !slow || slow == turnSlow && b.pass < turn.pass {
+		if slow := n.slowFor(b, op); turn == nil || slow < turnSlow || slow == turnSlow && b.pass < turn.pass {
 			turn, turnSlow = b, slow
 		}
 	}
@@ -541,9 +539,11 @@
 	return least
 }
 
-// slowFor tells whether the op alone takes over half the time left at a backend: heavy ops earn the most, and
-// a slow machine that any other work is at may not do one in time.
-func (n *Node) slowFor(b *Backend, op *Op) bool { return 2*op.work*n.paceOf(b) > n.leftToTarget(op) }
+// slowFor is how many halves of its time left an op takes alone at a backend, two at most: heavy ops earn the
+// most, and a slow machine that any other work is at may not do one in time.
+func (n *Node) slowFor(b *Backend, op *Op) int {
+	return int(math.Min(2*op.work*n.paceOf(b)/n.leftToTarget(op), 2))
+}
 
 // fewest is the backend for a late send: fewest own in flight, own zone first among equals.
 func (n *Node) fewest(op *Op) (best *Backend) {
