--- a/balance/balance.go
+++ b/balance/balance.go
@@ -358,7 +358,7 @@
 		if n.isNear(b) {
 			r++
 		}
-		r += 2 * (2 - n.slowFor(b, op))
+		r += 2 * (8 - n.slowFor(b, op))
 		if r > rank {
 			best, rank = best[:0], r
 		}
@@ -542,7 +542,7 @@
 // slowFor is how many halves of its time left an op takes alone at a backend, two at most: heavy ops earn the
 // most, and a slow machine that any other work is at may not do one in time.
 func (n *Node) slowFor(b *Backend, op *Op) int {
-	return int(math.Min(2*op.work*n.paceOf(b)/n.leftToTarget(op), 2))
+	return int(math.Min(8*op.work*n.paceOf(b)/n.leftToTarget(op), 8))
 }
 
 // fewest is the backend for a late send: fewest own in flight, own zone first among equals.
