Hard shares of backends by slots of time where many nodes' pushes add up

Cause: a cap of one push for each node. Now each node keeps to two pushes a core over the number of nodes, in slots of 4 s that change at a time of their own for each node and backend, with one push; only where that leaves it three backends of a zone. Held ops are reckoned by open backends.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,8 +23,10 @@
 	distrustHalf = 4e3   // ms; distrust halves in this time, so a shunned backend is tried again in seconds
 	queueShare   = 0.03  // of the target latency: a queue this long is answered with fewer pushes in flight
 	pauseShare   = 0.25  // of it: a queue that long is answered with pauses where one push is out at most
-	slot         = 2e3   // ms; long enough to see a few answers, short enough to try all in half a minute
-	farShare     = 0.2   // of the far backends a node uses at a time at least; more where nodes are few
+	slot         = 4e3   // ms; long enough to see a few answers, short enough to try all in half a minute
+	leastOpen    = 3.0   // backends of a zone that a node uses at a time at least
+	leastFar     = 0.2   // share of the far backends that a node uses at a time at least
+	perCore      = 2.0   // pushes on a core by all nodes together: one runs, one waits
 	mostFirst    = 3.0   // pushes queued on a backend of which nothing is known, by all nodes together
 	paceKnown    = 3.0   // mean ops' work that counts as the kind's against a backend's own pace
 	shunAt       = 2.0   // distrust from which a backend gets no traffic: two clear failures in a row
@@ -114,15 +116,6 @@
 			b.Weight = 1
 		}
 	}
-	sum, count := 0.0, 0.0
-	for _, b := range n.backends {
-		if b.State == Ready {
-			sum, count = sum+b.Weight, count+1
-		}
-	}
-	if count > 0 {
-		n.weight = sum / count
-	}
 	n.sweep()
 }
 
@@ -235,8 +228,7 @@
 // Due takes a timer.
 func (n *Node) Due(now float64) {
 	n.now = now
-	// A host's clock may be rounded, to a microsecond or so, to before the time asked for: a node that then took
-	// its timer for still out would never set another, and lose what it holds.
+	// A clock rounded to a hair before the time asked for counts: else no timer would ever be set again.
 	if now >= n.armed-1e-3 {
 		n.armed = math.Inf(1)
 	}
@@ -381,13 +373,12 @@
 	n.at(due{at: n.now + (1-lateShare)*n.leftToTarget(op), op: op})
 }
 
-// holdTime is the time an op would be held behind what is held already, at the rate at which this node's work
-// is lately drained by its own zone. Its own work counts only where others are held, or heavy ops would be
-// nacked in quiet times.
+// holdTime is the time an op would be held behind what is held already, at the rate at which its zone lately
+// does this node's work. Its own work counts only where others are held: heavy ops are no cause for nacks.
 func (n *Node) holdTime(op *Op) float64 {
 	rate, ahead := 0.0, 0.0
 	for _, b := range n.backends {
-		if n.isNear(b) && b.State == Ready && n.distrust(b) < shunAt {
+		if open, _ := n.open(b); open && n.isNear(b) && b.State == Ready && n.distrust(b) < shunAt {
 			rate += n.drain(b)
 		}
 	}
@@ -523,20 +514,12 @@
 				warm, warmest = b, h
 			}
 		}
-		if load > margin {
-			continue
-		}
-		if slow := n.slowFor(b, op); turn == nil || slow < turnSlow || slow == turnSlow && b.pass < turn.pass {
+		if slow := n.slowFor(b, op); load <= margin &&
+			(turn == nil || slow < turnSlow || slow == turnSlow && b.pass < turn.pass) {
 			turn, turnSlow = b, slow
 		}
 	}
-	if warm != nil {
-		return warm
-	}
-	if turn != nil {
-		return turn
-	}
-	return least
+	return cmp.Or(warm, turn, least)
 }
 
 // slowFor is how many halves of its time left an op takes alone at a backend, two at most: heavy ops earn the
@@ -549,15 +532,13 @@
 func (n *Node) fewest(op *Op) (best *Backend) {
 	least := math.Inf(1)
 	for _, b := range n.backends {
-		if !n.may(op, b) || n.distrust(b) >= shunAt || n.full(b) {
-			continue
-		}
 		load := float64(len(b.out)) / n.size(b, op)
 		if !n.isNear(b) {
 			load += math.Min(n.crossCost(op), 1)
 		}
 		// Equals by the rotation: by the list's order the late sends of all nodes would meet at one backend.
-		if load < least || load == least && b.pass < best.pass {
+		if (load < least || load == least && b.pass < best.pass) &&
+			n.may(op, b) && n.distrust(b) < shunAt && !n.full(b) {
 			best, least = b, load
 		}
 	}
@@ -604,10 +585,8 @@
 }
 
 // predict is the answer time expected of a backend: the work this node has there and the new op's at the rate
-// at which it lately drained such work, and never less than the op alone takes.
-//
-// What this node has not lately seen of the backend itself it takes from the zone: where nodes are many, each
-// hears of one backend once in a minute, but of a crowded zone every second.
+// at which it lately drained such work, and never less than the op alone takes. What this node has not lately
+// seen of it is taken from the zone: each of many nodes hears of one backend once in a minute.
 func (n *Node) predict(b *Backend, op *Op) float64 {
 	alone := op.work * n.paceOf(b)
 	return math.Max((b.workOut+op.work)/n.drain(b), alone+b.flow.unseen(n.now)*n.crowd.wait(b.Zone, n.now))
@@ -619,18 +598,28 @@
 	return b.flow.rate(n.now, len(b.out) > 0, 1/n.paceOf(b))
 }
 
+// open tells whether this node uses a backend in this slot of time, and whether with one push at most. A push
+// of each of many nodes adds up to more than a backend stands: each keeps to its share, others in each slot.
+// Where nodes are too many for that, soft shares bound the far ones, to which all cross at once in a burst.
+func (n *Node) open(b *Backend) (open, single bool) {
+	share := n.part(perCore * b.Weight)
+	if single = share < 0.5 && share*n.warm.of(b.Zone).ready >= leastOpen; !single {
+		if n.isNear(b) {
+			return true, false
+		}
+		share = max(leastFar, n.part(mostFirst), b.most-1) // more where answers come promptly
+	}
+	return mix(b.Ref+uint64(n.now/slot+mix(n.t.Seed, b.Ref))<<48, n.t.Seed) <= share, single
+}
+
 // full tells whether a backend has all the pushes that this node sends there at once. Beyond that they would
 // queue, and a crowded backend may turn slower for all nodes.
 func (n *Node) full(b *Backend) bool {
-	share := max(farShare, n.part(mostFirst), b.most-1)
-	if !n.isNear(b) && mix(b.Ref+uint64(n.now/slot)<<48, n.t.Seed) > share {
-		// In a burst all nodes cross at once, and a single push of each is more than a backend stands: each node
-		// keeps to a few of the far ones, others in each slot of time, and to more where they answer promptly.
+	if open, single := n.open(b); !open || b.restUntil > n.now || single && len(b.out) > 0 {
 		return true
 	}
 	// A part of a push more is rounded up where nodes are few, down where many of them would add up.
-	most := math.Floor(b.most + math.Min(n.part(mostFirst), 0.99))
-	return b.restUntil > n.now || float64(len(b.out)) >= math.Max(most, 1)
+	return float64(len(b.out)) >= max(math.Floor(b.most+math.Min(n.part(mostFirst), 0.99)), 1)
 }
 
 // paceOf is a backend's time for a unit of work, its kind's until its own is known, that of all for none.
@@ -722,14 +711,17 @@
 	n.stirred = len(n.held) > 0
 	doubts, tails := make([]float64, 0, len(n.backends)), make([]float64, 0, len(n.backends))
 	clear(n.warm)
+	weight := 0.0
 	for _, b := range n.backends {
 		if b.State != Ready {
 			continue
 		}
+		z := n.warm.of(b.Zone)
+		z.ready++
 		if n.warmth(b) == 1 {
-			z := n.warm.of(b.Zone)
 			z.took, z.speed = z.took+b.flow.perTime(n.now), z.speed+b.Weight/n.paceOf(b)
 		}
+		weight += b.Weight
 		doubts = append(doubts, b.distrust.get(n.now, distrustHalf))
 		if b.tail.seen > 5 {
 			tails = append(tails, b.tail.value)
@@ -737,6 +729,7 @@
 	}
 	// A sound quarter tells that the fault is not elsewhere, even where a lost zone is most of the fleet.
 	n.doubt = share(doubts, 0.25)
+	n.weight = max(weight, 1e-9) / max(float64(len(doubts)), 1)
 	usual := share(tails, 0.5)
 	for _, b := range n.backends {
 		if b.tail.seen <= 5 || usual == 0 {
