--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,7 +26,7 @@
 	slot         = 4e3   // ms; long enough to see a few answers, short enough to try all in half a minute
 	leastOpen    = 3.0   // backends of a zone that a node uses at a time at least
 	leastFar     = 0.2   // share of the far backends that a node uses at a time at least
-	perCore      = 2.0   // pushes on a core by all nodes together: one runs, one waits
+	coreShare    = 0.2   // of the target latency: what all nodes' pushes on a core may take together
 	mostFirst    = 3.0   // pushes queued on a backend of which nothing is known, by all nodes together
 	paceKnown    = 3.0   // mean ops' work that counts as the kind's against a backend's own pace
 	shunAt       = 2.0   // distrust from which a backend gets no traffic: two clear failures in a row
@@ -56,6 +56,7 @@
 	stretch  quantile       // how much longer than predicted answers take, at the high end
 	value    mean           // of an op's benefit
 	work     mean           // of its work
+	target   mean           // of its target latency
 	service  mean           // of the service times that backends report
 	paces    paces          // of all backends and by kind of machine
 	doubt    float64        // what distrust three in four backends show; a backend is judged against it
@@ -157,6 +158,7 @@
 	n.stirred = true
 	n.value.add(n.worth(op))
 	n.work.add(op.work)
+	n.target.add(c.TargetLatency)
 	n.extra = math.Min(n.extra+extraShare, extraMost)
 	n.want(op)
 }
@@ -602,7 +604,7 @@
 // of each of many nodes adds up to more than a backend stands: each keeps to its share, others in each slot.
 // Where nodes are too many for that, soft shares bound the far ones, to which all cross at once in a burst.
 func (n *Node) open(b *Backend) (open, single bool) {
-	share := n.part(perCore * b.Weight)
+	share := n.part(coreShare * n.target.value / max(n.work.value, 1) * b.Weight)
 	if single = share < 0.5 && share*n.warm.of(b.Zone).ready >= leastOpen; !single {
 		if n.isNear(b) {
 			return true, false
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -569,6 +569,7 @@
 		terms := plain()
 		terms.Nodes, terms.CrossPrice, terms.Zone = c.nodes, 0.2, c.zone
 		d := sit(t, terms, 50)
+		d.node.work, d.node.target = mean{100, 50}, mean{1000, 50} // two pushes a core
 		used := map[*Backend]bool{}
 		for range 40 {
 			open := 0
