--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -72,6 +72,12 @@
 	d.node.Ended(d.now, p, how, d.now-p.SentAt, how == Answered)
 }
 
+func (d *desk) fail(times int, how Ending, backends ...*Backend) {
+	for k := range times * len(backends) {
+		d.end(d.busy(backends[k/times]), how)
+	}
+}
+
 func (d *desk) after(ms float64) *desk {
 	d.now += ms
 	d.node.Due(d.now)
