--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -279,6 +279,7 @@
 func TestQuickErrorsDrawNoLongs(t *testing.T) {
 	d := sit(t, plain(), 3)
 	d.seen()
+	d.node.extra = 0 // what fails is nacked
 	d.fail(2, Failed, d.backends[0])
 	for range 30 {
 		op := d.arrive("a", 0, 200)
