--- a/balance/balance.go
+++ b/balance/balance.go
@@ -30,7 +30,7 @@
 	mostFirst    = 3.0   // pushes queued on a backend of which nothing is known, by all nodes together
 	paceKnown    = 3.0   // mean ops' work that counts as the kind's against a backend's own pace
 	shunAt       = 2.0   // distrust from which a backend gets no traffic: two clear failures in a row
-	extraShare   = 0.2   // further pushes an op earns for the budget; a retry storm can add no more load
+	extraShare   = 0.1   // further pushes an op earns for the budget; a retry storm can add no more load
 	extraMost    = 20.0  // further pushes that may be saved up: one backend's work in flight at a failure
 	coldSafety   = 0.6   // share of the cold budget used; hints are rough, connections cost work too
 )
