--- a/balance/balance.go
+++ b/balance/balance.go
@@ -156,7 +156,7 @@
 		op.overfull = w.Quota > 0 && w.rate.sum*math.Ln2*float64(n.t.Nodes) > w.Quota
 	}
 	n.stirred = true
-	n.value.add(n.worth(op))
+	n.value.add(n.benefit(op))
 	n.work.add(op.work)
 	n.target.add(c.TargetLatency)
 	n.extra = math.Min(n.extra+extraShare, extraMost)
@@ -393,7 +393,7 @@
 	if rate == 0 {
 		return math.Inf(1)
 	}
-	return ahead/rate + n.crowd.wait(n.t.Zone, n.now)
+	return ahead/rate + n.wait(n.t.Zone)
 }
 
 // release gives backends that turned idle the held longs, and those with room again the held shorts, smallest
@@ -550,8 +550,8 @@
 // isNear tells whether a backend costs no crossing.
 func (n *Node) isNear(b *Backend) bool { return n.t.CrossPrice == 0 || b.Zone == n.t.Zone }
 
-// worth is what an op answered in time earns.
-func (n *Node) worth(op *Op) float64 {
+// benefit is what an op answered in time earns.
+func (n *Node) benefit(op *Op) float64 {
 	v := op.cat.Benefit
 	if n.t.ByWork {
 		v *= op.work
@@ -564,7 +564,7 @@
 
 // crossCost is the price of crossing zones as a share of what the op earns.
 func (n *Node) crossCost(op *Op) float64 {
-	return n.t.CrossPrice * n.value.value / math.Max(n.worth(op), 1e-9)
+	return n.t.CrossPrice * n.value.value / math.Max(n.benefit(op), 1e-9)
 }
 
 // hopeless tells whether an op is not to be pushed to a backend: its answer would come too late, or it would
@@ -591,7 +591,13 @@
 // seen of it is taken from the zone: each of many nodes hears of one backend once in a minute.
 func (n *Node) predict(b *Backend, op *Op) float64 {
 	alone := op.work * n.paceOf(b)
-	return math.Max((b.workOut+op.work)/n.drain(b), alone+b.flow.unseen(n.now)*n.crowd.wait(b.Zone, n.now))
+	return math.Max((b.workOut+op.work)/n.drain(b), alone+b.flow.unseen(n.now)*n.wait(b.Zone))
+}
+
+// wait is how long pushes lately waited in a zone. One hardly known counts half as crowded as the rest: taken
+// for empty, all nodes would try it as soon as the fleet is crowded; for just as crowded, none ever would.
+func (n *Node) wait(zone int) float64 {
+	return n.crowd.zones.of(zone).mean(n.now, 0.5*n.crowd.all.mean(n.now, 0, 4), 2)
 }
 
 // drain is the work a backend lately did for this node per millisecond with any there. It holds what others
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -485,7 +485,7 @@
 	d.after(60e3)
 	assert.InDelta(t, quiet, d.node.predict(fresh, op), 50, "and is forgotten")
 	d.node.crowd.add(fresh.Zone, d.now, 1000)
-	assert.InDelta(t, 100, d.node.crowd.wait(1, d.now), 2, "a zone never tried counts half as crowded as all")
+	assert.InDelta(t, 100, d.node.wait(1), 2, "a zone never tried counts half as crowded as all")
 }
 
 // A push of each of many nodes adds up: each keeps to its share of the backends, to others after a while.
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -144,12 +144,6 @@
 	c.zones.of(zone).add(now, wait)
 }
 
-// wait takes a zone hardly known for half as crowded as the rest: taken for empty, it would be tried by all nodes
-// as soon as the fleet is crowded, and taken for just as crowded it would never be tried.
-func (c *crowd) wait(zone int, now float64) float64 {
-	return c.zones.of(zone).mean(now, 0.5*c.all.mean(now, 0, 4), 2)
-}
-
 // perPlace keeps something for each zone, or kind, by its place in the list of them.
 type perPlace[T any] []T
 
