--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,7 +22,7 @@
 	sweepEvery   = 100.0 // ms; several looks within the shortest target latency of human-facing services
 	distrustHalf = 4e3   // ms; distrust halves in this time, so a shunned backend is tried again in seconds
 	queueShare   = 0.03  // of the target latency: a queue this long is answered with fewer pushes in flight
-	pauseShare   = 0.25  // of it: a queue that long is answered with pauses where one push is out at most
+	pauseShare   = 0.2   // of it: a queue that long is answered with pauses where one push is out at most
 	slot         = 4e3   // ms; long enough to see a few answers, short enough to try all in half a minute
 	leastOpen    = 3.0   // backends of a zone that a node uses at a time at least
 	leastFar     = 0.2   // share of the far backends that a node uses at a time at least
