Read through: one fade, no second copy of a bound, stale comments mended

The fading factor stood in five measures; the number of eighths in the ranking of longs as in slowFor, whose comment still spoke of halves; whether backends report follows from the reports' mean. The slots' test asks again that all backends are used in time.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -64,7 +64,6 @@
 	crowd    crowd          // how long pushes lately waited, by zone
 	warm     perPlace[took] // what a zone's warm backends take of this node's work
 	tracked  bool           // changes of the list come by themselves
-	told     bool           // backends report their service time
 	failures int
 }
 
@@ -221,7 +220,7 @@
 
 // Reported takes a backend's mean service time from a load report: it holds no waits, unlike a push's time.
 func (n *Node) Reported(now float64, b *Backend, service float64) {
-	n.now, n.told = now, true
+	n.now = now
 	n.service.add(service)
 	// The mean of a few hints can be far off: until twenty are seen, the fleet is rather a standard core's.
 	n.paces.add(b, service, (n.work.value*n.work.seen+20*n.service.value)/(n.work.seen+20))
@@ -348,12 +347,11 @@
 			!n.isNear(b) && n.crossCost(op) >= 0.5 {
 			continue
 		}
-		r := 1
+		r := -2 * n.slowFor(b, op)
 		if n.isNear(b) {
 			r++
 		}
-		r += 2 * (8 - n.slowFor(b, op))
-		if r > rank {
+		if best == nil || r > rank {
 			best, rank = best[:0], r
 		}
 		if r == rank {
@@ -524,8 +522,8 @@
 	return cmp.Or(warm, turn, least)
 }
 
-// slowFor is how many halves of its time left an op takes alone at a backend, two at most: heavy ops earn the
-// most, and a slow machine that any other work is at may not do one in time.
+// slowFor is how many eighths of its time left an op takes alone at a backend, eight at most: heavy ops earn
+// the most, and a slow machine that any other work is at may not do one in time.
 func (n *Node) slowFor(b *Backend, op *Op) int {
 	return int(math.Min(8*op.work*n.paceOf(b)/n.leftToTarget(op), 8))
 }
@@ -637,7 +635,7 @@
 	if b == nil {
 		return n.paces.all.blend(1, known) // a standard core's, before any answer
 	}
-	return b.pace.blend(n.paces.kind(b.Kind).blend(n.paceOf(nil), known), known)
+	return b.pace.blend(n.paces.kinds.of(b.Kind).blend(n.paceOf(nil), known), known)
 }
 
 // size is what share of the rotation a backend gets: its weight and speed against the mean, less while it is
@@ -674,7 +672,8 @@
 // learn takes what an answer tells of its backend.
 func (n *Node) learn(b *Backend, p *Push, elapsed float64) {
 	work := p.Op.work
-	if p.alone && !n.told { // behind own pushes the time tells of the queue, not of the backend
+	// Behind own pushes the time tells of the queue, not of the backend; what backends report is better.
+	if p.alone && n.service.seen == 0 {
 		share := 1.0
 		if elapsed > work*n.paceOf(b) { // others' queues lengthen times, nothing shortens them
 			share = 0.25
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -489,16 +489,17 @@
 		terms.Nodes, terms.CrossPrice, terms.Zone = c.nodes, 0.2, c.zone
 		d := sit(t, terms, 50)
 		d.node.work, d.node.target = mean{100, 50}, mean{1000, 50} // two pushes a core
-		opened := 0.0
+		opened, used := 0.0, map[*Backend]bool{}
 		for range 40 {
 			for _, b := range d.backends {
 				if !d.node.full(b) {
-					opened++
+					opened, used[b] = opened+1, true
 				}
 			}
 			d.after(slot).pull()
 		}
 		assert.InDelta(t, 50*c.share, opened/40, 4, "%+v", c)
+		assert.Greater(t, len(used), 47, "%+v", c)
 		for _, b := range d.backends {
 			for b.most = 5; !d.node.full(b); {
 				d.busy(b)
@@ -518,7 +519,7 @@
 		d.seen()
 		d.backends[0].Kind = kind
 		d.list(Ready, d.now, d.backends[0])
-		*d.node.paces.kind(0), *d.node.paces.kind(1) = pace{1e5, 1e5}, pace{3e5, 1e5}
+		*d.node.paces.kinds.of(0), *d.node.paces.kinds.of(1) = pace{1e5, 1e5}, pace{3e5, 1e5}
 		*d.node.warm.of(0) = took{took: 1, speed: 2}
 		for d.node.coldRoom(d.backends[0], spent+10) {
 			spent += 10
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -5,6 +5,9 @@
 	"sort"
 )
 
+// fade is what is left now of something last counted at a time.
+func fade(at, now, half float64) float64 { return math.Exp2((at - now) / half) }
+
 // fader is a sum that fades with time.
 type fader struct{ sum, at float64 }
 
@@ -12,7 +15,7 @@
 	if f.sum == 0 || now <= f.at {
 		return f.sum
 	}
-	x := f.sum * math.Exp2((f.at-now)/half)
+	x := f.sum * fade(f.at, now, half)
 	if x < 1e-3 { // next to nothing costs no more reckoning
 		f.sum, x = 0, 0
 	}
@@ -71,12 +74,10 @@
 	kinds perPlace[pace]
 }
 
-func (p *paces) kind(k int) *pace { return p.kinds.of(k) }
-
 // add takes a time for some work at a backend.
 func (p *paces) add(b *Backend, time, work float64) {
 	b.pace.add(time, work)
-	p.kind(b.Kind).add(time, work)
+	p.kinds.of(b.Kind).add(time, work)
 	p.all.add(time, work)
 }
 
@@ -89,11 +90,11 @@
 )
 
 func (f *flow) tally(now float64, inHand bool) {
-	fade := math.Exp2((f.at - now) / flowHalf)
+	left := fade(f.at, now, flowHalf)
 	if inHand {
 		f.busy += now - f.at
 	}
-	f.done, f.busy, f.at = f.done*fade, f.busy*fade, now
+	f.done, f.busy, f.at = f.done*left, f.busy*left, now
 }
 
 func (f flow) rate(now float64, inHand bool, usual float64) float64 {
@@ -106,7 +107,7 @@
 
 // unseen is the share of what would be known of a busy backend that is not.
 func (f flow) unseen(now float64) float64 {
-	return flowPrior / (flowPrior + f.busy*math.Exp2((f.at-now)/flowHalf))
+	return flowPrior / (flowPrior + f.busy*fade(f.at, now, flowHalf))
 }
 
 // perTime is the work done over time, idle or not.
@@ -114,7 +115,7 @@
 	if f.done == 0 {
 		return 0
 	}
-	return f.done * math.Exp2((f.at-now)/flowHalf) * math.Ln2 / flowHalf
+	return f.done * fade(f.at, now, flowHalf) * math.Ln2 / flowHalf
 }
 
 // recent is a mean of what was lately seen, next to nothing where nothing was.
@@ -123,14 +124,14 @@
 const recentHalf = 3e3 // ms; a zone is believed crowded a little longer than one backend
 
 func (r *recent) add(now, x float64) {
-	fade := math.Exp2((r.at - now) / recentHalf)
-	r.sum, r.count, r.at = r.sum*fade+x, r.count*fade+1, now
+	left := fade(r.at, now, recentHalf)
+	r.sum, r.count, r.at = r.sum*left+x, r.count*left+1, now
 }
 
 // mean counts some samples of the usual beside what was seen: one alone is chance.
 func (r *recent) mean(now, usual, some float64) float64 {
-	fade := math.Exp2((r.at - now) / recentHalf)
-	return (r.sum*fade + some*usual) / (r.count*fade + some)
+	left := fade(r.at, now, recentHalf)
+	return (r.sum*left + some*usual) / (r.count*left + some)
 }
 
 // crowd is how long pushes lately waited behind others, by zone and in all.
@@ -157,7 +158,7 @@
 // took is a zone's ready backends, the warm ones' work for this node over time, and the speed of all their cores.
 type took struct{ ready, took, speed float64 }
 
-// spend keeps// spend keeps what was spent within a span that ends now.
+// spend keeps what was spent within a span that ends now.
 type spend struct{ at, amount []float64 }
 
 func (s *spend) add(now, span, amount float64) {
