Ops that may hide or cross another are refused, open ids too; odd clients hear within 3 s

Checked: net/http drops Content-Length beside Transfer-Encoding before a handler sees it and then takes the body's rest for the next op; an id already open was pushed twice; heads, bodies and silence had 10 s, idle connections 90 s, others were shed after 0.5 s (front.go's constants, decode.go). Now framing.go follows the bytes that net/http reads: a head with both is answered 400 and the connection ends, so does one with an op behind another before its answer. Open ids have an owner (409). Reading ends after 2.2 s, idle connections after 5 s, nothing is shed before 2 s; bodies declared too long are not read; ids, categories and TTLs must stand once, TTLs in whole ms; malformed ops make one log line a second.

--- a/cmd/pearknot/pearknot_test.go
+++ b/cmd/pearknot/pearknot_test.go
@@ -181,7 +181,7 @@
 		{"POST", "breaks-1", "pay", "2000", 502, "", 1},
 		{"POST", "odd-1", "pay", "2000", 502, "", 1}, // a backend's 429 proves nothing
 		{"POST", "silent-1", "pay", "300", 502, "", 1},
-		{"GET", "", "check", "2000", 400, "no X-Trace-Id\n", 0},
+		{"GET", "", "check", "2000", 400, "no or several X-Trace-Id\n", 0},
 		{"GET", "c", "other", "2000", 400, "unknown category \"other\"\n", 0},
 		{"GET", "d", "check", "soon", 400, "odd X-Expires-In-Ms \"soon\"\n", 0},
 	} {
@@ -332,9 +332,29 @@
 // What comes from odd clients gets a plain refusal or an end, takes nothing with it, and is never worded as a nack.
 func TestOddClients(t *testing.T) {
 	const op = "X-Trace-Id: odd\r\nX-Qos: check\r\nX-Expires-In-Ms: 2000\r\n"
-	w := start(t, 1024, func(http.ResponseWriter, *http.Request) {})
+	const hidden = "GET /api HTTP/1.1\r\nHost: s\r\nX-Trace-Id: hidden\r\nX-Qos: check\r\nX-Expires-In-Ms: 2000\r\n\r\n"
+	inHand, answer := make(chan bool, 1), make(chan bool)
+	w := start(t, 1024, func(_ http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Trace-Id") == "slow" {
+			inHand <- true
+			<-answer
+		}
+	})
+	slow := make(chan int, 1)
+	go func() {
+		status, _, _, _ := w.ask(fresh(), "POST", "slow", "pay", "60000")
+		slow <- status
+	}()
+	<-inHand
 	for name, c := range map[string]struct{ sends, status string }{
 		"no HTTP":           {"\x16\x03\x01\x02\x00hello\r\n\r\n", "400"},
+		"hides an op":       {"POST /api HTTP/1.1\r\nHost: s\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n" + op + "\r\n0\r\n\r\n" + hidden, "400"},
+		"several at once":   {"GET /api HTTP/1.1\r\nHost: s\r\n" + op + "\r\n" + hidden, "400"},
+		"an open id":        {"GET /api HTTP/1.1\r\nHost: s\r\nX-Trace-Id: slow\r\nX-Qos: check\r\nX-Expires-In-Ms: 2000\r\n\r\n", "409"},
+		"a huge length":     {"POST /api HTTP/1.1\r\nHost: s\r\nContent-Length: 60000000\r\n" + op + "\r\n", "413"},
+		"half a body":       {"POST /api HTTP/1.1\r\nHost: s\r\nContent-Length: 9\r\n" + op + "\r\nab", "400"},
+		"half a head":       {"GET /api HTTP/1.1\r\nHost: s\r\n" + op, "end"},
+		"silence":           {"", "end"},
 		"no host":           {"GET /api HTTP/1.1\r\n" + op + "\r\n", "400"},
 		"odd length":        {"POST /api HTTP/1.1\r\nHost: s\r\nContent-Length: -1\r\n" + op + "\r\n", "400"},
 		"two lengths":       {"POST /api HTTP/1.1\r\nHost: s\r\nContent-Length: 1\r\nContent-Length: 2\r\n" + op + "\r\nab", "400"},
@@ -351,7 +371,11 @@
 		require.NoError(t, err)
 		_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
 		_, _ = io.WriteString(conn, c.sends)
-		if c.status != "" {
+		if c.status == "end" { // with nothing said, within the time that odd clients are owed
+			_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+			_, err := conn.Read(make([]byte, 1))
+			assert.ErrorIs(t, err, io.EOF, name)
+		} else if c.status != "" {
 			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			if assert.NoError(t, err, name) {
 				assert.Equal(t, c.status, strconv.Itoa(answer.StatusCode), name)
@@ -362,6 +386,10 @@
 	status, _, _, err := w.ask(fresh(), "GET", "after", "check", "2000")
 	require.NoError(t, err)
 	assert.Equal(t, 200, status)
+	assert.Zero(t, w.times("hidden"), "nothing of an op that may hide another goes on")
+	close(answer)
+	assert.Equal(t, 200, <-slow, "the op whose id another client took")
+	assert.Equal(t, 1, w.times("slow"))
 }
 
 // The TTL counts from the client's sending: what waited on this machine past it is not pushed any more.
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -53,9 +53,45 @@
 	*net.TCPConn
 	budget *sockets.Budget
 
-	mu     sync.Mutex
-	inHand bool
-	closed bool
+	mu      sync.Mutex
+	inHand  bool
+	closed  bool
+	framing framing
+	crossed bool // bytes came behind an op that was not answered yet
+}
+
+// Read follows what net/http reads.
+func (c *client) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.framing.see(b[:n]) {
+		c.crossed = true
+	}
+	return n, err
+}
+
+// unclear tells why what was read can't be taken for one op with nothing around it.
+func (c *client) unclear() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.framing.ambiguous:
+		return "both a length and an encoding"
+	case c.crossed:
+		return "a further op before the answer"
+	}
+	return ""
+}
+
+// answering is called before the first byte of an answer goes out. It tells whether the connection has to end with
+// it: what is left of an op, or came behind it, must not be taken for the next one.
+func (c *client) answering() (last bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last = c.crossed || c.framing.last || c.framing.stage == body
+	c.framing.ended = false
+	return last
 }
 
 // claim takes an op in hand, unless the connection was closed before.
--- a/internal/front/decode.go
+++ b/internal/front/decode.go
@@ -40,29 +40,44 @@
 	bad := func(format string, args ...any) (*node.Op, *malformed) {
 		return nil, &malformed{http.StatusBadRequest, fmt.Sprintf(format, args...)}
 	}
-	if r.Header.Get(idHeader) == "" {
-		return bad("no %s", idHeader)
+	if why := c.unclear(); why != "" {
+		return bad("%s", why)
+	}
+	for _, name := range []string{idHeader, categoryHeader, upstream.ExpiresHeader} { // backends may read another of two
+		if r.Header.Get(name) == "" || len(r.Header[name]) > 1 {
+			return bad("no or several %s", name)
+		}
+	}
+	if r.RequestURI[0] != '/' {
+		return bad("no path")
 	}
 	category := slices.Index(f.told.Categories, terms.Name(r.Header.Get(categoryHeader)))
 	if category < 0 {
-		return bad("unknown category %q", r.Header.Get(categoryHeader))
+		return bad("unknown category %.40q", r.Header.Get(categoryHeader))
 	}
-	ttl, err := strconv.ParseFloat(r.Header.Get(upstream.ExpiresHeader), 64)
-	if err != nil || !(ttl >= 0) {
-		return bad("odd %s %q", upstream.ExpiresHeader, r.Header.Get(upstream.ExpiresHeader))
+	ttl, err := strconv.ParseUint(r.Header.Get(upstream.ExpiresHeader), 10, 63)
+	if err != nil {
+		return bad("odd %s %.40q", upstream.ExpiresHeader, r.Header.Get(upstream.ExpiresHeader))
 	}
 	hint, hinted := 0.0, r.Header.Get(hintHeader)
 	if hinted != "" {
 		if hint, err = strconv.ParseFloat(hinted, 64); err != nil || !(hint >= 0) || math.IsInf(hint, 0) {
-			return bad("odd %s %q", hintHeader, hinted)
+			return bad("odd %s %.40q", hintHeader, hinted)
 		}
 	}
+	tooLong := &malformed{http.StatusRequestEntityTooLarge, "body of more than 64 KiB"}
+	if r.ContentLength > upstream.MostBody { // nothing of it is read
+		return nil, tooLong
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, upstream.MostBody))
-	if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
-		return nil, &malformed{http.StatusRequestEntityTooLarge, "body of more than 64 KiB"}
+	if over := (*http.MaxBytesError)(nil); errors.As(err, &over) {
+		return nil, tooLong
 	} else if err != nil {
 		return bad("body: %v", err)
 	}
+	if why := c.unclear(); why != "" { // its last bytes may have brought more
+		return bad("%s", why)
+	}
 	// The limit on reading must not end the watch for a client that leaves.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	now := f.clock.Now()
@@ -70,7 +85,7 @@
 	op := node.NewOp(upstream.NewMessage(r.Method, r.RequestURI, r.Host, r.Header, body))
 	op.Category, op.Tenant, op.Key, op.Repeat = category, tenant, about, repeat
 	op.Hint, op.HasHint = hint/1e3, hinted != ""
-	op.GiveUp = now - c.wayHere() + min(ttl, longestTTL)
+	op.GiveUp = now - c.wayHere() + min(float64(ttl), longestTTL)
 	return op, nil
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"pearknot/internal/clock"
 	"pearknot/internal/node"
 	"pearknot/internal/sockets"
@@ -24,16 +26,21 @@
 const (
 	healthPath = "/_health"
 
-	readWithin  = 10 * time.Second // an op's bytes, from its first; a client slower than that has gone wrong
-	writeWithin = 5 * time.Second  // an answer's bytes
-	idleFor     = 90 * time.Second // a client's connection between ops
+	// readWithin is for an op's bytes, from its first or the connection's start on. One that brings none must hear of
+	// its end within 3 s, and may have waited for a descriptor before.
+	readWithin  = 2200 * time.Millisecond
+	writeWithin = 5 * time.Second // an answer's bytes
+	idleFor     = 5 * time.Second // a client's connection between ops; some ask once and never close
+	mostHead    = 12 << 10        // bytes; net/http allows 4 KiB more
 
-	// silent is how long a connection may take to its first op while others wait for its descriptor: clients open
-	// one because they have an op to send.
-	silent = 500 * time.Millisecond
+	// idleAtLeast is how long a connection has had no op when it may be shed while others wait for its descriptor:
+	// sooner, a client's op may be on its way, and fails with the connection if it is the first there.
+	idleAtLeast = 2 * time.Second
 
 	// clientsStillCome is how long new connections come after SIGTERM at most, and quiet how long the listener's
 	// queue must then have been empty before it closes.
+	oddEvery = time.Second // between two log lines of malformed ops
+
 	clientsStillCome = 500 * time.Millisecond
 	quiet            = 50 * time.Millisecond
 )
@@ -52,18 +59,21 @@
 	open     atomic.Int64 // ops taken and not answered
 	served   chan struct{}
 	mu       sync.Mutex
-	between  map[net.Conn]time.Time // connections without an op, and from when on they may be shed
+	between  map[net.Conn]time.Time // connections without an op, and since when
+	ids      map[string]struct{}    // of the ops taken and not answered
+	odd      rate.Sometimes         // what odd clients send fills no log
+	unsaid   int                    // odd ops since the last line of the log
 }
 
 func New(n *node.Node, told *terms.Deployment, c *clock.Clock, budget *sockets.Budget, log *slog.Logger) *Front {
 	f := &Front{node: n, told: told, clock: c, budget: budget, log: log, between: map[net.Conn]time.Time{},
-		served: make(chan struct{})}
+		ids: map[string]struct{}{}, odd: rate.Sometimes{Interval: oddEvery}, served: make(chan struct{})}
 	f.server = http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: readWithin,
 		ReadTimeout:       readWithin,
 		IdleTimeout:       idleFor,
-		MaxHeaderBytes:    upstream.MostBody,
+		MaxHeaderBytes:    mostHead,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		ConnContext:       withClient,
 		ConnState:         f.state,
@@ -96,7 +106,7 @@
 // answered or ctx ends. It tells how many ops are left without an answer.
 func (f *Front) Drain(ctx context.Context) int64 {
 	f.draining.Store(true)
-	f.Shed() // while those who come back still find the listener
+	f.shed(0) // while those who come back still find the listener
 	time.Sleep(clientsStillCome)
 	f.listener.drain()
 	select {
@@ -107,13 +117,15 @@
 	return f.open.Load()
 }
 
-// Shed closes clients' connections between two ops, and those that have brought none within silent; what crosses
-// that a client sends again on another.
-func (f *Front) Shed() {
+// Shed closes clients' connections that have had no op for a while; what crosses that a client sends again on
+// another.
+func (f *Front) Shed() { f.shed(idleAtLeast) }
+
+func (f *Front) shed(idle time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for c, from := range f.between {
-		if time.Since(from) >= 0 {
+	for c, since := range f.between {
+		if time.Since(since) >= idle {
 			_ = c.Close()
 			delete(f.between, c)
 		}
@@ -124,9 +136,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch s {
-	case http.StateNew:
-		f.between[c] = time.Now().Add(silent)
-	case http.StateIdle:
+	case http.StateNew, http.StateIdle:
 		f.between[c] = time.Now()
 	default:
 		delete(f.between, c)
@@ -146,39 +156,70 @@
 			if op != nil {
 				f.node.Leave(op)
 			}
-			f.write(w, http.StatusInternalServerError, nil) // a dead letter: no claim about what ran
+			f.write(w, c, http.StatusInternalServerError, nil) // a dead letter: no claim about what ran
 		}
 	}()
 	if f.draining.Load() || f.budget.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == healthPath {
-		f.health(w)
+		f.health(w, c)
 		return
 	}
 	var bad *malformed
-	if op, bad = f.decode(w, r, c); bad != nil {
-		f.log.Warn("op malformed", "error", bad.why)
-		f.write(w, bad.status, []byte(bad.why+"\n"))
+	id := r.Header.Get(idHeader)
+	if op, bad = f.decode(w, r, c); bad == nil && !f.enter(id) {
+		bad = &malformed{http.StatusConflict, "the id of an open op"}
+	}
+	if bad != nil {
+		f.sayOdd(bad.why)
+		f.write(w, c, bad.status, []byte(bad.why+"\n"))
 		return
 	}
-	f.serve(w, r, op)
+	defer f.leave(id)
+	f.serve(w, r, c, op)
+}
+
+// enter takes an op's id until leave gives it back; false tells that another op has it.
+func (f *Front) enter(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, taken := f.ids[id]
+	f.ids[id] = struct{}{}
+	return !taken
+}
+
+func (f *Front) leave(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.ids, id)
 }
 
-func (f *Front) health(w http.ResponseWriter) {
+// sayOdd logs a malformed op now and then, with how many there were.
+func (f *Front) sayOdd(why string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unsaid++
+	f.odd.Do(func() {
+		f.log.Warn("op malformed", "error", why, "since_last", f.unsaid)
+		f.unsaid = 0
+	})
+}
+
+func (f *Front) health(w http.ResponseWriter, c *client) {
 	select {
 	case <-f.node.Ready():
 		if !f.draining.Load() {
-			f.write(w, http.StatusOK, []byte("ready\n"))
+			f.write(w, c, http.StatusOK, []byte("ready\n"))
 			return
 		}
 	default:
 	}
-	f.write(w, http.StatusServiceUnavailable, []byte("not ready\n"))
+	f.write(w, c, http.StatusServiceUnavailable, []byte("not ready\n"))
 }
 
 // serve sees an op through to its one answer.
-func (f *Front) serve(w http.ResponseWriter, r *http.Request, op *node.Op) {
+func (f *Front) serve(w http.ResponseWriter, r *http.Request, c *client, op *node.Op) {
 	open := f.open.Add(1)
 	defer f.open.Add(-1)
 	if most := int64(f.told.MostHeld); open > most && most > 0 {
@@ -186,37 +227,41 @@
 		if f.told.Terms.ComeBack { // a node as full as that is not soon another
 			full.ComeBack = f.told.Terms.MaxComeBack
 		}
-		f.answer(w, full)
+		f.answer(w, c, full)
 		return
 	}
 	f.node.Take(op)
 	select {
 	case a := <-op.Answer():
-		f.answer(w, a)
+		f.answer(w, c, a)
 	case <-r.Context().Done():
 		f.node.Leave(op)
+		f.answer(w, c, node.Answer{Final: node.DeadLettered}) // one that only ended its sending may still read
 	}
 }
 
-func (f *Front) answer(w http.ResponseWriter, a node.Answer) {
+func (f *Front) answer(w http.ResponseWriter, c *client, a node.Answer) {
 	switch a.Final {
 	case node.Acked:
 		upstream.EndToEnd(a.Reply.Header)
 		for name, values := range a.Reply.Header {
 			w.Header()[name] = values
 		}
-		f.write(w, http.StatusOK, a.Reply.Body)
+		f.write(w, c, http.StatusOK, a.Reply.Body)
 	case node.Nacked:
 		if a.ComeBack > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(a.ComeBack/1e3, 'f', 3, 64))
 		}
-		f.write(w, http.StatusServiceUnavailable, nil)
+		f.write(w, c, http.StatusServiceUnavailable, nil)
 	default:
-		f.write(w, http.StatusBadGateway, nil)
+		f.write(w, c, http.StatusBadGateway, nil)
 	}
 }
 
-func (f *Front) write(w http.ResponseWriter, status int, body []byte) {
+func (f *Front) write(w http.ResponseWriter, c *client, status int, body []byte) {
+	if c.answering() {
+		w.Header().Set("Connection", "close")
+	}
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWithin))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 
@@ -49,7 +50,9 @@
 		"odd TTL":          {"X-Trace-Id:a|X-Qos:check|X-Expires-In-Ms:soon", "", 400},
 		"TTL below 0":      {"X-Trace-Id:a|X-Qos:check|X-Expires-In-Ms:-1", "", 400},
 		"TTL of no number": {"X-Trace-Id:a|X-Qos:check|X-Expires-In-Ms:NaN", "", 400},
-		"endless TTL":      {"X-Trace-Id:a|X-Qos:check|X-Expires-In-Ms:1e300", "", 0},
+		"endless TTL":      {"X-Trace-Id:a|X-Qos:check|X-Expires-In-Ms:9000000000000000000", "", 0},
+		"TTL of no end":    {"X-Trace-Id:a|X-Qos:check|X-Expires-In-Ms:Inf", "", 400},
+		"two ids":          {"X-Trace-Id:a|X-Trace-Id:b|X-Qos:check|X-Expires-In-Ms:480", "", 400},
 		"odd hint":         {"X-Trace-Id:a|X-Qos:check|X-Expires-In-Ms:480|X-Size-Hint:Inf", "", 400},
 		"longest body":     {"X-Trace-Id:a|X-Qos:check|X-Expires-In-Ms:480", strings.Repeat("x", 64<<10), 0},
 		"body too long":    {"X-Trace-Id:a|X-Qos:check|X-Expires-In-Ms:480", strings.Repeat("x", 64<<10+1), 413},
@@ -57,7 +60,7 @@
 		r := httptest.NewRequest("POST", "/api", strings.NewReader(test.body))
 		for h := range strings.SplitSeq(test.headers, "|") {
 			name, value, _ := strings.Cut(h, ":")
-			r.Header.Set(name, value)
+			r.Header.Add(name, value)
 		}
 		op, bad := f.decode(httptest.NewRecorder(), r, c)
 		if test.want == 0 {
@@ -81,6 +84,36 @@
 	assert.Greater(t, op.GiveUp, before+480-100)
 }
 
+// An op that may hide another in its body, or has one behind it, is known as such whatever the pieces it comes in.
+func TestFraming(t *testing.T) {
+	const get, post = "GET / HTTP/1.1\r\nHost: s\r\n\r\n", "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"
+	for name, c := range map[string]struct {
+		sent                    string
+		ambiguous, behind, last bool
+	}{
+		"one":               {sent: get},
+		"a body":            {sent: post},
+		"ends by a line":    {sent: post + "\r\n"},
+		"two":               {sent: get + get, behind: true},
+		"two with bodies":   {sent: post + post, behind: true},
+		"chunks":            {sent: "POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n", last: true},
+		"length, chunks":    {sent: "POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", ambiguous: true, last: true},
+		"chunks, length":    {sent: "POST / HTTP/1.1\nTRANSFER-ENCODING:chunked\nCONTENT-LENGTH:5\n\n0\r\n\r\n" + get, ambiguous: true, last: true},
+		"an endless length": {sent: "POST / HTTP/1.1\r\nContent-Length: " + strings.Repeat("0", 90) + "3\r\n\r\nabc" + get, last: true},
+		"no length":         {sent: "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n" + get, last: true},
+		"a long line":       {sent: "GET / HTTP/1.1\r\nX: " + strings.Repeat("Content-Length: 5", 9) + "\r\n\r\n"},
+	} {
+		for size := 1; size <= len(c.sent); size += 1 + size/2 {
+			var f framing
+			behind := false
+			for part := range slices.Chunk([]byte(c.sent), size) {
+				behind = f.see(part) || behind
+			}
+			assert.Equal(t, []bool{c.ambiguous, c.behind, c.last}, []bool{f.ambiguous, behind, f.last}, "%s by %d", name, size)
+		}
+	}
+}
+
 // net/http closes idle connections on a look that may be out of date: the client of an op just read would send it
 // again, and it would run twice.
 func TestOpInHandKeepsItsConnection(t *testing.T) {
@@ -103,7 +136,8 @@
 	f := &Front{told: &terms.Deployment{MostHeld: 1, Terms: &balance.Terms{ComeBack: true, MaxComeBack: 1500}}}
 	f.open.Store(1)
 	w := httptest.NewRecorder()
-	f.serve(w, httptest.NewRequest("GET", "/api", nil), nil)
+	c, _ := pair(t)
+	f.serve(w, httptest.NewRequest("GET", "/api", nil), c, nil)
 	assert.Equal(t, http.StatusServiceUnavailable, w.Code)
 	assert.Equal(t, "1.500", w.Header().Get("Retry-After"))
 	assert.Equal(t, int64(1), f.open.Load())
@@ -114,7 +148,7 @@
 	c, _ := pair(t)
 	f := &Front{log: slog.New(slog.DiscardHandler), budget: c.budget} // told nothing, so decoding panics
 	r := httptest.NewRequest("GET", "/api", nil)
-	r.Header.Set("X-Trace-Id", "a")
+	r.Header = http.Header{"X-Trace-Id": {"a"}, "X-Qos": {"check"}, "X-Expires-In-Ms": {"480"}}
 	w := httptest.NewRecorder()
 	f.ServeHTTP(w, r.WithContext(withClient(r.Context(), c)))
 	assert.Equal(t, http.StatusInternalServerError, w.Code)
