Answers of backends are bounded, connections rest after one; gone backends are let go

Checked: ReadResponse read heads without a bound and any number of 1xx (message.go, ReadReply), an answer without a told end counted as whole, Node.backends and the module's list kept every machine that ever was (node.go, listed; balance.go, Listed), due times kept ops' bodies until their TTL. Idle connections were reused the moment an answer had come; noise or an end sent right behind one comes later.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -713,8 +713,9 @@
 	}
 }
 
-// sweep is the periodic look at what backends are against their fellows.
+// sweep is the periodic look at what backends are against their fellows, and lets go of those long gone.
 func (n *Node) sweep() {
+	n.backends = slices.DeleteFunc(n.backends, func(b *Backend) bool { return b.past(n.now, n.t.OverloadFor) })
 	n.stirred = len(n.held) > 0
 	doubts, tails := make([]float64, 0, len(n.backends)), make([]float64, 0, len(n.backends))
 	clear(n.warm)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -382,6 +382,24 @@
 }
 
 // A drain told between choice and push, and an op timing out in the batch that ends it.
+// A fleet that replaces its machines all day must not leave them in every decision's way; but what one was sent
+// counts against its cold budget when it comes back soon.
+func TestGoneBackendsAreLetGo(t *testing.T) {
+	d := sit(t, plain(), 3)
+	p := d.busy(d.backends[1])
+	d.list(Gone, 0, d.backends[:2]...)
+	require.Len(t, d.node.backends, 2, "one has a push out")
+	require.False(t, d.backends[0].Known())
+	d.end(p, Answered)
+	d.after(d.node.t.OverloadFor - 1).pull()
+	require.True(t, d.backends[1].Known())
+	d.after(1)
+	d.node.sweep()
+	require.Equal(t, d.backends[2:], d.node.backends)
+	d.list(Ready, 0, d.backends[0])
+	require.Len(t, d.node.backends, 2)
+}
+
 func TestSameBatch(t *testing.T) {
 	d := sit(t, plain(), 1)
 	op := d.arrive("a", 0, 10)
--- a/balance/types.go
+++ b/balance/types.go
@@ -96,9 +96,19 @@
 	distrust  fader
 	pass      float64 // its place in the rotation
 	recent    spend   // work sent in the last window, for the time when it may be cold
-	known     bool    // it has been listed before
+	known     bool    // the node has it among its backends
 }
 
+// past lets go of a backend that is gone for good: each decision would look at all there ever were. Until its cold
+// budget's window has passed, what it was sent counts, should it come back.
+func (b *Backend) past(now, window float64) bool {
+	b.known = b.State != Gone || len(b.out) > 0 || b.recent.within(now, window) > 0
+	return !b.known
+}
+
+// Known tells whether the node keeps the backend; of one that is gone for good the host may let go too.
+func (b *Backend) Known() bool { return b.known }
+
 // Ending is how a push ended.
 type Ending uint8
 
--- a/internal/members/watch.go
+++ b/internal/members/watch.go
@@ -1,7 +1,6 @@
 package members
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -133,7 +132,7 @@
 	}
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })()
-	r := bufio.NewReader(c)
+	r := upstream.NewReader(c)
 	for keep := true; keep; {
 		begun := time.Now()
 		var list *List
@@ -154,7 +153,7 @@
 	return nil
 }
 
-func (w *Watch) call(c net.Conn, r *bufio.Reader) (list *List, keep bool, err error) {
+func (w *Watch) call(c net.Conn, r *upstream.Reader) (list *List, keep bool, err error) {
 	target := "/catalog/members"
 	if w.Held {
 		target += "?from=" + strconv.FormatUint(w.Version, 10) + "&hold_ms=" + strconv.FormatInt(hold.Milliseconds(), 10)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -206,6 +206,9 @@
 	named := map[*backend]bool{}
 	for _, m := range list.Members {
 		b := n.backends[m.Name]
+		if b == nil && m.State == balance.Gone {
+			continue // never had, or let go of long since
+		}
 		if b == nil {
 			b = &backend{Backend: &balance.Backend{Ref: ref(m.Name)}}
 			n.backends[m.Name], n.behind[b.Backend] = b, b
@@ -226,6 +229,12 @@
 		}
 	}
 	n.module.Listed(n.now, lines, list.Whole, cached)
+	for name, b := range n.backends {
+		if b.peer == nil && !b.Known() {
+			delete(n.backends, name)
+			delete(n.behind, b.Backend)
+		}
+	}
 	n.log.Debug("list", "version", list.Version, "whole", list.Whole, "entries", len(lines))
 	if !n.held {
 		n.held = true
@@ -327,8 +336,11 @@
 	}
 }
 
+// forget lets go of an op that is over. The module's due times hold its part for as long as its TTL: not what it
+// carried as well.
 func (n *Node) forget(op *Op) {
 	if op.Over() {
 		delete(n.ops, op.Ref)
+		op.Message, op.calls = nil, nil
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -101,6 +102,20 @@
 	assert.Empty(t, o.Answer())
 }
 
+// Backends are replaced all day: of those long gone nothing stays.
+func TestNothingStaysOfGoneBackends(t *testing.T) {
+	n, _ := start(t, "127.0.0.1:1")
+	for k := range 50 {
+		m := members.Member{Name: strconv.Itoa(k), Address: "127.0.0.1:1", State: balance.Ready, Weight: 1}
+		n.Listed(&members.List{Members: []members.Member{m}})
+		m.State = balance.Gone
+		n.Listed(&members.List{Members: []members.Member{m, {Name: "never had", State: balance.Gone}}})
+	}
+	left := make(chan []int)
+	n.box.Put(func() { left <- []int{len(n.backends), len(n.behind)} })
+	assert.Equal(t, []int{1, 1}, <-left)
+}
+
 type quiet struct {
 	address string
 	got     chan net.Conn
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"errors"
 	"net"
 	"os"
@@ -14,16 +13,21 @@
 // conn is a connection to a backend; it carries one message at a time and is the peer's.
 type conn struct {
 	net.Conn
-	r       *bufio.Reader
+	r       *Reader
 	address string // dialled
 	used    bool
 	since   time.Time // idle since
 }
 
 func newConn(c net.Conn, address string) *conn {
-	return &conn{Conn: c, r: bufio.NewReaderSize(c, 2048), address: address}
+	return &conn{Conn: c, r: NewReader(c), address: address}
 }
 
+// rest is how long a connection is left alone after an answer. A backend that closes behind an answer, or says more
+// than belongs to it, does so at once, but that comes a way between machines later: on a connection used again before,
+// an op is lost to the end, or answered with what was never meant for it.
+const rest = 10 * time.Millisecond
+
 // sound looks whether an idle connection is still open with nothing to read: the backend may have closed it, and
 // what is written after that ends as a reset that may have run.
 func (c *conn) sound() bool {
@@ -61,6 +65,7 @@
 	if !p.open.Load() { // the list said so while the connection came up
 		return Outcome{Ending: balance.NotSent}, kept
 	}
+	idle := time.Since(on.since)
 	left, ok := c.begin(on)
 	if !ok {
 		return Outcome{Ending: balance.NotSent}, kept
@@ -81,12 +86,12 @@
 			return Outcome{Ending: balance.TimedOut}, dropped
 		}
 		p.terms.Log.Debug("reply broke", "backend", p.name, "error", err, "reused", on.used,
-			"idle_ms", time.Since(on.since).Milliseconds())
+			"idle_ms", idle.Milliseconds())
 		return Outcome{Ending: balance.Reset}, dropped
 	}
 	service, odd := reply.load(p.terms.Service)
 	if odd != "" {
-		p.terms.Log.Warn("odd load report skipped", "backend", p.name, "report", odd)
+		p.odd.Do(func() { p.terms.Log.Warn("odd load report skipped", "backend", p.name, "report", odd) })
 	}
 	reply.Header.Del(loadReport) // it is for this node
 	fate := dropped
--- a/internal/upstream/message.go
+++ b/internal/upstream/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -73,21 +74,62 @@
 	Body   []byte
 }
 
+// Reader reads answers from a connection, each within its bounds: what sends without end is no answer.
+type Reader struct {
+	from io.Reader
+	left int64 // bytes that the answer may still take from the connection
+	*bufio.Reader
+}
+
+func NewReader(from io.Reader) *Reader {
+	r := &Reader{from: from}
+	r.Reader = bufio.NewReaderSize(limited{r}, 2048)
+	return r
+}
+
+// limited is how the buffer is filled.
+type limited struct{ *Reader }
+
+func (l limited) Read(b []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errEndless
+	}
+	n, err := l.from.Read(b[:min(int64(len(b)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
+var errEndless = errors.New("more than an answer may have")
+
+// mostHeads bounds an answer's head together with those of the informational ones before it.
+const mostHeads = 16 << 10
+
 // ReadReply reads one answer with a body of so many bytes at most, or none where it is bare; keep tells whether the
-// connection may carry a further message.
-func ReadReply(r *bufio.Reader, bare bool, most int64) (reply *Reply, keep bool, err error) {
+// connection may carry a further message. Only an answer that tells where it ends is known to be whole.
+func ReadReply(r *Reader, bare bool, most int64) (reply *Reply, keep bool, err error) {
 	asked := &http.Request{Method: http.MethodGet}
 	if bare {
 		asked.Method = http.MethodHead
 	}
-	answer, err := http.ReadResponse(r, asked)
+	r.left = mostHeads
+	answer, err := http.ReadResponse(r.Reader, asked)
 	for err == nil && answer.StatusCode < 200 && answer.StatusCode != http.StatusSwitchingProtocols {
-		answer, err = http.ReadResponse(r, asked) // an informational answer comes before the real one
+		answer, err = http.ReadResponse(r.Reader, asked) // an informational answer comes before the real one
 	}
 	if err != nil {
 		return nil, false, err
 	}
-	defer answer.Body.Close()
+	chunked := len(answer.TransferEncoding) > 0
+	switch {
+	case bare:
+	case answer.ContentLength > most:
+		return nil, false, fmt.Errorf("body of %d bytes", answer.ContentLength)
+	case answer.ContentLength < 0 && !chunked:
+		return nil, false, errors.New("body without an end")
+	}
+	if r.left = most + 1; chunked {
+		r.left = 2*most + mostHeads // for the chunks' own lines
+	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, most+1))
 	if err != nil {
 		return nil, false, err
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -6,15 +6,21 @@
 	"errors"
 	"log/slog"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"pearknot/balance"
 	"pearknot/internal/mailbox"
 	"pearknot/internal/sockets"
 )
 
+// oddEvery is the least time between two log lines of one backend's odd reports.
+const oddEvery = 10 * time.Second
+
 // Terms are the same for all backends.
 type Terms struct {
 	ConnectTimeout time.Duration
@@ -36,11 +42,13 @@
 	calls   int
 	closing bool
 	reap    *time.Timer
+	odd     rate.Sometimes // load reports that can't be read fill no log
 }
 
 // NewPeer starts a backend's actor; it takes no calls before Tell.
 func NewPeer(name string, t *Terms) *Peer {
-	p := &Peer{name: name, terms: t, box: mailbox.New[func()](), reap: time.NewTimer(time.Hour)}
+	p := &Peer{name: name, terms: t, box: mailbox.New[func()](), reap: time.NewTimer(time.Hour),
+		odd: rate.Sometimes{Interval: oddEvery}}
 	go p.run()
 	return p
 }
@@ -92,11 +100,16 @@
 	p.reap.Stop()
 }
 
+// start takes the connection that was used last, of those that have rested.
 func (p *Peer) start(c *Call) {
-	for len(p.idle) > 0 {
-		on := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if time.Since(on.since) < p.terms.IdleFor && on.sound() {
+	for k := len(p.idle) - 1; k >= 0; k-- {
+		on := p.idle[k]
+		idle := time.Since(on.since)
+		if idle < rest {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, k, k+1)
+		if idle < p.terms.IdleFor && on.sound() {
 			p.carry(c, on)
 			return
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -83,6 +83,18 @@
 	return out
 }
 
+// rested lets time pass for idle connections.
+func rested(p *Peer) {
+	done := make(chan bool)
+	p.box.Put(func() {
+		for _, on := range p.idle {
+			on.since = on.since.Add(-rest)
+		}
+		close(done)
+	})
+	<-done
+}
+
 const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
 
 func TestEndings(t *testing.T) {
@@ -102,6 +114,13 @@
 		"half a body":             {ok + "\r\nhEND", balance.Reset},
 		"no HTTP":                 {"hello\r\n\r\n", balance.Reset},
 		"too long":                {"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000), balance.Reset},
+		"endless":                 {"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 70000), balance.Reset},
+		"a head without end":      {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 40000), balance.Reset},
+		"many lines":              {"HTTP/1.1 200 OK\r\n" + strings.Repeat("X: y\r\n", 9000), balance.Reset},
+		"hints without end":       {strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 2000), balance.Reset},
+		"chunks without end":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1;"+strings.Repeat("x", 90)+"\r\nx\r\n", 4000), balance.Reset},
+		"chunks":                  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", balance.Answered},
+		"no end told":             {"HTTP/1.1 200 OK\r\n\r\nhiEND", balance.Reset}, // it may be cut short
 		"silence":                 {"", balance.TimedOut},
 		"half a body and silence": {ok + "\r\nh", balance.TimedOut},
 	} {
@@ -130,6 +149,7 @@
 	assert.Empty(t, m.Header.Get("X-Hop"), "headers of a hop end there")
 	assert.Len(t, m.Header[ExpiresHeader], 1)
 	assert.Regexp(t, `^(59\d\d\d|60000)$`, m.Header.Get(ExpiresHeader))
+	rested(p)
 	out = <-send(p, time.Minute)
 	assert.Equal(t, balance.Answered, out.Ending, "an odd report costs no answer")
 	assert.Zero(t, out.Service)
@@ -212,6 +232,32 @@
 	}
 }
 
+// What comes behind an answer, at once or a way between machines later, is never taken for the next op's answer.
+func TestBytesBehindAnAnswer(t *testing.T) {
+	const copy = ok + "\r\nho"
+	for name, c := range map[string]struct {
+		behind string // at once
+		turn   func(p *Peer, first net.Conn)
+	}{
+		"at once": {copy, func(p *Peer, _ net.Conn) { rested(p) }},
+		"late": {"", func(p *Peer, first net.Conn) {
+			_, err := first.Write([]byte(copy))
+			require.NoError(t, err)
+			rested(p)
+		}},
+		"later than the next op": {"", func(*Peer, net.Conn) {}},
+	} {
+		b := listen(t, ok+"\r\nhi"+c.behind, ok+"\r\nhi")
+		p, _ := peer(t, b.Addr().String())
+		require.Equal(t, balance.Answered, (<-send(p, 10*time.Second)).Ending, name)
+		c.turn(p, <-b.conns)
+		out := <-send(p, 10*time.Second)
+		require.Equal(t, balance.Answered, out.Ending, name)
+		assert.Equal(t, "hi", string(out.Reply.Body), name)
+		assert.Len(t, b.conns, 1, "%s: on a connection of its own", name)
+	}
+}
+
 // A message written to a connection that the backend has closed ends as a reset that may have run.
 func TestClosedWhileIdle(t *testing.T) {
 	b := listen(t, ok+"\r\nhi", ok+"\r\nhi", ok+"\r\nhi")
@@ -224,11 +270,13 @@
 		p.box.Put(func() { on <- p.idle[0].sound() })
 		return !<-on
 	}, 10*time.Second, time.Millisecond)
+	rested(p)
 	assert.Equal(t, balance.Answered, (<-send(p, 10*time.Second)).Ending)
 	<-b.conns // a fresh one
 
 	// One that breaks at the first byte, unseen before: nothing has run, so once more on a fresh one.
 	p.box.Put(func() { _ = p.idle[0].Conn.(*net.TCPConn).CloseWrite() })
+	rested(p)
 	assert.Equal(t, balance.Answered, (<-send(p, 10*time.Second)).Ending)
 	<-b.conns
 
