Long answers are passed on whole within a bound on memory

A trace of broken connections: 1188 answers of 128 to 400 KB in 25 s, each counted as a reset for being over 64 KiB (message.go, ReadReply), and their backends distrusted. Ruled out: descriptors 220 of 1024, memory 20 of 128 MB. Now an answer may have 1 MiB; what is beyond 64 KiB of a body takes a place in a room of a sixteenth of the memory first, waits for it within its op's time, and gives it back when written out or dropped.

--- a/cmd/pearknot/serve.go
+++ b/cmd/pearknot/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math"
@@ -29,6 +30,8 @@
 
 	shedEvery   = 100 * time.Millisecond // while clients wait for a descriptor
 	idleShare   = 0.8                    // of the time after which a backend closes idle connections
+	longShare   = 16                     // of the memory, for long answers on their way
+	plenty      = 1 << 30                // bytes, where no limit is told
 	memoryShare = 0.7                    // of the limit, for the collector; the rest holds stacks and what the kernel books
 )
 
@@ -61,6 +64,7 @@
 		IdleFor:        clock.Span(idleShare * p.told.ConnectionIdle),
 		Service:        terms.Service,
 		Budget:         budget,
+		Long:           upstream.NewRoom(cmp.Or(p.memory, plenty) / longShare),
 		Log:            log,
 	}, watch.Ask, log)
 	watch.Told, watch.Failed = n.Listed, n.ListFailed
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -243,6 +243,7 @@
 func (f *Front) answer(w http.ResponseWriter, c *client, a node.Answer) {
 	switch a.Final {
 	case node.Acked:
+		defer a.Reply.Release()
 		upstream.EndToEnd(a.Reply.Header)
 		for name, values := range a.Reply.Header {
 			w.Header()[name] = values
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,11 @@
 			n.module.Left(n.now, &op.Op)
 			n.forget(op)
 		}
+		select {
+		case a := <-op.answer: // that crossed the leaving
+			a.Reply.Release()
+		default:
+		}
 	})
 }
 
@@ -301,8 +306,10 @@
 	module := n.module
 	call := upstream.NewCall(op.Message, n.clock.At(until), func(out upstream.Outcome) {
 		n.box.Put(func() {
-			if n.module == module { // a push of a module that had a fault is nobody's
+			if n.module == module {
 				n.ended(op, p, out)
+			} else { // a push of a module that had a fault is nobody's
+				out.Reply.Release()
 			}
 		})
 	})
@@ -317,13 +324,16 @@
 // ended takes a push's ending. The first answer acks its op.
 func (n *Node) ended(op *Op, p *balance.Push, out upstream.Outcome) {
 	if !p.Out() {
+		out.Reply.Release()
 		return
 	}
 	if out.Service > 0 {
 		n.module.Reported(n.now, p.Backend, out.Service)
 	}
-	if out.Ending == balance.Answered {
+	if out.Ending == balance.Answered && !op.answered {
 		op.finish(Answer{Final: Acked, Reply: out.Reply})
+	} else {
+		out.Reply.Release()
 	}
 	n.module.Ended(n.now, p, out.Ending, n.now-p.SentAt, op.answered)
 	n.forget(op)
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -26,7 +26,7 @@
 	until  time.Time
 	off    bool
 	conn   net.Conn           // while it is out there
-	cancel context.CancelFunc // while its connection is dialled
+	cancel context.CancelFunc // of what it waits for beside its connection
 
 	afresh bool // on a fresh connection after a write that failed; the peer's
 }
@@ -88,16 +88,17 @@
 }
 
 // begin is passed right before the first byte: the op must live and have time. It tells how much.
-func (c *Call) begin(conn net.Conn) (left time.Duration, ok bool) {
+func (c *Call) begin(conn net.Conn) (ctx context.Context, left time.Duration, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	left = time.Until(c.until)
 	if c.off || left <= 0 {
-		return 0, false
+		return nil, 0, false
 	}
-	c.conn, c.cancel = conn, nil
+	ctx, c.cancel = context.WithDeadline(context.Background(), c.until)
+	c.conn = conn
 	_ = conn.SetDeadline(c.until)
-	return left, true
+	return ctx, left, true
 }
 
 // end lets go of the connection and tells whether the call had been called off.
@@ -105,5 +106,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conn = nil
+	c.cancel()
 	return c.off
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
@@ -66,7 +67,7 @@
 		return Outcome{Ending: balance.NotSent}, kept
 	}
 	idle := time.Since(on.since)
-	left, ok := c.begin(on)
+	ctx, left, ok := c.begin(on)
 	if !ok {
 		return Outcome{Ending: balance.NotSent}, kept
 	}
@@ -76,19 +77,30 @@
 		p.terms.Log.Debug("write broke", "backend", p.name, "written", n, "error", err)
 		return Outcome{Ending: balance.NoConnection}, unwritten
 	}
-	reply, keep, err := ReadReply(on.r, c.Message.bare, MostBody)
+	held := int64(0)
+	reply, keep, err := ReadReply(on.r, c.Message.bare, mostAnswer, func(bytes int64) error {
+		err := p.terms.Long.free.Acquire(ctx, bytes)
+		if err == nil {
+			held = bytes
+		}
+		return err
+	})
 	off := c.end()
 	if err != nil {
+		if held > 0 {
+			p.terms.Long.back(held)
+		}
 		switch {
 		case off:
 			return Outcome{Ending: balance.Revoked}, dropped
-		case errors.Is(err, os.ErrDeadlineExceeded):
+		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
 			return Outcome{Ending: balance.TimedOut}, dropped
 		}
 		p.terms.Log.Debug("reply broke", "backend", p.name, "error", err, "reused", on.used,
 			"idle_ms", idle.Milliseconds())
 		return Outcome{Ending: balance.Reset}, dropped
 	}
+	reply.room, reply.held = p.terms.Long, held
 	service, odd := reply.load(p.terms.Service)
 	if odd != "" {
 		p.odd.Do(func() { p.terms.Log.Warn("odd load report skipped", "backend", p.name, "report", odd) })
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -27,6 +27,7 @@
 	IdleFor        time.Duration // how long an idle connection is kept
 	Service        string        // the service time's name in load reports
 	Budget         *sockets.Budget
+	Long           *Room
 	Log            *slog.Logger
 }
 
