Silence that later answers have overtaken blames no backend and keeps no room

Seen: at four times the load with silent connections (200 pushes a node without an answer, of 8800) half of the ops were nacked from second 8 on, first nearby backends shunned, then caps at one with a silent push in them. Checked by a trace of distrust, caps and overdue pushes: single connections fell silent or answers stopped short while their backends answered all else; each such push added 0.5 and later 1 to distrust, its 2 s to the zone's wait, cut the cap (balance.go, overdue and Ended) and stayed in out, workOut and drain until its TTL. Ruled out: late timers (none by over 3 ms), slow transfers (a long answer takes 1 ms), descriptors, memory. Now a backend's heard is when the latest push was sent that it answered; an overdue push sent before that leaves out, and neither it nor its time-out blames the backend.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -181,25 +181,22 @@
 	n.now = now
 	op, b := p.Op, p.Backend
 	n.stirred = true
-	b.flow.tally(now, true)
+	b.drop(now, p)
 	p.out, p.ending = false, how
-	b.workOut -= op.work
-	b.out = slices.DeleteFunc(b.out, func(o *Push) bool { return o == p })
-	if op.long {
-		b.longs--
-	}
-	switch how {
-	case Answered, TimedOut:
+	switch {
+	case how == Answered || how == TimedOut && !p.overtaken():
 		n.crowd.add(b.Zone, now, math.Max(0, elapsed-op.work*n.paceOf(b)))
-	case Rejected, NoConnection: // the queue there is as long as it can be, or the zone is cut off
+	case how == Rejected || how == NoConnection: // the queue there is as long as it can be, or the zone is cut off
 		n.crowd.add(b.Zone, now, op.cat.TargetLatency)
 	}
 	switch how {
 	case Answered:
 		n.learn(b, p, elapsed)
 	case TimedOut:
-		n.yield(b, 0)
-		n.suspect(b, 1)
+		if !p.overtaken() { // else a connection fell silent, not the backend
+			n.yield(b, 0)
+			n.suspect(b, 1)
+		}
 	case Failed, NoConnection, Reset:
 		n.suspect(b, 1)
 	case Rejected: // tells of load, not of a fault; so quick an ending would draw more
@@ -445,8 +442,13 @@
 		return
 	}
 	p.overdue = true
-	n.crowd.add(p.Backend.Zone, n.now, n.now-p.SentAt) // seconds before a time-out would tell
-	n.suspect(p.Backend, 0.5)
+	if p.overtaken() {
+		p.Backend.drop(n.now, p)
+		n.idle = true
+	} else {
+		n.crowd.add(p.Backend.Zone, n.now, n.now-p.SentAt) // seconds before a time-out would tell
+		n.suspect(p.Backend, 0.5)
+	}
 	if op.cat.Effect != Redeliverable || n.extra < 1 || op.out() > 1 {
 		return
 	}
@@ -672,6 +674,7 @@
 // learn takes what an answer tells of its backend.
 func (n *Node) learn(b *Backend, p *Push, elapsed float64) {
 	work := p.Op.work
+	b.hear(n.now, p)
 	// Behind own pushes the time tells of the queue, not of the backend; what backends report is better.
 	if p.alone && n.service.seen == 0 {
 		share := 1.0
@@ -803,12 +806,7 @@
 	p := &Push{Op: op, Backend: b, Number: len(op.Pushes), SentAt: n.now, expect: n.predict(b, op), out: true,
 		alone: len(b.out) < 2}
 	op.Pushes, op.stage = append(op.Pushes, p), pushed
-	b.flow.tally(n.now, len(b.out) > 0)
-	b.out = append(b.out, p)
-	b.workOut += op.work
-	if op.long {
-		b.longs++
-	}
+	b.take(n.now, p)
 	b.recent.add(n.now, n.t.OverloadFor, math.Max(op.work, op.cat.work.value/2))
 	// A backend that comes back from being skipped takes its next turn, not all those it missed.
 	n.round = math.Max(n.round, b.pass)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -311,6 +311,31 @@
 	}
 }
 
+// A connection that falls silent, or an answer that stops short, is not its backend's silence: what later answers have
+// overtaken blames nobody, and keeps no room, drain or long from the others.
+func TestOvertakenPushes(t *testing.T) {
+	for name, answered := range map[string]float64{"never": 0, "before it is overdue": 1, "after": 450} {
+		d := sit(t, plain(), 1)
+		d.seen()
+		b := d.backends[0]
+		b.most = 2
+		op := d.arrive("lost", 1, 10)
+		require.Equal(t, "push:lost", d.pull(), name)
+		d.after(answered).pull()
+		if answered > 0 {
+			d.end(d.busy(b), Answered)
+		}
+		d.after(500).pull()
+		assert.Equal(t, answered == 0, len(b.out) == 1, name)
+		before := b.distrust.get(d.now, distrustHalf)
+		assert.Equal(t, answered == 1, before == 0, name)
+		d.end(op.Pushes[0], TimedOut)
+		assert.Equal(t, answered == 0, b.distrust.get(d.now, distrustHalf) > before, name)
+		assert.Empty(t, b.out, name)
+		assert.Zero(t, b.workOut, name)
+	}
+}
+
 // A rejecting backend answers quickly; without a rest it would draw ever more.
 func TestRejectingBackendRests(t *testing.T) {
 	d := sit(t, plain(), 2)
--- a/balance/types.go
+++ b/balance/types.go
@@ -1,5 +1,7 @@
 package balance
 
+import "slices"
+
 // Effect says what a category's ops allow after a push that may have run.
 type Effect uint8
 
@@ -83,9 +85,10 @@
 	Weight  float64
 	Started float64 // clock time of its latest start; 0 is long ago
 
-	out       []*Push // pushes not yet ended, oldest first
+	out       []*Push // pushes not yet ended, oldest first, without those overdue and overtaken
 	longs     int     // of those, the long ones
 	workOut   float64 // their work
+	heard     float64 // when the latest push was sent that has been answered
 	lingers   float64 // until then, work given up on may still run here
 	pace      pace
 	best      float64 // the lowest pace seen
@@ -99,6 +102,38 @@
 	known     bool    // the node has it among its backends
 }
 
+// take and drop keep count of what is out there; one dropped before it ends is not counted twice.
+func (b *Backend) take(now float64, p *Push) {
+	b.flow.tally(now, len(b.out) > 0)
+	b.out = append(b.out, p)
+	b.workOut += p.Op.work
+	if p.Op.long {
+		b.longs++
+	}
+}
+
+func (b *Backend) drop(now float64, p *Push) {
+	b.flow.tally(now, len(b.out) > 0)
+	if k := slices.Index(b.out, p); k >= 0 {
+		b.out = slices.Delete(b.out, k, k+1)
+		b.workOut -= p.Op.work
+		if p.Op.long {
+			b.longs--
+		}
+	}
+}
+
+// hear takes an answer. What is overdue by then and was sent before it does not occupy the backend: a connection fell
+// silent, or an answer stopped short, and it would keep room, drain and longs from the others until it timed out.
+func (b *Backend) hear(now float64, p *Push) {
+	b.heard = max(b.heard, p.SentAt)
+	for _, o := range slices.Clone(b.out) {
+		if o.overdue && o.overtaken() {
+			b.drop(now, o)
+		}
+	}
+}
+
 // past lets go of a backend that is gone for good: each decision would look at all there ever were. Until its cold
 // budget's window has passed, what it was sent counts, should it come back.
 func (b *Backend) past(now, window float64) bool {
@@ -207,6 +242,9 @@
 	ending  Ending
 }
 
+// overtaken tells that its backend has answered a push sent later: what is wrong is not the backend's.
+func (p *Push) overtaken() bool { return p.Backend.heard > p.SentAt }
+
 // Kind is what a decision asks the host to do.
 type Kind uint8
 
