Connections are not used again after an idle time at which they were seen to break

A trace of how long connections had been idle: new ones and those idle under 100 ms broke in 6.5% of the uses, those idle for 100 ms or more in 40%, with no end to be read before (peer.go, start, went by the told 15 s alone). Ruled out: closes seen too late, they break alike at 10 and at 50 ms. Now wear.go counts uses and breaks by idle time for each backend, halved every 20 s; where over a fifth broke, and two at least, connections idle for so long or longer are closed instead.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -17,7 +17,8 @@
 	r       *Reader
 	address string // dialled
 	used    bool
-	since   time.Time // idle since
+	since   time.Time     // idle since
+	rested  time.Duration // idle before its latest message
 }
 
 func newConn(c net.Conn, address string) *conn {
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -43,6 +43,7 @@
 	calls   int
 	closing bool
 	reap    *time.Timer
+	wear    wear
 	odd     rate.Sometimes // load reports that can't be read fill no log
 }
 
@@ -110,7 +111,8 @@
 			continue
 		}
 		p.idle = slices.Delete(p.idle, k, k+1)
-		if idle < p.terms.IdleFor && on.sound() {
+		if idle < p.terms.IdleFor && !p.wear.worn(idle) && on.sound() {
+			on.rested = idle
 			p.carry(c, on)
 			return
 		}
@@ -159,6 +161,9 @@
 }
 
 func (p *Peer) carried(c *Call, on *conn, out Outcome, fate fate) {
+	if on.used {
+		p.wear.used(on.rested, fate == unwritten || out.Ending == balance.Reset)
+	}
 	if fate == unwritten && on.used && !c.afresh { // an idle connection closed this moment; nothing has run
 		p.drop(on)
 		c.afresh = true
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -283,6 +283,36 @@
 	}
 }
 
+// Connections that break on the next message after a while are not used again after so long, until that is forgotten.
+func TestWornConnections(t *testing.T) {
+	var w wear
+	for range 2 * wornLeast {
+		w.used(150*time.Millisecond, true)
+	}
+	for idle, worn := range map[time.Duration]bool{20: false, 100: false, 130: true, 300: true, 20_000: true} {
+		assert.Equal(t, worn, w.worn(idle*time.Millisecond), idle)
+	}
+	for range 100 { // no more than at any other time
+		w.used(150*time.Millisecond, false)
+	}
+	assert.False(t, w.worn(150*time.Millisecond))
+
+	// The second of two messages on one connection breaks, twice; then each gets a connection of its own.
+	const hi = ok + "\r\nhi"
+	b := listen(t, hi, "END", hi, "END", hi, hi)
+	p, _ := peer(t, b.Addr().String())
+	for k, want := range []balance.Ending{balance.Answered, balance.Reset, balance.Answered, balance.Reset,
+		balance.Answered, balance.Answered} {
+		assert.Equal(t, want, (<-send(p, 10*time.Second)).Ending, k)
+		p.box.Put(func() {
+			for _, on := range p.idle {
+				on.since = on.since.Add(-200 * time.Millisecond)
+			}
+		})
+	}
+	assert.Len(t, b.conns, 4)
+}
+
 // A message written to a connection that the backend has closed ends as a reset that may have run.
 func TestClosedWhileIdle(t *testing.T) {
 	b := listen(t, ok+"\r\nhi", ok+"\r\nhi", ok+"\r\nhi")
