A node told to end serves on while clients come, as long as its last ops can be answered

Checked: the log's draining and ended lines against the windows; Drain closed idle connections at once and the listener after 0.5 s (front.go, Drain), though SIGKILL comes seconds later. Now a draining node answers its health check 503 and serves those who have connections until 0.7 s before all must be answered; it ends sooner when no op has come for 0.5 s. Then it asks clients to close as before.

--- a/cmd/pearknot/pearknot_test.go
+++ b/cmd/pearknot/pearknot_test.go
@@ -236,12 +236,13 @@
 	require.NoError(t, w.process.Process.Signal(syscall.SIGTERM))
 	paces := time.NewTicker(120 * time.Millisecond) // with gaps in which the listener's queue is empty
 	defer paces.Stop()
-	for n := 0; time.Since(begun) < 250*time.Millisecond; n++ {
+	for n := 0; time.Since(begun) < 1500*time.Millisecond; n++ {
 		<-paces.C
 		for name, client := range map[string]*http.Client{"kept": kept, "new": fresh()} {
-			status, _, _, err := w.ask(client, "GET", fmt.Sprint(name, n), "check", "2000")
+			status, _, header, err := w.ask(client, "GET", fmt.Sprint(name, n), "check", "2000")
 			require.NoError(t, err, name)
 			assert.Equal(t, 200, status, name)
+			assert.Empty(t, header.Get("Connection"), "they may have no other node yet")
 		}
 	}
 	assert.Equal(t, 502, <-slow, "it may have run, and the node can't wait")
--- a/cmd/pearknot/serve.go
+++ b/cmd/pearknot/serve.go
@@ -27,6 +27,7 @@
 	longestWait = 3000.0 // ms
 	killAfter   = 700.0
 	margin      = 300.0
+	lastOps     = 700.0 // of that time, for the ops taken last: most are answered sooner
 
 	shedEvery   = 100 * time.Millisecond // while clients wait for a descriptor
 	idleShare   = 0.8                    // of the time after which a backend closes idle connections
@@ -94,7 +95,7 @@
 	n.Drain(now.Now() + left)
 	last, cancel := context.WithTimeout(over, clock.Span(left+margin/3))
 	defer cancel()
-	unanswered := f.Drain(last)
+	unanswered := f.Drain(last, clock.Span(left-lastOps))
 	budget.Close()
 	n.Stop()
 	log.Info("ended", "unanswered", unanswered)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -37,8 +37,8 @@
 	// sooner, a client's op may be on its way, and fails with the connection if it is the first there.
 	idleAtLeast = 2 * time.Second
 
-	// clientsStillCome is how long new connections come after SIGTERM at most, and quiet how long the listener's
-	// queue must then have been empty before it closes.
+	// clientsStillCome is how long new connections come after SIGTERM at most, and how long a node without ops waits
+	// for one; quiet is how long the listener's queue must be empty before it closes.
 	oddEvery = time.Second // between two log lines of malformed ops
 
 	clientsStillCome = 500 * time.Millisecond
@@ -55,7 +55,9 @@
 
 	server   http.Server
 	listener *listener
-	draining atomic.Bool
+	leaving  atomic.Bool  // told to end: no client is to be sent here any more
+	draining atomic.Bool  // those who still come are asked to close
+	latest   atomic.Int64 // when an op came, Unix ms
 	open     atomic.Int64 // ops taken and not answered
 	served   chan struct{}
 	mu       sync.Mutex
@@ -102,12 +104,22 @@
 	return nil
 }
 
-// Drain goes on serving while clients still come, asks them to close, then takes no more and waits until all is
+// Drain goes on serving as long as clients come, for serveOn at most: those who have connections use them for as long as
+// these stay open, and may have no other node yet. Then it asks them to close, takes no more and waits until all is
 // answered or ctx ends. It tells how many ops are left without an answer.
-func (f *Front) Drain(ctx context.Context) int64 {
+func (f *Front) Drain(ctx context.Context, serveOn time.Duration) int64 {
+	f.leaving.Store(true)
+	f.latest.Store(time.Now().UnixMilli())
+	begun := time.Now()
+	for ; time.Since(begun) < serveOn; time.Sleep(quiet) {
+		silence := time.Since(time.UnixMilli(f.latest.Load()))
+		if time.Since(begun) > clientsStillCome && silence > clientsStillCome && f.open.Load() == 0 {
+			break
+		}
+	}
 	f.draining.Store(true)
 	f.shed(0) // while those who come back still find the listener
-	time.Sleep(clientsStillCome)
+	time.Sleep(quiet)
 	f.listener.drain()
 	select {
 	case <-f.served:
@@ -209,7 +221,7 @@
 func (f *Front) health(w http.ResponseWriter, c *client) {
 	select {
 	case <-f.node.Ready():
-		if !f.draining.Load() {
+		if !f.leaving.Load() {
 			f.write(w, c, http.StatusOK, []byte("ready\n"))
 			return
 		}
@@ -221,6 +233,7 @@
 // serve sees an op through to its one answer.
 func (f *Front) serve(w http.ResponseWriter, r *http.Request, c *client, op *node.Op) {
 	open := f.open.Add(1)
+	f.latest.Store(time.Now().UnixMilli())
 	defer f.open.Add(-1)
 	if most := int64(f.told.MostHeld); open > most && most > 0 {
 		full := node.Answer{Final: node.Nacked}
