One time at which the list is asked for: failures no longer multiply the asking

Seen in reading the module beside its timers: each failed call for the list set a due time of its own, and each that fell due set another for half of the time within which it must ask (balance.go, ListFailed and fallDue), so that a list out of reach is asked ever more often. Now askAt is the one time, set anew by each failure and each asking.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,8 +1,7 @@
 // Package balance decides what a node does with its ops: which backend gets a push, what is held, what is
-// given up. A host starts a Node with its Terms, tells it what happens through the inputs (Listed, Arrived,
-// Left, Begun, Ended, Due), which only update what is known, and after each batch pulls decisions with Next,
-// one by one, until there is none. The types that pass between host and node are in types.go; the bench's
-// wire is translated in internal/simwire. The ordinary path is CDA(c), see docs/design.md.
+// given up. A host starts a Node with its Terms, tells it what happens through the inputs, which only update
+// what is known, and after each batch pulls decisions with Next, one by one, until there is none. What passes
+// between the two is in types.go. The ordinary path is CDA(c), see docs/design.md.
 package balance
 
 import (
@@ -64,13 +63,14 @@
 	crowd    crowd          // how long pushes lately waited, by zone
 	warm     perPlace[took] // what a zone's warm backends take of this node's work
 	tracked  bool           // changes of the list come by themselves
+	askAt    float64        // when the list is asked for where they don't
 	failures int
 }
 
 // New starts a node; now is the host's clock.
 func New(t *Terms, now float64) *Node {
 	n := &Node{t: t, now: now, rng: newMWC(t.Seed), armed: math.Inf(1), sweepAt: now, weight: 1,
-		extra: extraMost / 2}
+		extra: extraMost / 2, askAt: math.Inf(1)}
 	for range 8 { // the first numbers follow the seed too closely
 		n.rng.unit()
 	}
@@ -83,7 +83,7 @@
 	}
 	if t.MustAsk {
 		// Nodes restarted together must not call the list's one service together.
-		n.at(due{at: now + 200*n.rng.unit()})
+		n.askAt = now + 200*n.rng.unit()
 	}
 	return n
 }
@@ -125,7 +125,7 @@
 	// Growing, spread waits: a service of fixed capacity must not meet a storm of repeats.
 	wait := math.Min(500*math.Exp2(float64(n.failures)), n.t.AskWithin/3)
 	n.failures++
-	n.at(due{at: now + wait*(0.5+n.rng.unit())})
+	n.askAt = now + wait*(0.5+n.rng.unit())
 	n.log("list call failed, %d in a row", n.failures)
 }
 
@@ -186,7 +186,7 @@
 	switch {
 	case how == Answered || how == TimedOut && !p.overtaken():
 		n.crowd.add(b.Zone, now, math.Max(0, elapsed-op.work*n.paceOf(b)))
-	case how == Rejected || how == NoConnection: // the queue there is as long as it can be, or the zone is cut off
+	case how == Rejected || how == NoConnection: // a queue as long as can be, or the zone is cut off
 		n.crowd.add(b.Zone, now, op.cat.TargetLatency)
 	}
 	switch how {
@@ -241,6 +241,9 @@
 			n.waiting = n.waiting[1:]
 			op.queued = false
 			n.decide(op)
+		case !n.tracked && n.now >= n.askAt:
+			n.askAt = n.now + n.t.AskWithin/2 // once more where no reply comes at all
+			n.out = append(n.out, Decision{Kind: DoWatch})
 		case len(n.due) > 0 && n.due[0].at <= n.now:
 			n.fallDue(heap.Pop(&n.due).(due))
 		case n.idle:
@@ -257,6 +260,9 @@
 			if len(n.due) > 0 {
 				at = math.Min(at, n.due[0].at)
 			}
+			if !n.tracked {
+				at = math.Min(at, n.askAt)
+			}
 			if at >= n.armed {
 				return Decision{}, false
 			}
@@ -424,9 +430,6 @@
 		}
 	case d.push != nil && d.push.out:
 		n.overdue(d.push)
-	case d.op == nil && d.push == nil && !n.tracked:
-		n.out = append(n.out, Decision{Kind: DoWatch})
-		n.at(due{at: n.now + n.t.AskWithin/2}) // asks again where no reply comes at all
 	}
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -384,6 +384,15 @@
 		last = d.now - asked
 	}
 	assert.Greater(t, last, 1000.0)
+	// A list that stays away must not be asked ever more often: each failure sets the one time anew.
+	asked := 0
+	for until := d.now + 120e3; d.now < until; {
+		if d.after(10).pull() == "watch" {
+			asked++
+			d.node.ListFailed(d.now)
+		}
+	}
+	assert.InDelta(t, 120e3/(terms.AskWithin/3), asked, 15)
 	d.node.Listed(d.now, nil, false, false)
 	assert.Empty(t, d.after(20e3).pull())
 }
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -195,7 +195,7 @@
 	at   float64
 	seq  uint64
 	op   *Op   // a held op's late send
-	push *Push // a push's patience; with neither, the list is to be asked for
+	push *Push // a push's patience
 }
 
 type dues []due
