Read through: malformed ops are logged outside the connections' lock, small tidying

The log line of malformed ops was written under the lock that each connection's state takes (front.go, sayOdd): the count is an atomic of its own now. A connection's idle time was worked out twice for each push (conn.go, exchange): the one that chose the connection serves the log. A comment stood over another constant, a switch of two cases is an if (front.go, framing.go). No behaviour is meant to change; the tests are as they were and pass, with -race for these packages.

--- a/internal/front/framing.go
+++ b/internal/front/framing.go
@@ -73,13 +73,13 @@
 	name, value, _ := strings.Cut(line, ":")
 	switch {
 	case whole && (line == "" || line == "\r"):
-		switch f.ambiguous = f.ambiguous || f.sized && f.coded; {
-		case f.last:
+		f.ambiguous = f.ambiguous || f.sized && f.coded
+		if f.last {
 			f.stage = astray
-		default:
-			f.stage = body
-			f.bodyEnds()
+			return
 		}
+		f.stage = body
+		f.bodyEnds()
 	case strings.EqualFold(name, "Transfer-Encoding"):
 		f.coded, f.last = true, true
 	case strings.EqualFold(name, "Content-Length"):
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -37,10 +37,10 @@
 	// sooner, a client's op may be on its way, and fails with the connection if it is the first there.
 	idleAtLeast = 2 * time.Second
 
-	// clientsStillCome is how long new connections come after SIGTERM at most, and how long a node without ops waits
-	// for one; quiet is how long the listener's queue must be empty before it closes.
 	oddEvery = time.Second // between two log lines of malformed ops
 
+	// clientsStillCome is how long new connections come after SIGTERM at most, and how long a node without ops waits
+	// for one; quiet is how long the listener's queue must be empty before it closes.
 	clientsStillCome = 500 * time.Millisecond
 	quiet            = 50 * time.Millisecond
 )
@@ -64,7 +64,7 @@
 	between  map[net.Conn]time.Time // connections without an op, and since when
 	ids      map[string]struct{}    // of the ops taken and not answered
 	odd      rate.Sometimes         // what odd clients send fills no log
-	unsaid   int                    // odd ops since the last line of the log
+	unsaid   atomic.Int64           // odd ops since the last line of the log
 }
 
 func New(n *node.Node, told *terms.Deployment, c *clock.Clock, budget *sockets.Budget, log *slog.Logger) *Front {
@@ -209,13 +209,8 @@
 
 // sayOdd logs a malformed op now and then, with how many there were.
 func (f *Front) sayOdd(why string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.unsaid++
-	f.odd.Do(func() {
-		f.log.Warn("op malformed", "error", why, "since_last", f.unsaid)
-		f.unsaid = 0
-	})
+	f.unsaid.Add(1)
+	f.odd.Do(func() { f.log.Warn("op malformed", "error", why, "since_last", f.unsaid.Swap(0)) })
 }
 
 func (f *Front) health(w http.ResponseWriter, c *client) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -67,7 +67,6 @@
 	if !p.open.Load() { // the list said so while the connection came up
 		return Outcome{Ending: balance.NotSent}, kept
 	}
-	idle := time.Since(on.since)
 	ctx, left, ok := c.begin(on)
 	if !ok {
 		return Outcome{Ending: balance.NotSent}, kept
@@ -98,7 +97,7 @@
 			return Outcome{Ending: balance.TimedOut}, dropped
 		}
 		p.terms.Log.Debug("reply broke", "backend", p.name, "error", err, "reused", on.used,
-			"idle_ms", idle.Milliseconds())
+			"idle_ms", on.rested.Milliseconds())
 		return Outcome{Ending: balance.Reset}, dropped
 	}
 	reply.room, reply.held = p.terms.Long, held
