--- /dev/null
+++ b/internal/rules/events.go
@@ -0,0 +1,153 @@
+// Package rules judges whether the four rules were kept: no op lost, no effect twice, nothing new to a backend
+// after its drain grace, no cold backend pushed over. It does no I/O and knows nothing of the program judged: a
+// host tells it what was seen from outside, event by event, and it answers with the breaches, each with the
+// events that prove it. What the rules say stands in docs/lab.md.
+package rules
+
+import (
+	"fmt"
+	"strings"
+
+	"pearknot/balance"
+)
+
+// Kind tells what was seen.
+type Kind uint8
+
+const (
+	// OpTaken: a live node has an op's last byte. Node, Op, Category, GiveUp.
+	OpTaken Kind = iota
+	// OpAnswered: the op's final answer. Node, Op, Final; where acked, Push or AnyPush.
+	OpAnswered
+	// OpLeft: the op's client is gone, and no answer is owed any more. Op.
+	OpLeft
+	// PushBegun: a push's first byte came to a backend. Node, Op, Push, Backend, Work.
+	PushBegun
+	// PushEnded: how the push ended. Op, Push, Ending.
+	PushEnded
+	// PushRan: the backend has begun the work, whatever became of the answer. Op, Push, Backend.
+	PushRan
+	// ListTold: a node was told of a backend's state. Node, Backend, State.
+	ListTold
+	// BackendStarted: a backend's process. Backend, Started, Speed, Zone, Cell.
+	BackendStarted
+	// BackendRetired: the backend will never be named again, and its number neither. Backend.
+	BackendRetired
+	// NodeKilled: the node's process is gone without warning, and what it had taken with it. Node.
+	NodeKilled
+)
+
+var kinds = [...]string{"op taken", "op answered", "op left", "push begun", "push ended", "push ran", "list told",
+	"backend started", "backend retired", "node killed"}
+
+func (k Kind) String() string {
+	if int(k) < len(kinds) {
+		return kinds[k]
+	}
+	return fmt.Sprintf("kind %d", uint8(k))
+}
+
+// Final is a final answer.
+type Final uint8
+
+const (
+	Acked Final = iota
+	Nacked
+	DeadLettered
+)
+
+func (f Final) String() string { return [...]string{"acked", "nacked", "dead-lettered"}[f] }
+
+// AnyPush stands for a push where the host can't tell which of an op's made the answer.
+const AnyPush = -1
+
+// Event is one thing seen. Times are in ms on one clock; numbers name nodes, backends and ops through a whole run.
+type Event struct {
+	At       float64
+	Kind     Kind
+	Final    Final
+	Ending   balance.Ending
+	State    balance.State
+	Node     int
+	Backend  int
+	Push     int // from 0 in each op
+	Category int
+	Zone     int
+	Cell     int
+	Op       uint64
+	GiveUp   float64 // when the op's TTL ends
+	Work     float64 // ms of a standard core
+	Started  float64 // 0 is long ago
+	Speed    float64 // of all cores together, warm, in standard cores
+}
+
+func (e Event) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%.1f %s", e.At, e.Kind)
+	switch e.Kind {
+	case OpTaken:
+		fmt.Fprintf(&b, " op %d node %d category %d until %.1f", e.Op, e.Node, e.Category, e.GiveUp)
+	case OpAnswered:
+		fmt.Fprintf(&b, " op %d node %d %s", e.Op, e.Node, e.Final)
+	case OpLeft:
+		fmt.Fprintf(&b, " op %d", e.Op)
+	case PushBegun:
+		fmt.Fprintf(&b, " op %d push %d node %d backend %d work %.1f", e.Op, e.Push, e.Node, e.Backend, e.Work)
+	case PushEnded:
+		fmt.Fprintf(&b, " op %d push %d %s", e.Op, e.Push, endings[e.Ending])
+	case PushRan:
+		fmt.Fprintf(&b, " op %d push %d backend %d", e.Op, e.Push, e.Backend)
+	case ListTold:
+		fmt.Fprintf(&b, " node %d backend %d %s", e.Node, e.Backend, [...]string{"gone", "draining", "ready"}[e.State])
+	case BackendStarted, BackendRetired:
+		fmt.Fprintf(&b, " backend %d", e.Backend)
+	case NodeKilled:
+		fmt.Fprintf(&b, " node %d", e.Node)
+	}
+	return b.String()
+}
+
+var endings = [...]string{"answered", "failed", "rejected", "timed out", "no connection", "reset", "revoked", "not sent"}
+
+// Rule is one of the four.
+type Rule uint8
+
+const (
+	NoOpLost      Rule = 1
+	NoEffectTwice Rule = 2
+	DrainsKept    Rule = 3
+	ColdStarts    Rule = 4
+)
+
+func (r Rule) String() string {
+	return [...]string{"", "no op lost", "no effect twice", "drains kept", "cold starts"}[r]
+}
+
+// Breach is one rule broken once, with the events that prove it, oldest first.
+type Breach struct {
+	Rule     Rule
+	At       float64
+	What     string
+	Evidence []Event
+}
+
+func (b Breach) String() string {
+	lines := []string{fmt.Sprintf("rule %d (%s) at %.1f ms: %s", b.Rule, b.Rule, b.At, b.What)}
+	for _, e := range b.Evidence {
+		lines = append(lines, "    "+e.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Terms are the figures of the rules.
+type Terms struct {
+	Categories   []balance.Category
+	MaxPushes    int  // 0 is no limit
+	SecondCopies bool // a push may go out while another of the op's is
+	DrainGrace   float64
+	ColdFrom     float64 // share of its capacity that a backend starts with
+	WarmWithin   float64
+	FallMultiple float64 // of what it can do at that moment
+	OverloadFor  float64
+	Slack        float64 // for what the host sees late: 0 in virtual time
+}
--- /dev/null
+++ b/internal/rules/rules.go
@@ -0,0 +1,396 @@
+package rules
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+
+	"pearknot/balance"
+)
+
+const (
+	mostKept     = 50 // breaches kept whole; the rest are counted
+	mostEvidence = 48 // events kept of one op: a host that pushes without end fills no memory
+
+	// An answer of the node's own that comes this late in the op's time, this long after the last push ended, was
+	// sat on. Late sends go out at three quarters of the time to target, so that what is held fairly ends sooner.
+	satOnFrom = 0.9
+	satOnFor  = 0.1
+)
+
+// Auditor takes events in the order of time. It keeps what is open, and of each op what happened until its TTL
+// ends; so its memory is bounded by the rate of ops times the longest TTL, whatever the length of the day.
+type Auditor struct {
+	t        Terms
+	now      float64
+	ops      map[uint64]*op
+	due      dues
+	backends map[int]*backend
+	told     map[pair]Event // of backends that drain or are gone: the news, as each node first had it
+	breaches []Breach
+	counts   [5]int
+	taken    int
+}
+
+type pair struct{ node, backend int }
+
+type op struct {
+	id       uint64
+	node     int
+	category int
+	taken    float64
+	giveUp   float64
+	closed   bool // answered, left, or gone with its node
+	answered bool
+	left     bool
+	ran      int
+	quiet    float64 // when the latest push ended, or the op came
+	pushes   []push
+	events   []Event
+}
+
+type push struct {
+	number  int
+	backend int
+	at      float64
+	out     bool
+	ending  balance.Ending
+}
+
+func (p push) mayHaveRun() bool { return p.out || !p.ending.NeverRan() }
+
+type backend struct {
+	started float64
+	speed   float64
+	zone    int
+	cell    int
+	spent   []Event // pushes within the window, while it is cold
+	work    float64 // their sum
+	fallen  bool    // one breach for each start
+}
+
+// New makes an auditor.
+func New(t Terms) *Auditor {
+	return &Auditor{t: t, now: math.Inf(-1), ops: map[uint64]*op{}, backends: map[int]*backend{}, told: map[pair]Event{}}
+}
+
+// Feed takes an event. One that is older than the latest counts as it stands, but turns no clock back.
+func (a *Auditor) Feed(e Event) {
+	a.advance(e.At)
+	switch e.Kind {
+	case OpTaken:
+		a.take(e)
+	case OpAnswered:
+		a.answer(e)
+	case OpLeft:
+		if o := a.ops[e.Op]; o != nil && !o.closed {
+			o.note(e)
+			o.closed, o.left = true, true
+		}
+	case PushBegun:
+		a.begin(e)
+	case PushEnded:
+		a.end(e)
+	case PushRan:
+		a.run(e)
+	case ListTold:
+		at := pair{e.Node, e.Backend}
+		if e.State == balance.Ready {
+			delete(a.told, at)
+		} else if _, known := a.told[at]; !known {
+			a.told[at] = e // told again is no new grace
+		}
+	case BackendStarted:
+		a.backends[e.Backend] = &backend{started: e.Started, speed: e.Speed, zone: e.Zone, cell: e.Cell}
+	case BackendRetired:
+		delete(a.backends, e.Backend)
+		for at := range a.told {
+			if at.backend == e.Backend {
+				delete(a.told, at)
+			}
+		}
+	case NodeKilled:
+		for _, o := range a.ops {
+			if o.node == e.Node {
+				o.closed, o.left = true, true
+			}
+		}
+		for at := range a.told { // the next process knows only what it is told itself
+			if at.node == e.Node {
+				delete(a.told, at)
+			}
+		}
+	}
+}
+
+// Finish tells that no event comes any more; what is still owed by then is lost.
+func (a *Auditor) Finish(now float64) {
+	a.advance(now)
+	for len(a.due) > 0 {
+		a.expire(heap.Pop(&a.due).(*op))
+	}
+}
+
+// Breaches are the first ones, whole.
+func (a *Auditor) Breaches() []Breach { return a.breaches }
+
+// Count tells how often a rule was broken.
+func (a *Auditor) Count(r Rule) int { return a.counts[r] }
+
+// Kept tells that no rule was broken.
+func (a *Auditor) Kept() bool { return a.counts == [5]int{} }
+
+// Taken is the number of ops judged.
+func (a *Auditor) Taken() int { return a.taken }
+
+// Open is the number of ops in memory.
+func (a *Auditor) Open() int { return len(a.ops) }
+
+// Verdict is one line.
+func (a *Auditor) Verdict() string {
+	if a.Kept() {
+		return fmt.Sprintf("rules kept: %d ops judged", a.taken)
+	}
+	return fmt.Sprintf("rules broken: no op lost %d, no effect twice %d, drains kept %d, cold starts %d, of %d ops judged",
+		a.counts[NoOpLost], a.counts[NoEffectTwice], a.counts[DrainsKept], a.counts[ColdStarts], a.taken)
+}
+
+func (a *Auditor) breach(r Rule, evidence []Event, format string, args ...any) {
+	a.counts[r]++
+	if len(a.breaches) < mostKept {
+		a.breaches = append(a.breaches, Breach{Rule: r, At: a.now, What: fmt.Sprintf(format, args...),
+			Evidence: append([]Event{}, evidence...)})
+	}
+}
+
+func (a *Auditor) advance(now float64) {
+	a.now = math.Max(a.now, now)
+	for len(a.due) > 0 && a.due[0].giveUp+a.t.Slack < a.now {
+		a.expire(heap.Pop(&a.due).(*op))
+	}
+}
+
+// expire ends an op's time: it must have been answered by then, and is forgotten.
+func (a *Auditor) expire(o *op) {
+	if !o.closed {
+		a.breach(NoOpLost, o.events, "op %d has no final answer by its TTL's end at %.1f", o.id, o.giveUp)
+	}
+	if a.ops[o.id] == o {
+		delete(a.ops, o.id)
+	}
+}
+
+func (a *Auditor) take(e Event) {
+	if a.ops[e.Op] != nil {
+		a.breach(NoOpLost, append(a.ops[e.Op].events, e), "op %d taken twice", e.Op)
+		return
+	}
+	if e.Category < 0 || e.Category >= len(a.t.Categories) {
+		a.breach(NoOpLost, []Event{e}, "op %d of category %d, which the terms don't name", e.Op, e.Category)
+		return
+	}
+	a.taken++
+	o := &op{id: e.Op, node: e.Node, category: e.Category, taken: e.At, quiet: e.At, giveUp: e.GiveUp}
+	o.note(e)
+	a.ops[e.Op] = o
+	heap.Push(&a.due, o)
+}
+
+func (o *op) note(e Event) {
+	if len(o.events) < mostEvidence {
+		o.events = append(o.events, e)
+	}
+}
+
+// firstMayHaveRun gives the first push that is not proven never to have run.
+func (o *op) firstMayHaveRun() *push {
+	for i := range o.pushes {
+		if o.pushes[i].mayHaveRun() {
+			return &o.pushes[i]
+		}
+	}
+	return nil
+}
+
+func (a *Auditor) answer(e Event) {
+	o := a.ops[e.Op]
+	if o == nil {
+		a.breach(NoOpLost, []Event{e}, "op %d %s, though it is not open: answered before, never taken, or past its TTL", e.Op, e.Final)
+		return
+	}
+	o.note(e)
+	if o.answered {
+		a.breach(NoOpLost, o.events, "op %d has a second final answer", e.Op)
+		return
+	}
+	if o.left { // what crosses a client's leaving, or its node's end, is nobody's
+		return
+	}
+	o.closed, o.answered = true, true
+	if e.At > o.giveUp+a.t.Slack {
+		a.breach(NoOpLost, o.events, "op %d %s %.1f ms after its TTL's end", e.Op, e.Final, e.At-o.giveUp)
+	}
+	if e.Final == Acked {
+		made := false
+		for _, p := range o.pushes {
+			made = made || !p.out && p.ending == balance.Answered && (e.Push == AnyPush || e.Push == p.number)
+		}
+		if !made {
+			a.breach(NoOpLost, o.events, "op %d acked with an answer that no backend made", e.Op)
+		}
+		return
+	}
+	out, life := false, o.giveUp-o.taken
+	for _, p := range o.pushes {
+		out = out || p.out
+	}
+	if !out && e.At-o.taken > satOnFrom*life && e.At-o.quiet > satOnFor*life+a.t.Slack {
+		a.breach(NoOpLost, o.events, "op %d %s %.1f ms after its last push ended: sat on until its TTL was near", e.Op,
+			e.Final, e.At-o.quiet)
+	}
+	c := &a.t.Categories[o.category]
+	if e.Final == Nacked && o.firstMayHaveRun() != nil && (c.Effect == balance.AtMostOnce ||
+		c.Effect == balance.Deduplicated && c.Group != balance.GroupAll) {
+		a.breach(NoEffectTwice, o.events, "op %d nacked after a push that may have run: its client would send it again", e.Op)
+	}
+}
+
+func (a *Auditor) begin(e Event) {
+	a.drained(e)
+	a.cold(e)
+	o := a.ops[e.Op]
+	if o == nil {
+		a.breach(NoOpLost, []Event{e}, "op %d pushed to backend %d, though it is not open: past its TTL, or never taken", e.Op, e.Backend)
+		return
+	}
+	o.note(e)
+	if o.answered {
+		a.breach(NoOpLost, o.events, "op %d pushed to backend %d after its final answer", e.Op, e.Backend)
+	}
+	if e.At > o.giveUp+a.t.Slack {
+		a.breach(NoOpLost, o.events, "op %d pushed to backend %d after its TTL's end", e.Op, e.Backend)
+	}
+	if a.t.MaxPushes > 0 && len(o.pushes) >= a.t.MaxPushes {
+		a.breach(NoEffectTwice, o.events, "op %d pushed %d times, %d allowed", e.Op, len(o.pushes)+1, a.t.MaxPushes)
+	}
+	a.again(o, e)
+	o.pushes = append(o.pushes, push{number: e.Push, backend: e.Backend, at: e.At, out: true})
+	if len(o.pushes) > mostEvidence {
+		o.pushes = o.pushes[1:]
+	}
+}
+
+// again judges a further push by what the earlier ones may have done.
+func (a *Auditor) again(o *op, e Event) {
+	first := o.firstMayHaveRun()
+	if first == nil {
+		return
+	}
+	c := &a.t.Categories[o.category]
+	if c.Effect == balance.AtMostOnce {
+		a.breach(NoEffectTwice, o.events, "at-most-once op %d pushed again, though push %d may have run", o.id, first.number)
+		return
+	}
+	if !a.t.SecondCopies {
+		for _, p := range o.pushes {
+			if p.out {
+				a.breach(NoEffectTwice, o.events, "op %d pushed while push %d is out, where no second copies are allowed", o.id, p.number)
+				return
+			}
+		}
+	}
+	if c.Effect != balance.Deduplicated {
+		return
+	}
+	was, is := a.backends[first.backend], a.backends[e.Backend]
+	switch {
+	case e.At-first.at >= c.Remembered+a.t.Slack:
+		a.breach(NoEffectTwice, o.events, "deduplicated op %d pushed again after %.1f ms, its mark is kept for %.1f", o.id, e.At-first.at, c.Remembered)
+	case c.Group == balance.GroupAll:
+	case was == nil || is == nil:
+		a.breach(NoEffectTwice, o.events, "deduplicated op %d pushed again to a backend of an unknown group", o.id)
+	case c.Group == balance.GroupZone && was.zone != is.zone || c.Group == balance.GroupCell && was.cell != is.cell:
+		a.breach(NoEffectTwice, o.events, "deduplicated op %d pushed again outside its group", o.id)
+	}
+}
+
+func (a *Auditor) end(e Event) {
+	o := a.ops[e.Op]
+	if o == nil { // an ending may come after the op's time
+		return
+	}
+	o.note(e)
+	for i := range o.pushes {
+		if p := &o.pushes[i]; p.number == e.Push && p.out {
+			p.out, p.ending = false, e.Ending
+			o.quiet = e.At
+			return
+		}
+	}
+}
+
+// run counts what really happened: the effect itself, whatever proofs the node had.
+func (a *Auditor) run(e Event) {
+	o := a.ops[e.Op]
+	if o == nil {
+		return
+	}
+	o.note(e)
+	if o.ran++; o.ran > 1 && a.t.Categories[o.category].Effect == balance.AtMostOnce {
+		a.breach(NoEffectTwice, o.events, "at-most-once op %d ran %d times", e.Op, o.ran)
+	}
+}
+
+func (a *Auditor) drained(e Event) {
+	news, told := a.told[pair{e.Node, e.Backend}]
+	if told && e.At > news.At+a.t.DrainGrace+a.t.Slack {
+		a.breach(DrainsKept, []Event{news, e}, "backend %d got a push from node %d %.1f ms after that node was told", e.Backend,
+			e.Node, e.At-news.At)
+	}
+}
+
+// cold adds up what all nodes together sent in the window that ends now.
+func (a *Auditor) cold(e Event) {
+	b := a.backends[e.Backend]
+	if b == nil {
+		a.breach(DrainsKept, []Event{e}, "push to backend %d, which was never started or is retired", e.Backend)
+		return
+	}
+	age := e.At - b.started
+	if b.started <= 0 || age >= a.t.WarmWithin {
+		b.spent = nil
+		return
+	}
+	for len(b.spent) > 0 && b.spent[0].At <= e.At-a.t.OverloadFor {
+		b.work -= b.spent[0].Work
+		b.spent = b.spent[1:]
+	}
+	b.spent = append(b.spent, e)
+	b.work += e.Work
+	warm := a.t.ColdFrom + (1-a.t.ColdFrom)*math.Max(age, 0)/a.t.WarmWithin
+	if most := a.t.FallMultiple * warm * b.speed * a.t.OverloadFor; b.work > most && !b.fallen {
+		b.fallen = true
+		nodes := map[int]bool{}
+		for _, s := range b.spent {
+			nodes[s.Node] = true
+		}
+		a.breach(ColdStarts, b.spent[max(0, len(b.spent)-mostEvidence):],
+			"backend %d, started %.1f ms ago, was sent %.1f ms of work in %.1f ms by %d nodes, and stands %.1f", e.Backend, age,
+			b.work, a.t.OverloadFor, len(nodes), most)
+	}
+}
+
+// dues orders ops by the end of their time.
+type dues []*op
+
+func (d dues) Len() int           { return len(d) }
+func (d dues) Less(i, j int) bool { return d[i].giveUp < d[j].giveUp }
+func (d dues) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+func (d *dues) Push(x any)        { *d = append(*d, x.(*op)) }
+func (d *dues) Pop() any {
+	last := len(*d) - 1
+	x := (*d)[last]
+	(*d)[last] = nil
+	*d = (*d)[:last]
+	return x
+}
--- /dev/null
+++ b/internal/rules/rules_test.go
@@ -0,0 +1,339 @@
+package rules
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"pearknot/balance"
+)
+
+const (
+	any0 = iota // redeliverable
+	once
+	zoned // deduplicated within a zone
+	everywhere
+)
+
+func terms() Terms {
+	return Terms{MaxPushes: 3, SecondCopies: true, DrainGrace: 500, ColdFrom: 0.25, WarmWithin: 8000, FallMultiple: 4,
+		OverloadFor: 2000, Categories: []balance.Category{
+			{}, {Effect: balance.AtMostOnce},
+			{Effect: balance.Deduplicated, Group: balance.GroupZone, Remembered: 300},
+			{Effect: balance.Deduplicated, Group: balance.GroupAll, Remembered: 300}}}
+}
+
+// host is a stream of events as a host would tell them: backends 1 and 2 in zone 0, 3 in zone 1, all long warm.
+type host struct {
+	*Auditor
+	now float64
+}
+
+func newHost(t Terms) *host {
+	h := &host{New(t), 10e3}
+	for b, zone := range []int{0, 0, 0, 1} {
+		h.at(0, Event{Kind: BackendStarted, Backend: b, Zone: zone, Cell: b, Speed: 1})
+	}
+	return h
+}
+
+func (h *host) at(after float64, e Event) *host {
+	h.now += after
+	e.At = h.now
+	h.Feed(e)
+	return h
+}
+
+func (h *host) take(op uint64, category int) *host {
+	return h.at(0, Event{Kind: OpTaken, Op: op, Category: category, GiveUp: h.now + 1000})
+}
+
+func (h *host) push(after float64, op uint64, number, backend int) *host {
+	return h.at(after, Event{Kind: PushBegun, Op: op, Push: number, Backend: backend, Work: 10})
+}
+
+func (h *host) end(after float64, op uint64, number int, how balance.Ending) *host {
+	return h.at(after, Event{Kind: PushEnded, Op: op, Push: number, Ending: how})
+}
+
+func (h *host) final(after float64, op uint64, f Final) *host {
+	return h.at(after, Event{Kind: OpAnswered, Op: op, Final: f, Push: AnyPush})
+}
+
+func (h *host) told(after float64, node, backend int, s balance.State) *host {
+	return h.at(after, Event{Kind: ListTold, Node: node, Backend: backend, State: s})
+}
+
+func (h *host) done() [5]int {
+	h.now += 1e5
+	h.Finish(h.now)
+	return h.counts
+}
+
+// Each faulty host breaks one rule in the way that tempts; its sound twin has the same shape and breaks none.
+func TestFaultyHosts(t *testing.T) {
+	flood := func(h *host, nodes int, each float64) {
+		h.at(0, Event{Kind: BackendStarted, Backend: 1, Started: h.now, Speed: 1})
+		for n := range nodes {
+			op := uint64(n + 1)
+			h.take(op, any0).at(0.01, Event{Kind: PushBegun, Op: op, Node: n, Backend: 1, Work: each})
+			h.end(0, op, 0, balance.Answered).final(0, op, Acked)
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		rule   Rule
+		faulty func(*host)
+		sound  func(*host)
+	}{
+		{"answer late", NoOpLost,
+			func(h *host) { h.take(1, any0).push(0, 1, 0, 1).end(1001, 1, 0, balance.TimedOut).final(0, 1, Nacked) },
+			func(h *host) { h.take(1, any0).push(0, 1, 0, 1).end(999, 1, 0, balance.TimedOut).final(0, 1, Nacked) }},
+		{"no answer", NoOpLost,
+			func(h *host) { h.take(1, any0).push(0, 1, 0, 1).end(5, 1, 0, balance.Answered) },
+			func(h *host) { h.take(1, any0).push(0, 1, 0, 1).at(5, Event{Kind: OpLeft, Op: 1}) }},
+		{"node killed elsewhere", NoOpLost,
+			func(h *host) { h.take(1, any0).at(5, Event{Kind: NodeKilled, Node: 1}) },
+			func(h *host) { h.take(1, any0).at(5, Event{Kind: NodeKilled, Node: 0}) }},
+		{"two answers", NoOpLost,
+			func(h *host) {
+				h.take(1, any0).push(0, 1, 0, 1).end(5, 1, 0, balance.Answered).final(0, 1, Acked).final(3, 1, Nacked)
+			},
+			func(h *host) {
+				h.take(1, any0).push(0, 1, 0, 1).end(5, 1, 0, balance.Answered).final(0, 1, Acked).take(2, any0).final(3, 2, Nacked)
+			}},
+		{"answer made up", NoOpLost,
+			func(h *host) { h.take(1, any0).push(0, 1, 0, 1).end(5, 1, 0, balance.Failed).final(0, 1, Acked) },
+			func(h *host) { h.take(1, any0).push(0, 1, 0, 1).end(5, 1, 0, balance.Answered).final(0, 1, Acked) }},
+		{"sat on until near the TTL", NoOpLost,
+			func(h *host) { h.take(1, any0).push(0, 1, 0, 1).end(5, 1, 0, balance.Rejected).final(980, 1, Nacked) },
+			func(h *host) { h.take(1, any0).push(0, 1, 0, 1).end(975, 1, 0, balance.TimedOut).final(5, 1, Nacked) }},
+		{"pushed after the answer", NoOpLost,
+			func(h *host) {
+				h.take(1, any0).push(0, 1, 0, 1).end(5, 1, 0, balance.Failed).final(0, 1, Nacked).push(1, 1, 1, 2)
+			},
+			func(h *host) {
+				h.take(1, any0).push(0, 1, 0, 1).end(5, 1, 0, balance.Failed).push(1, 1, 1, 2).final(1, 1, Nacked)
+			}},
+		{"pushed after the TTL", NoOpLost,
+			func(h *host) { h.take(1, any0).at(990, Event{Kind: OpLeft, Op: 1}).push(20, 1, 0, 1) },
+			func(h *host) { h.take(1, any0).at(90, Event{Kind: OpLeft, Op: 1}).push(1, 1, 0, 1) }},
+		{"at-most-once sent again after a reset", NoEffectTwice,
+			func(h *host) {
+				h.take(1, once).push(0, 1, 0, 1).end(5, 1, 0, balance.Reset).push(0, 1, 1, 2).end(5, 1, 1, balance.Answered).final(0, 1, Acked)
+			},
+			func(h *host) {
+				h.take(1, once).push(0, 1, 0, 1).end(5, 1, 0, balance.NoConnection).push(0, 1, 1, 2).end(5, 1, 1, balance.Answered).final(0, 1, Acked)
+			}},
+		{"at-most-once copied while out", NoEffectTwice,
+			func(h *host) { h.take(1, once).push(0, 1, 0, 1).push(100, 1, 1, 2).final(100, 1, DeadLettered) },
+			func(h *host) { h.take(1, any0).push(0, 1, 0, 1).push(100, 1, 1, 2).final(100, 1, DeadLettered) }},
+		{"at-most-once ran twice, whatever was proven", NoEffectTwice,
+			func(h *host) {
+				h.take(1, once).push(0, 1, 0, 1).at(0, Event{Kind: PushRan, Op: 1}).end(5, 1, 0, balance.Rejected)
+				h.push(0, 1, 1, 2).at(0, Event{Kind: PushRan, Op: 1, Push: 1}).end(5, 1, 1, balance.Answered).final(0, 1, Acked)
+			},
+			func(h *host) {
+				h.take(1, once).push(0, 1, 0, 1).end(5, 1, 0, balance.Rejected)
+				h.push(0, 1, 1, 2).at(0, Event{Kind: PushRan, Op: 1, Push: 1}).end(5, 1, 1, balance.Answered).final(0, 1, Acked)
+			}},
+		{"nack after a push that may have run", NoEffectTwice,
+			func(h *host) { h.take(1, once).push(0, 1, 0, 1).end(5, 1, 0, balance.Reset).final(0, 1, Nacked) },
+			func(h *host) { h.take(1, once).push(0, 1, 0, 1).end(5, 1, 0, balance.Reset).final(0, 1, DeadLettered) }},
+		{"nack while a push is out", NoEffectTwice,
+			func(h *host) { h.take(1, zoned).push(0, 1, 0, 1).final(5, 1, Nacked) },
+			func(h *host) { h.take(1, everywhere).push(0, 1, 0, 1).final(5, 1, Nacked) }},
+		{"deduplicated outside its group", NoEffectTwice,
+			func(h *host) { h.take(1, zoned).push(0, 1, 0, 1).push(50, 1, 1, 3).final(1, 1, DeadLettered) },
+			func(h *host) { h.take(1, zoned).push(0, 1, 0, 1).push(50, 1, 1, 2).final(1, 1, DeadLettered) }},
+		{"deduplicated and forgotten", NoEffectTwice,
+			func(h *host) { h.take(1, everywhere).push(0, 1, 0, 1).push(300, 1, 1, 3).final(1, 1, Nacked) },
+			func(h *host) { h.take(1, everywhere).push(0, 1, 0, 1).push(299, 1, 1, 3).final(1, 1, Nacked) }},
+		{"one push too many", NoEffectTwice,
+			func(h *host) {
+				h.take(1, any0).push(0, 1, 0, 1).push(1, 1, 1, 2).push(1, 1, 2, 3).push(1, 1, 3, 0).final(1, 1, Nacked)
+			},
+			func(h *host) { h.take(1, any0).push(0, 1, 0, 1).push(1, 1, 1, 2).push(1, 1, 2, 3).final(1, 1, Nacked) }},
+		{"past the drain grace", DrainsKept,
+			func(h *host) {
+				h.told(0, 0, 1, balance.Draining).take(1, any0).push(501, 1, 0, 1).final(0, 1, DeadLettered)
+			},
+			func(h *host) {
+				h.told(0, 0, 1, balance.Draining).take(1, any0).push(499, 1, 0, 1).final(0, 1, DeadLettered)
+			}},
+		{"told again is no new grace", DrainsKept,
+			func(h *host) {
+				h.told(0, 0, 1, balance.Draining).told(400, 0, 1, balance.Gone).take(1, any0).push(200, 1, 0, 1).final(0, 1, Nacked)
+			},
+			func(h *host) {
+				h.told(0, 0, 1, balance.Draining).told(400, 0, 1, balance.Ready).take(1, any0).push(200, 1, 0, 1).final(0, 1, Nacked)
+			}},
+		{"a restarted node is told anew", DrainsKept,
+			func(h *host) {
+				h.told(0, 0, 1, balance.Gone).take(1, any0).push(600, 1, 0, 1).final(0, 1, Nacked)
+			},
+			func(h *host) {
+				h.told(0, 0, 1, balance.Gone).at(1, Event{Kind: NodeKilled}).take(1, any0).push(600, 1, 0, 1).final(0, 1, Nacked)
+			}},
+		{"retired backend", DrainsKept,
+			func(h *host) {
+				h.at(0, Event{Kind: BackendRetired, Backend: 1}).take(1, any0).push(0, 1, 0, 1).final(0, 1, Nacked)
+			},
+			func(h *host) {
+				h.at(0, Event{Kind: BackendRetired, Backend: 1}).take(1, any0).push(0, 1, 0, 2).final(0, 1, Nacked)
+			}},
+		// Cold, it stands 4 x 0.25 x 2000 = 2000 ms of work: a floor of one op of 30 ms for each node is no bound at all.
+		{"each node within a floor of one", ColdStarts,
+			func(h *host) { flood(h, 100, 30) }, func(h *host) { flood(h, 100, 15) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHost(terms())
+			c.faulty(h)
+			counts := h.done()
+			assert.Positive(t, counts[c.rule], "not caught")
+			require.NotEmpty(t, h.Breaches())
+			b := h.Breaches()[0]
+			assert.Equal(t, c.rule, b.Rule, b)
+			assert.NotEmpty(t, b.Evidence)
+			assert.Contains(t, h.Verdict(), "broken")
+			h = newHost(terms())
+			c.sound(h)
+			assert.Equal(t, [5]int{}, h.done(), h.Breaches())
+			assert.Contains(t, h.Verdict(), "kept")
+		})
+	}
+}
+
+// The evidence is the chain of the op's events, oldest first, in words.
+func TestEvidence(t *testing.T) {
+	h := newHost(terms())
+	h.take(7, once).push(0, 7, 0, 1).end(5, 7, 0, balance.Reset).push(0, 7, 1, 2)
+	require.Len(t, h.Breaches(), 1)
+	assert.Equal(t, `rule 2 (no effect twice) at 10005.0 ms: at-most-once op 7 pushed again, though push 0 may have run
+    10000.0 op taken op 7 node 0 category 1 until 11000.0
+    10000.0 push begun op 7 push 0 node 0 backend 1 work 10.0
+    10005.0 push ended op 7 push 0 reset
+    10005.0 push begun op 7 push 1 node 0 backend 2 work 10.0`, h.Breaches()[0].String())
+}
+
+// A day of ops leaves nothing in memory but those whose time goes on, and a host gone mad no more than the bounds.
+func TestBoundedMemory(t *testing.T) {
+	h := newHost(terms())
+	for k := range uint64(300_000) {
+		h.take(k, int(k%4)).push(0.2, k, 0, int(k%4)).end(0.2, k, 0, balance.Answered).final(0, k, Acked)
+		require.LessOrEqual(t, h.Open(), 2600)
+	}
+	assert.Equal(t, [5]int{}, h.done())
+	assert.Zero(t, h.Open())
+	assert.Empty(t, h.due)
+	h.take(1, any0)
+	for k := range 10_000 {
+		h.push(0, 1, k, 1)
+	}
+	assert.Len(t, h.Breaches(), mostKept)
+	assert.LessOrEqual(t, len(h.ops[1].events), mostEvidence)
+	assert.LessOrEqual(t, len(h.ops[1].pushes), mostEvidence+1)
+	assert.Equal(t, 10_000-3, h.Count(NoEffectTwice))
+}
+
+// A host that keeps to the rules by a plain reading of them is never flagged, whatever happens to its pushes; with
+// one thing done that the rules forbid, it always is.
+func TestProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHost(terms())
+		drained := map[int]bool{}
+		n := rapid.IntRange(1, 12).Draw(t, "ops")
+		spoilt := rapid.IntRange(0, n-1).Draw(t, "spoilt")
+		fault := rapid.SampledFrom([]string{"", "twice", "never", "after", "again", "nack"}).Draw(t, "fault")
+		done := 0
+		for k := range n {
+			id, category := uint64(k), rapid.IntRange(0, 3).Draw(t, "category")
+			if rapid.Bool().Draw(t, "drain") {
+				b := rapid.IntRange(1, 3).Draw(t, "which")
+				drained[b] = true
+				h.told(600, 0, b, balance.Draining)
+			}
+			h.take(id, category)
+			mayHaveRun, acked, zone := false, false, -1
+			zoneOf := func(b int) int { return b / 3 }
+			for number := range 3 {
+				b := rapid.IntRange(0, 3).Draw(t, "backend")
+				if drained[b] || mayHaveRun && (category == once || category == zoned && zoneOf(b) != zone) {
+					break
+				}
+				h.push(1, id, number, b)
+				how := balance.Ending(rapid.IntRange(0, 7).Draw(t, "how"))
+				h.end(rapid.Float64Range(0, 80).Draw(t, "ms"), id, number, how)
+				if how == balance.Answered {
+					acked = true
+					break
+				}
+				if !how.NeverRan() && !mayHaveRun {
+					mayHaveRun, zone = true, zoneOf(b)
+				}
+			}
+			hit := k == spoilt
+			switch {
+			case hit && fault == "never":
+				done++
+				continue
+			case hit && fault == "again" && acked && category == once:
+				h.push(0, id, 9, 0).final(0, id, Acked)
+				done++
+				continue
+			case hit && fault == "nack" && mayHaveRun && (category == once || category == zoned):
+				h.final(0, id, Nacked)
+				done++
+				continue
+			case acked:
+				h.final(0, id, Acked)
+			case mayHaveRun && (category == once || category == zoned):
+				h.final(0, id, DeadLettered)
+			default:
+				h.final(0, id, Nacked)
+			}
+			if hit && fault == "twice" {
+				h.final(1, id, DeadLettered)
+				done++
+			}
+			if hit && fault == "after" {
+				h.push(1, id, 8, 0)
+				done++
+			}
+		}
+		h.done()
+		if done > 0 && h.Kept() {
+			t.Fatalf("fault %q not caught", fault)
+		}
+		if done == 0 && !h.Kept() {
+			t.Fatalf("flagged without a fault: %v", h.Breaches())
+		}
+	})
+}
+
+// An event that a host tells late turns no clock back, and an odd one is a breach or nothing, never a panic.
+func TestOddEvents(t *testing.T) {
+	h := newHost(terms())
+	h.take(1, any0).take(1, any0)
+	h.Feed(Event{At: h.now, Kind: OpTaken, Op: 5, Category: 99})
+	h.Feed(Event{At: 1, Kind: PushEnded, Op: 77})
+	h.Feed(Event{At: 1, Kind: PushRan, Op: 77})
+	h.Feed(Event{At: 1, Kind: OpLeft, Op: 77})
+	h.Feed(Event{At: 1, Kind: 200})
+	assert.Equal(t, 2, h.Count(NoOpLost))
+	assert.Equal(t, "1.0 kind 200", Event{At: 1, Kind: 200}.String())
+	for k := range NodeKilled + 1 {
+		assert.Contains(t, fmt.Sprint(Event{Kind: k}), k.String())
+	}
+}
+
+func BenchmarkAuditor(b *testing.B) {
+	h := newHost(terms())
+	b.ReportAllocs()
+	for k := range uint64(b.N) {
+		h.take(k, int(k%4)).push(0.2, k, 0, int(k%4)).end(0.2, k, 0, balance.Answered).final(0, k, Acked)
+	}
+}
