--- /dev/null
+++ b/cmd/pearknot-lab/play.go
@@ -0,0 +1,469 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/klauspost/compress/zstd"
+	"github.com/spf13/cobra"
+
+	"pearknot/balance"
+	"pearknot/internal/lab/experiment"
+	"pearknot/internal/lab/loopback"
+	"pearknot/internal/lab/measure"
+	"pearknot/internal/lab/play"
+	"pearknot/internal/lab/policy"
+	"pearknot/internal/lab/report"
+	"pearknot/internal/lab/search"
+	"pearknot/internal/lab/virtual"
+	"pearknot/internal/node"
+	"pearknot/internal/rules"
+	"pearknot/internal/serve"
+)
+
+// plan is what the commands that play have in common.
+type plan struct {
+	virtual  bool
+	policy   string
+	seeds    []uint
+	out      string
+	events   bool
+	pearknot string
+}
+
+func (p *plan) flags(c *cobra.Command) {
+	c.Flags().BoolVar(&p.virtual, "virtual", false, "play in virtual time, not with real processes")
+	c.Flags().StringVar(&p.policy, "policy", "", "who decides: "+strings.Join(experiment.Policies, ", "))
+	c.Flags().UintSliceVar(&p.seeds, "seeds", nil, "seeds in place of the file's")
+	c.Flags().StringVar(&p.out, "out", "", "directory for result.json and report.html")
+	c.Flags().BoolVar(&p.events, "events", false, "write all events too: events.jsonl.zst in the directory")
+	c.Flags().StringVar(&p.pearknot, "pearknot", "", "the node's program; else the one beside this, else it is built")
+}
+
+// apply puts the command line's wishes over the file's.
+func (p *plan) apply(e *experiment.Experiment) error {
+	if p.policy != "" {
+		if !slices.Contains(experiment.Policies, p.policy) {
+			return &statusError{unread, fmt.Errorf("--policy %q is none of %s", p.policy, strings.Join(experiment.Policies, ", "))}
+		}
+		e.Policy = p.policy
+	}
+	if len(p.seeds) > 0 {
+		e.Seeds = nil
+		for _, s := range p.seeds {
+			e.Seeds = append(e.Seeds, uint64(s))
+		}
+	}
+	if p.events && p.out == "" {
+		return &statusError{unread, fmt.Errorf("--events needs --out")}
+	}
+	return nil
+}
+
+// play plays an experiment and writes what was asked for.
+func (p *plan) play(ctx context.Context, e *experiment.Experiment, out io.Writer) (r measure.Result, err error) {
+	var watch func(rules.Event)
+	if p.events {
+		if err := os.MkdirAll(p.out, 0o755); err != nil {
+			return r, err
+		}
+		w, err := newEventLog(filepath.Join(p.out, report.EventsFile))
+		if err != nil {
+			return r, err
+		}
+		defer func() {
+			if e := w.close(); err == nil {
+				err = e
+			}
+		}()
+		watch = w.write
+	}
+	if p.virtual {
+		if watch != nil && len(e.Seeds) > 1 {
+			e.Seeds = e.Seeds[:1] // one file, one history
+		}
+		r, err = play.Virtual(ctx, e, virtual.Options{Watch: watch})
+	} else {
+		r, err = p.sockets(ctx, e, loopback.Options{Watch: watch}, out)
+	}
+	if err != nil {
+		return r, err
+	}
+	if p.out != "" {
+		if err := report.Write(p.out, r); err != nil {
+			return r, err
+		}
+		if err := report.Page(p.out, r); err != nil {
+			return r, err
+		}
+	}
+	return r, nil
+}
+
+// sockets plays the seeds one after the other with real processes.
+func (p *plan) sockets(ctx context.Context, e *experiment.Experiment, o loopback.Options, out io.Writer) (measure.Result, error) {
+	r := play.Empty(e, "loopback")
+	command, clean, err := p.command(ctx, e.Policy)
+	if err != nil {
+		return r, err
+	}
+	defer clean()
+	o.Command = command
+	for _, seed := range e.Seeds {
+		run, err := loopback.Run(ctx, e, seed, o)
+		if err != nil {
+			return r, err
+		}
+		r.Runs = append(r.Runs, run)
+	}
+	play.Sum(&r)
+	return r, nil
+}
+
+// command is what starts a node: the real program, or for a baseline this program in its place.
+func (p *plan) command(ctx context.Context, policy string) (command []string, clean func(), err error) {
+	clean = func() {}
+	self, err := os.Executable()
+	if err != nil {
+		return nil, clean, err
+	}
+	switch beside := filepath.Join(filepath.Dir(self), "pearknot"); {
+	case policy == "all-seeing":
+		return nil, clean, &statusError{unread, fmt.Errorf("policy all-seeing: only with --virtual")}
+	case policy != "cda":
+		return []string{self, "node", "--policy", policy}, clean, nil
+	case p.pearknot != "":
+		return []string{p.pearknot, "serve"}, clean, nil
+	case isFile(beside):
+		return []string{beside, "serve"}, clean, nil
+	}
+	dir, err := os.MkdirTemp("", "pearknot-lab-bin")
+	if err != nil {
+		return nil, clean, err
+	}
+	clean = func() { _ = os.RemoveAll(dir) }
+	bin := filepath.Join(dir, "pearknot")
+	if text, err := exec.CommandContext(ctx, "go", "build", "-o", bin, "pearknot/cmd/pearknot").CombinedOutput(); err != nil {
+		clean()
+		return nil, func() {}, fmt.Errorf("no pearknot beside this program, and it can't be built here (give --pearknot FILE): %v %s", err, strings.TrimSpace(string(text)))
+	}
+	return []string{bin, "serve"}, clean, nil
+}
+
+func isFile(name string) bool {
+	info, err := os.Stat(name)
+	return err == nil && info.Mode().IsRegular()
+}
+
+// verdict prints a result and gives the exit status that follows.
+func verdict(out io.Writer, r measure.Result) error {
+	fmt.Fprintf(out, "%s, %s, %s: service %s\n", r.Experiment, r.Policy, r.Host, r.Service)
+	for _, run := range r.Runs {
+		fmt.Fprintln(out, " ", run.Line())
+		for _, t := range run.Troubles {
+			after := "never"
+			if t.After >= 0 {
+				after = fmt.Sprintf("after %.1f s", t.After)
+			}
+			fmt.Fprintf(out, "    %s %.0f to %.0f s: service %.3f before, %.3f at worst, recovered %s, benefit lost %.0f\n", t.Kind,
+				t.From, t.To, t.Before, t.Worst, after, t.Lost)
+		}
+		if run.Loop != nil {
+			fmt.Fprintf(out, "    loop of service over load: area %.3f\n", run.Loop.Area)
+		}
+		for _, b := range run.Rules.Breaches[:min(3, len(run.Rules.Breaches))] {
+			fmt.Fprintln(out, "   ", strings.ReplaceAll(b, "\n", "\n    "))
+		}
+		fmt.Fprintln(out, "   ", run.Rules.Text)
+	}
+	if !play.Kept(r) {
+		return &statusError{breached, errBroken}
+	}
+	return nil
+}
+
+func runCommand() *cobra.Command {
+	p := &plan{}
+	c := &cobra.Command{Use: "run FILE", Short: "Play an experiment", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			e, err := experiment.Read(args[0])
+			if err != nil {
+				return err
+			}
+			if err := p.apply(e); err != nil {
+				return err
+			}
+			r, err := p.play(c.Context(), e, c.OutOrStdout())
+			if err != nil {
+				return err
+			}
+			return verdict(c.OutOrStdout(), r)
+		}}
+	p.flags(c)
+	return c
+}
+
+func sweepCommand() *cobra.Command {
+	p, over := &plan{}, ""
+	c := &cobra.Command{Use: "sweep FILE --over KEY=a,b,c", Short: "Play an experiment once for each value of one key", Args: cobra.ExactArgs(1),
+		Long: `sweep plays the file once for each value. KEY is a key of the file, such as clients.load, fleet.nodes or policy; in a
+list of tables it has a number: trouble.0.factor. Results go to a directory for each value under --out.`,
+		RunE: func(c *cobra.Command, args []string) error {
+			key, list, ok := strings.Cut(over, "=")
+			if !ok || key == "" || list == "" {
+				return &statusError{unread, fmt.Errorf("--over %q is not KEY=a,b,c", over)}
+			}
+			data, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			broken := false
+			out := p.out
+			for _, value := range strings.Split(list, ",") {
+				text, err := replaced(data, key, value)
+				if err != nil {
+					return &statusError{unread, fmt.Errorf("--over: %w", err)}
+				}
+				e, err := experiment.Decode(args[0], text)
+				if err != nil {
+					return &statusError{unread, fmt.Errorf("with %s = %s: %w", key, value, err)}
+				}
+				if err := p.apply(e); err != nil {
+					return err
+				}
+				if out != "" {
+					p.out = filepath.Join(out, value)
+				}
+				r, err := p.play(c.Context(), e, c.OutOrStdout())
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%s = %s: ", key, value)
+				if verdict(c.OutOrStdout(), r) != nil {
+					broken = true
+				}
+			}
+			if broken {
+				return &statusError{breached, errBroken}
+			}
+			return nil
+		}}
+	p.flags(c)
+	c.Flags().StringVar(&over, "over", "", "KEY=a,b,c")
+	return c
+}
+
+func compareCommand() *cobra.Command {
+	return &cobra.Command{Use: "compare A B", Short: "Tell whether two results differ by more than noise", Args: cobra.ExactArgs(2),
+		Long: `compare takes the seeds that both results have, pair by pair, and tells of each figure the mean difference B - A with its
+95% interval. A difference whose interval holds zero is within noise, and so is any of a single seed.`,
+		RunE: func(c *cobra.Command, args []string) error {
+			var r [2]measure.Result
+			for i, dir := range args {
+				var err error
+				if r[i], err = report.Read(dir); err != nil {
+					return &statusError{unread, err}
+				}
+			}
+			names, diffs, err := measure.Compare(r[0], r[1])
+			if err != nil {
+				return &statusError{unread, err}
+			}
+			out := c.OutOrStdout()
+			fmt.Fprintf(out, "A: %s, %s, %s: service %s\nB: %s, %s, %s: service %s\n", r[0].Experiment, r[0].Policy, r[0].Host, r[0].Service,
+				r[1].Experiment, r[1].Policy, r[1].Host, r[1].Service)
+			for i, d := range diffs {
+				word := "differs"
+				if d.Noise() {
+					word = "within noise"
+				}
+				fmt.Fprintf(out, "  %-16s B - A %+.3f +- %.3f over %d seeds: %s\n", names[i], d.Mean, d.Half, d.N, word)
+			}
+			return nil
+		}}
+}
+
+func searchCommand() *cobra.Command {
+	o, out, policy := search.Options{Keep: 0.7}, "", ""
+	c := &cobra.Command{Use: "search FILE", Short: "Look for the schedule of troubles on which service is worst, and shrink it", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			e, err := experiment.Read(args[0])
+			if err != nil {
+				return err
+			}
+			if err := (&plan{policy: policy}).apply(e); err != nil {
+				return err
+			}
+			o.Log = c.ErrOrStderr()
+			f, err := search.Worst(c.Context(), e, o)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%d experiments played: service %.3f without troubles, %.3f with the worst schedule, %.3f with the %d troubles that are left of it\n",
+				f.Played, f.Calm, f.Service, f.Shrunk, len(f.Experiment.Trouble))
+			for _, t := range f.Experiment.Trouble {
+				fmt.Fprintf(c.OutOrStdout(), "  %s at %.1f s for %.1f s, share %.2f, factor %.2f, chance %.2f %s%s\n", t.Kind, t.At, t.For, t.Share, t.Factor, t.Chance, t.Zone, t.Category)
+			}
+			if out != "" {
+				text, err := search.Text(f.Experiment)
+				if err != nil {
+					return err
+				}
+				if err := os.WriteFile(out, text, 0o644); err != nil {
+					return err
+				}
+			}
+			if f.Broken {
+				fmt.Fprintln(c.OutOrStdout(), "a rule was broken: run the file that --out writes")
+				return &statusError{breached, errBroken}
+			}
+			return nil
+		}}
+	c.Flags().IntVar(&o.Rounds, "rounds", 40, "schedules drawn")
+	c.Flags().IntVar(&o.Most, "most", 4, "troubles in one schedule")
+	c.Flags().Uint64Var(&o.Seed, "seed", 1, "of the search")
+	c.Flags().StringVar(&out, "out", "", "file for the experiment that was found")
+	c.Flags().StringVar(&policy, "policy", "", "who decides")
+	return c
+}
+
+func reportCommand() *cobra.Command {
+	return &cobra.Command{Use: "report DIR", Short: "Make the page of a result anew", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			r, err := report.Read(args[0])
+			if err != nil {
+				return &statusError{unread, err}
+			}
+			if err := report.Page(args[0], r); err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), filepath.Join(args[0], report.PageFile))
+			return nil
+		}}
+}
+
+// nodeCommand is a node that a baseline decides for, on the same sockets as the real one.
+func nodeCommand() *cobra.Command {
+	name, file := "", ""
+	c := &cobra.Command{Use: "node", Hidden: true, Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+		log := slog.New(slog.NewTextHandler(c.ErrOrStderr(), nil))
+		p, err := serve.Read(file, log)
+		if err != nil {
+			return &statusError{unread, err}
+		}
+		if _, err := policy.New(name, &balance.Terms{}, 0, nil); err != nil {
+			return &statusError{unread, err}
+		}
+		return serve.Run(p, func(t *balance.Terms, now float64) node.Decider {
+			d, _ := policy.New(name, t, now, nil) // the name was tried above
+			return d
+		}, version(), log)
+	}}
+	c.Flags().StringVar(&name, "policy", "random", "who decides")
+	c.Flags().StringVar(&file, "config", "", "configuration file")
+	return c
+}
+
+func version() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		return info.Main.Version
+	}
+	return "unknown"
+}
+
+// replaced puts a value in the place of a key's, or adds the key to its table.
+func replaced(data []byte, key, value string) ([]byte, error) {
+	if _, err := strconv.ParseFloat(value, 64); err != nil && value != "true" && value != "false" {
+		value = strconv.Quote(value)
+	}
+	parts := strings.Split(key, ".")
+	last, table := parts[len(parts)-1], parts[:len(parts)-1]
+	head, skip := "", 0
+	switch len(table) {
+	case 0:
+	case 1:
+		head = "[" + table[0] + "]"
+	case 2:
+		n, err := strconv.Atoi(table[1])
+		if err != nil || n < 0 {
+			return nil, fmt.Errorf("%s: no number between table and key", key)
+		}
+		head, skip = "[["+table[0]+"]]", n
+	default:
+		return nil, fmt.Errorf("%s: too deep", key)
+	}
+	lines := strings.Split(string(data), "\n")
+	start := 0
+	if head != "" {
+		start = -1
+		for i, l := range lines {
+			if strings.TrimSpace(l) == head {
+				if skip == 0 {
+					start = i + 1
+					break
+				}
+				skip--
+			}
+		}
+		if start < 0 {
+			return nil, fmt.Errorf("%s: no such table in the file", key)
+		}
+	}
+	line := last + " = " + value
+	for i := start; i < len(lines) && !strings.HasPrefix(strings.TrimSpace(lines[i]), "["); i++ {
+		if name, _, ok := strings.Cut(lines[i], "="); ok && strings.TrimSpace(name) == last {
+			lines[i] = line
+			return []byte(strings.Join(lines, "\n")), nil
+		}
+	}
+	return []byte(strings.Join(slices.Insert(lines, start, line), "\n")), nil
+}
+
+// eventLog writes events as lines of JSON.
+type eventLog struct {
+	file *os.File
+	zip  *zstd.Encoder
+	buf  *bufio.Writer
+	json *json.Encoder
+	err  error
+}
+
+func newEventLog(name string) (*eventLog, error) {
+	f, err := os.Create(name)
+	if err != nil {
+		return nil, err
+	}
+	z, err := zstd.NewWriter(f)
+	if err != nil {
+		return nil, err
+	}
+	b := bufio.NewWriter(z)
+	return &eventLog{file: f, zip: z, buf: b, json: json.NewEncoder(b)}, nil
+}
+
+func (l *eventLog) write(e rules.Event) {
+	if l.err == nil {
+		l.err = l.json.Encode(map[string]any{"at_ms": e.At, "what": e.Kind.String(), "op": e.Op, "node": e.Node, "backend": e.Backend,
+			"push": e.Push, "text": e.String()})
+	}
+}
+
+func (l *eventLog) close() error {
+	for _, f := range []func() error{l.buf.Flush, l.zip.Close, l.file.Close} {
+		if err := f(); l.err == nil {
+			l.err = err
+		}
+	}
+	return l.err
+}
--- a/cmd/pearknot/main.go
+++ b/cmd/pearknot/main.go
@@ -8,6 +8,9 @@
 	"log/slog"
 	"os"
 	"runtime/debug"
+
+	"pearknot/internal/node"
+	"pearknot/internal/serve"
 )
 
 const usage = `pearknot is a load balancer's node.
@@ -47,11 +50,11 @@
 	var err error
 	switch command {
 	case "serve", "check":
-		var p *place
-		switch p, err = readPlace(*file, log); {
+		var p *serve.Place
+		switch p, err = serve.Read(*file, log); {
 		case err != nil:
 		case command == "serve":
-			err = serve(p, log)
+			err = serve.Run(p, node.Module, version(), log)
 		default:
 			fmt.Fprintln(out, p)
 		}
--- /dev/null
+++ b/internal/lab/loopback/clients.go
@@ -0,0 +1,210 @@
+package loopback
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"time"
+
+	"pearknot/internal/lab/clients"
+	"pearknot/internal/rules"
+)
+
+// crowd is all clients: they send when the source says so, whether or not answers come.
+type crowd struct {
+	hub    *hub
+	source *clients.Source
+	nodes  [][]*node // by zone
+	turn   []int
+	http   *http.Client
+	wg     sync.WaitGroup
+	mu     sync.Mutex // of turn
+}
+
+// slackMs is what a node's answer may come late for what sockets and processes take.
+const slackMs = 50.0
+
+func newCrowd(h *hub, s *clients.Source, nodes []*node) *crowd {
+	c := &crowd{hub: h, source: s, nodes: make([][]*node, len(h.e.Fleet.Zones)), turn: make([]int, len(h.e.Fleet.Zones))}
+	for _, n := range nodes {
+		c.nodes[n.zone] = append(c.nodes[n.zone], n)
+	}
+	c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100, DisableCompression: true}}
+	return c
+}
+
+// run sends until the experiment's end, then waits until all have their answers or ctx ends.
+func (c *crowd) run(ctx context.Context) {
+	defer c.http.CloseIdleConnections()
+	for c.source.Next() < c.hub.e.Length() && ctx.Err() == nil {
+		wait(ctx, time.Until(c.hub.time(c.source.Next())))
+		if ctx.Err() != nil {
+			break
+		}
+		c.hub.mu.Lock()
+		op := c.source.Arrive()
+		if op != nil {
+			c.hub.rec.Asked(op)
+			c.hub.live.Ops++
+		}
+		c.hub.mu.Unlock()
+		if op != nil {
+			c.wg.Add(1)
+			go func() {
+				defer c.wg.Done()
+				c.see(ctx, op)
+			}()
+		}
+	}
+	c.wg.Wait()
+}
+
+// see follows one op through its tries.
+func (c *crowd) see(ctx context.Context, op *clients.Op) {
+	for number := 0; ctx.Err() == nil; number++ {
+		how, comeBack, left := c.try(ctx, op, number)
+		c.hub.mu.Lock()
+		switch how {
+		case clients.Acked:
+			now := c.hub.now()
+			c.hub.rec.Served(op, now)
+			c.hub.live.Acked++
+			if now-op.At <= c.hub.e.Category[op.Category].TargetMs {
+				c.hub.live.InTime++
+			}
+		case clients.Unreached:
+			c.hub.rec.Unreached()
+		}
+		again, wants := 0.0, false
+		if how != clients.Acked && !left {
+			again, wants = c.source.Again(op, number, how, comeBack)
+		}
+		if how != clients.Acked && !wants {
+			c.hub.rec.Over(op)
+			c.hub.live.Lost++
+		}
+		c.hub.mu.Unlock()
+		if !wants {
+			return
+		}
+		wait(ctx, time.Duration(again*float64(time.Millisecond)))
+	}
+}
+
+func (c *crowd) front(zone int) *node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.hub.now()
+	for range c.nodes[zone] {
+		n := c.nodes[zone][c.turn[zone]%len(c.nodes[zone])]
+		c.turn[zone]++
+		if n.open(now) {
+			return n
+		}
+	}
+	return nil
+}
+
+var finals = map[int]rules.Final{http.StatusOK: rules.Acked, http.StatusTooManyRequests: rules.Nacked,
+	http.StatusServiceUnavailable: rules.Nacked}
+
+// try sends once and waits for the answer; left tells that the client went away by itself.
+func (c *crowd) try(ctx context.Context, op *clients.Op, number int) (how clients.Outcome, comeBack float64, left bool) {
+	h := c.hub
+	h.mu.Lock()
+	h.rec.Tried()
+	told := c.source.Try(op, number)
+	h.mu.Unlock()
+	n := c.front(op.Zone)
+	if n == nil {
+		return clients.Unreached, 0, false
+	}
+	id := clients.TryID(op.ID, number)
+	k := h.e.Category[op.Category]
+	sent := h.now()
+	stay := told.Patience + slackMs
+	if told.Leaves > 0 {
+		stay = told.Leaves
+	}
+	run := ctx
+	ctx, cancel := context.WithDeadline(ctx, h.time(sent+stay))
+	defer cancel()
+	taken := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(w httptrace.WroteRequestInfo) {
+		if w.Err == nil {
+			taken = true
+			h.taken(id, n.number, op, sent+told.Patience)
+		}
+	}})
+	method, body := http.MethodGet, []byte(nil)
+	if k.Effect != "redeliverable" {
+		method, body = http.MethodPost, []byte("lab")
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.address+"/api", bytes.NewReader(body))
+	if err != nil {
+		panic(err) // plain values
+	}
+	r.Header.Set("X-Trace-Id", fmt.Sprintf("%016x", id))
+	r.Header.Set("X-Qos", k.Name)
+	r.Header.Set("X-Expires-In-Ms", strconv.Itoa(int(told.Patience)))
+	if op.HasHint {
+		r.Header.Set("X-Size-Hint", strconv.FormatFloat(op.Hint*1e3, 'f', 0, 64))
+	}
+	if number > 0 {
+		r.Header.Set("X-Second-Try", "1")
+	}
+	answer, err := c.http.Do(r)
+	var data []byte
+	if err == nil {
+		data, err = drain(answer.Body)
+		_ = answer.Body.Close()
+	}
+	late := h.now() > sent+told.Patience
+	switch {
+	case err != nil && run.Err() != nil: // the run was ended: nothing is owed
+		h.tell(rules.Event{Kind: rules.OpLeft, Op: id})
+		return clients.Lost, 0, true
+	case err != nil && told.Leaves > 0 && errors.Is(err, context.DeadlineExceeded):
+		h.tell(rules.Event{Kind: rules.OpLeft, Op: id})
+		return clients.Lost, 0, true
+	case err != nil && ctx.Err() != nil: // the auditor tells whether an answer was owed
+		h.mu.Lock()
+		h.rec.GaveUp()
+		h.mu.Unlock()
+		return clients.Lost, 0, false
+	case err != nil && !taken:
+		return clients.Unreached, 0, false
+	case err != nil: // ended without an answer: lost, unless its node was killed
+		return clients.Lost, 0, false
+	}
+	f, known := finals[answer.StatusCode]
+	if !known {
+		f = rules.DeadLettered
+	}
+	e := rules.Event{Kind: rules.OpAnswered, Node: n.number, Op: id, Final: f, Push: rules.AnyPush}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if f == rules.Acked && string(data) != answerTo(id) {
+		e.Push = -2 // nobody's
+	}
+	h.told(e)
+	h.rec.Final(h.now(), f)
+	switch f {
+	case rules.Nacked:
+		h.live.Nacked++
+		s, _ := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
+		return clients.Nacked, s * 1e3, false
+	case rules.DeadLettered:
+		h.live.Dead++
+		return clients.Lost, 0, false
+	}
+	if late {
+		return clients.Lost, 0, false
+	}
+	return clients.Acked, 0, false
+}
--- /dev/null
+++ b/internal/lab/loopback/loopback.go
@@ -0,0 +1,365 @@
+// Package loopback plays an experiment on sockets: real processes of the program between stand-ins for backends, list
+// and clients, all on 127.0.0.1. The stand-ins run the same models as virtual time does. Whatever ends a run, its
+// processes and ports end with it.
+package loopback
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"pearknot/balance"
+	"pearknot/internal/clock"
+	"pearknot/internal/lab/clients"
+	"pearknot/internal/lab/experiment"
+	"pearknot/internal/lab/machine"
+	"pearknot/internal/lab/measure"
+	"pearknot/internal/lab/trouble"
+	"pearknot/internal/rules"
+)
+
+// Options are how a run is played.
+type Options struct {
+	Command []string          // starts a node; -config FILE is added
+	Dir     string            // for the nodes' files; a temporary one, removed, where empty
+	Watch   func(rules.Event) // is told every event that the auditor is
+	Live    func(Live)        // is told once a second
+	Started func()            // called when all is up and load begins
+}
+
+// startUp is longer than any start takes, in ms.
+const startUp = 3600e3
+
+// world is one run.
+type world struct {
+	*hub
+	o        Options
+	random   uint64
+	dir      string
+	list     *list
+	backends []*backend
+	nodes    []*node
+	crowd    *crowd
+	switches []trouble.Switch
+	failed   chan error
+	wg       sync.WaitGroup
+}
+
+func (h *hub) seed() uint64 { return uint64(h.from()) } // nodes' chance differs with each run, as in service
+
+// Run plays one seed. It returns when the experiment is over, ctx ends, or something of the lab's own failed.
+func Run(ctx context.Context, e *experiment.Experiment, seed uint64, o Options) (run measure.Run, err error) {
+	c := clock.New()
+	// Until the load begins all times are long before the run's: nothing of the start counts in it.
+	w := &world{o: o, random: seed, dir: o.Dir, failed: make(chan error, 64), switches: trouble.Schedule(e, seed),
+		hub: &hub{e: e, clock: c, auditor: e.Auditor(slackMs), rec: measure.New(e, seed),
+			state: trouble.NewState(e), tries: map[uint64]known{}, watch: o.Watch}}
+	w.startAt(c.Now() + startUp)
+	if w.dir == "" {
+		if w.dir, err = os.MkdirTemp("", "pearknot-lab"); err != nil {
+			return run, err
+		}
+		defer os.RemoveAll(w.dir)
+	} else if err = os.MkdirAll(w.dir, 0o755); err != nil {
+		return run, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer w.close()
+	defer cancel()
+	if err = w.build(); err != nil {
+		return run, err
+	}
+	if err = w.begin(ctx); err != nil {
+		return run, err
+	}
+	over := make(chan struct{})
+	go func() {
+		w.crowd.run(ctx)
+		close(over)
+	}()
+	select {
+	case <-over:
+	case err = <-w.failed:
+	case <-ctx.Done():
+	}
+	if ctx.Err() != nil {
+		err = context.Cause(ctx)
+	}
+	cancel()
+	<-over
+	w.wg.Wait()
+	for _, n := range w.nodes {
+		n.mu.Lock()
+		n.expect = true
+		n.mu.Unlock()
+	}
+	return w.finish(), err
+}
+
+// build starts backends, list and nodes, and waits until all nodes are ready.
+func (w *world) build() error {
+	for k := range w.e.Fleet.Backends {
+		m := machine.New(w.e.MachineKind(k), rand.New(rand.NewPCG(w.random, uint64(k)+1000)))
+		b, err := newBackend(w.hub, k, k%len(w.e.Fleet.Zones), w.e.MachineOf(k), len(w.e.Fleet.Zones), m)
+		if err != nil {
+			return err
+		}
+		w.backends = append(w.backends, b)
+	}
+	w.list = newList(w.hub, w.backends)
+	var wg sync.WaitGroup
+	errs := make(chan error, w.e.Fleet.Nodes)
+	for k := range w.e.Fleet.Nodes {
+		n := &node{hub: w.hub, number: k, zone: k % len(w.e.Fleet.Zones), dir: w.dir, command: w.o.Command, list: w.list, deadAt: -1,
+			crashed: func(err error) {
+				select {
+				case w.failed <- err:
+				default:
+				}
+			}}
+		var err error
+		if n.from, err = w.list.listen(k, n.zone); err != nil {
+			return err
+		}
+		if n.address, err = freeAddress(); err != nil {
+			return err
+		}
+		w.nodes = append(w.nodes, n)
+		wg.Go(func() { errs <- n.start(w.now()) })
+	}
+	wg.Wait()
+	for range w.nodes {
+		if err := <-errs; err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// begin starts the clock of the experiment: the load, the troubles, the looks.
+func (w *world) begin(ctx context.Context) error {
+	w.startAt(w.clock.Now())
+	for _, b := range w.backends {
+		if err := b.start(true); err != nil {
+			return err
+		}
+	}
+	w.crowd = newCrowd(w.hub, clients.New(w.e, w.state, w.random), w.nodes)
+	if w.o.Started != nil {
+		w.o.Started()
+	}
+	w.wg.Go(func() { w.trouble(ctx) })
+	w.wg.Go(func() { w.look(ctx) })
+	return nil
+}
+
+// look samples the backends and tells the live counts.
+func (w *world) look(ctx context.Context) {
+	worked := make([]float64, len(w.backends))
+	for tick := 1; ; tick++ {
+		wait(ctx, time.Until(w.time(float64(tick)*measure.Look)))
+		if ctx.Err() != nil {
+			return
+		}
+		busy := make([]float64, len(w.backends))
+		letters := make([]byte, len(w.backends))
+		for k, b := range w.backends {
+			b.turn()
+			b.mu.Lock()
+			all, _ := b.m.Worked()
+			busy[k] = (all - worked[k]) / (b.m.Standing() * measure.Look)
+			worked[k] = all
+			switch {
+			case b.silent:
+				letters[k] = '?'
+			case !b.m.Up():
+				letters[k] = '-'
+			case b.m.Draining():
+				letters[k] = 'd'
+			default:
+				letters[k] = "0123456789"[min(max(int(busy[k]*10), 0), 9)]
+			}
+			b.mu.Unlock()
+		}
+		w.forget()
+		nodes := make([]byte, len(w.nodes))
+		for k, n := range w.nodes {
+			nodes[k] = n.letter()
+		}
+		w.mu.Lock()
+		w.rec.Load(w.now(), busy)
+		w.live.Second, w.live.Nodes, w.live.Backends = int(w.now()/1e3), string(nodes), string(letters)
+		w.live.Breaches = len(w.auditor.Breaches())
+		w.live.Troubles = w.live.Troubles[:0]
+		for _, t := range w.e.Trouble {
+			if s := w.now() / 1e3; s >= t.At && s < t.At+t.For {
+				w.live.Troubles = append(w.live.Troubles, t.Kind)
+			}
+		}
+		live := w.live
+		live.Troubles = slices.Clone(live.Troubles)
+		w.mu.Unlock()
+		if w.o.Live != nil && tick%2 == 0 {
+			w.o.Live(live)
+		}
+	}
+}
+
+// trouble carries out the schedule.
+func (w *world) trouble(ctx context.Context) {
+	for _, s := range w.switches {
+		wait(ctx, time.Until(w.time(s.At)))
+		if ctx.Err() != nil {
+			return
+		}
+		if err := w.put(ctx, s); err != nil {
+			select {
+			case w.failed <- err:
+			default:
+			}
+			return
+		}
+	}
+}
+
+func (w *world) put(ctx context.Context, s trouble.Switch) error {
+	w.mu.Lock()
+	w.state.Put(s)
+	w.mu.Unlock()
+	t := w.e.Trouble[s.Index]
+	for _, k := range s.Targets {
+		var err error
+		switch t.Kind {
+		case experiment.Swallow, experiment.Errors, experiment.Slow, experiment.Pauses, experiment.Lies:
+			w.backends[k].trouble()
+		case experiment.Crash, experiment.Vanish:
+			err = w.crash(w.backends[k], s.On, t.Kind == experiment.Vanish)
+		case experiment.Shrink:
+			err = w.shrink(ctx, w.backends[k], s.On)
+		case experiment.Nodes:
+			n := w.nodes[k]
+			if s.On {
+				n.kill()
+			} else if n.letter() == '-' {
+				listAt := n.deadAt - w.e.List.OldByMs
+				w.wg.Go(func() {
+					if err := n.start(listAt); err != nil && ctx.Err() == nil {
+						n.crashed(err)
+					}
+				})
+			}
+		}
+		if err != nil {
+			return err
+		}
+	}
+	switch t.Kind {
+	case experiment.Cut:
+		for _, b := range w.backends {
+			for _, d := range b.doors {
+				w.mu.Lock()
+				cut := w.state.Cut(d.zone, b.zone)
+				w.mu.Unlock()
+				if cut != d.cut {
+					if err := d.setCut(cut); err != nil {
+						return err
+					}
+				}
+			}
+		}
+	case experiment.ListDown:
+		w.list.wake()
+	}
+	return nil
+}
+
+func (w *world) crash(b *backend, on, silent bool) error {
+	b.mu.Lock()
+	up, draining, fallen := b.m.Up(), b.m.Draining(), b.m.Fallen()
+	b.mu.Unlock()
+	if on {
+		if up {
+			b.stop(silent)
+			w.list.set(b, balance.Gone)
+		}
+		return nil
+	}
+	if fallen || up && !draining {
+		return nil
+	}
+	if up {
+		b.stop(false)
+	}
+	if err := b.start(false); err != nil {
+		return err
+	}
+	w.list.set(b, balance.Ready)
+	return nil
+}
+
+func (w *world) shrink(ctx context.Context, b *backend, on bool) error {
+	if !on {
+		return w.crash(b, false, false)
+	}
+	b.mu.Lock()
+	up := b.m.Up()
+	if up {
+		b.m.Drain(w.now())
+	}
+	b.mu.Unlock()
+	if !up {
+		return nil
+	}
+	w.list.set(b, balance.Draining)
+	w.wg.Go(func() {
+		wait(ctx, time.Duration(w.e.List.DrainNoticeMs*float64(time.Millisecond)))
+		b.mu.Lock()
+		still := b.m.Up() && b.m.Draining()
+		b.mu.Unlock()
+		if still && ctx.Err() == nil {
+			b.stop(false)
+			w.list.set(b, balance.Gone)
+		}
+	})
+	return nil
+}
+
+func (w *world) finish() measure.Run {
+	worked := 0.0
+	for _, b := range w.backends {
+		b.turn()
+		b.mu.Lock()
+		all, _ := b.m.Worked()
+		b.mu.Unlock()
+		worked += all
+	}
+	var spans []measure.Trouble
+	for _, s := range w.switches {
+		if t := w.e.Trouble[s.Index]; s.On {
+			spans = append(spans, measure.Trouble{Kind: t.Kind, From: t.At * 1e3, To: t.Ends(), Targets: s.Targets})
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.auditor.Finish(w.now()) // what is open was cut off with the run; all others have had their time
+	return w.rec.Finish(w.auditor, worked, w.fallen, spans)
+}
+
+// close ends all processes and ports.
+func (w *world) close() {
+	var wg sync.WaitGroup
+	for _, n := range w.nodes {
+		wg.Go(func() { n.end(syscall.SIGTERM, endWithin) })
+	}
+	wg.Wait()
+	if w.list != nil {
+		w.list.close()
+	}
+	for _, b := range w.backends {
+		b.close()
+	}
+}
--- /dev/null
+++ b/internal/lab/loopback/node.go
@@ -0,0 +1,204 @@
+package loopback
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"pearknot/internal/lab/experiment"
+	"pearknot/internal/rules"
+)
+
+const (
+	readyWithin = 10 * time.Second
+	endWithin   = 5 * time.Second // after SIGTERM; then it is killed
+)
+
+// node is one real process of the program.
+type node struct {
+	hub     *hub
+	number  int
+	zone    int
+	dir     string
+	command []string
+	list    *list
+	address string
+	from    string // where its list is
+	life    int
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{} // closed when the process has
+	ready   bool
+	expect  bool    // its end is our doing
+	deadAt  float64 // -1 while it lives
+	crashed func(error)
+}
+
+// settings are those of the configuration, in the deployment's own form.
+func settings(e *experiment.Experiment, zone int) map[string]any {
+	effects := map[string]string{"redeliverable": "pure", "deduplicated": "token", "at-most-once": "side_effect"}
+	var categories []map[string]any
+	for _, c := range e.Category {
+		k := map[string]any{"name": c.Name, "idempotency": effects[c.Effect], "targetLatency": c.TargetMs, "ttl": c.TTLMs,
+			"benefit": c.Benefit, "overdueBenefit": c.Late}
+		if c.Effect == "deduplicated" {
+			k["keyTtl"] = c.RememberMs
+			if c.Group != "" {
+				k["dedupScope"] = c.Group
+			}
+		}
+		categories = append(categories, k)
+	}
+	var kinds []string
+	for _, m := range e.Machines {
+		kinds = append(kinds, m.Name)
+	}
+	by, mode := "request", "automatic"
+	if e.Rules.BenefitByWork {
+		by = "work"
+	}
+	if e.List.MustAsk {
+		mode = "subscribe"
+	}
+	return map[string]any{"az": zone, "balancers": e.Fleet.Nodes, "benefitBy": by, "categories": categories, "kinds": kinds,
+		"zones": e.Fleet.Zones, "tenants": []string{}, "registryMode": mode, "prices": map[string]any{"crossZone": e.Fleet.CrossPrice},
+		"loadReport": map[string]any{"fields": []string{"mean_ms", "inflight"}, "via": "inline"},
+		"bounds": map[string]any{"cancel": e.Rules.Cancel, "connIdle": e.Fleet.IdleMs, "connectTimeout": e.Fleet.ConnectMs,
+			"mostHeld": 20000, "mostPushes": e.Rules.MaxPushes, "retryAfter": e.Rules.ComeBack, "maxRetryAfter": e.Rules.MaxComeBackMs,
+			"secondCopies": e.Rules.SecondCopies},
+		"rules": map[string]any{"askWithin": e.Fleet.AskWithinMs, "coldFrom": e.Backend.ColdFrom, "drainGrace": e.Rules.DrainGraceMs,
+			"fallMultiple": e.Backend.FallMultiple, "overloadFor": e.Backend.OverloadForMs, "warmWithin": e.Backend.WarmWithinMs}}
+}
+
+// start starts the process with the list as it was at a time, and waits until it says that it is ready.
+func (n *node) start(listAt float64) error {
+	n.life++
+	e := n.hub.e
+	seed := strconv.FormatUint(uint64(n.number)*7919+uint64(n.life)*104729+n.hub.seed()*31+12345, 16)
+	data, err := json.MarshalIndent(map[string]any{"name": fmt.Sprintf("n%d", n.number), "listen": n.address, "discovery": n.from,
+		"seed": seed, "limits": map[string]any{"cores": e.Fleet.NodeCores, "memory_mb": e.Fleet.NodeMemory, "sockets": e.Fleet.NodeSockets},
+		"known": n.list.known(listAt, n.zone), "settings": settings(e, n.zone)}, "", " ")
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(n.dir, fmt.Sprintf("n%d.json", n.number))
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(n.dir, fmt.Sprintf("n%d.log", n.number)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	p := exec.Command(n.command[0], append(n.command[1:], "-config", file)...)
+	p.Stderr, p.Stdout = log, log
+	// Should the lab itself be killed, its nodes end with it; a group of their own keeps a terminal's interrupt from them.
+	p.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := p.Start(); err != nil {
+		_ = log.Close()
+		return fmt.Errorf("node %d: %w", n.number, err)
+	}
+	ended := make(chan struct{})
+	n.mu.Lock()
+	n.process, n.ended, n.expect = p, ended, false
+	n.mu.Unlock()
+	go func() {
+		err := p.Wait()
+		_ = log.Close()
+		n.mu.Lock()
+		n.ready, n.deadAt = false, n.hub.now()
+		expected := n.expect
+		n.mu.Unlock()
+		if expected {
+			n.hub.tell(rules.Event{Kind: rules.NodeKilled, Node: n.number})
+		}
+		close(ended)
+		if !expected {
+			n.crashed(fmt.Errorf("node %d ended by itself: %v, see %s", n.number, err, log.Name()))
+		}
+	}()
+	return n.untilReady(ended)
+}
+
+func (n *node) untilReady(ended chan struct{}) error {
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	for begun := time.Now(); time.Since(begun) < readyWithin; {
+		if a, err := c.Get("http://" + n.address + "/_health"); err == nil {
+			_ = a.Body.Close()
+			if a.StatusCode == http.StatusOK {
+				n.mu.Lock()
+				n.ready, n.deadAt = true, -1
+				n.mu.Unlock()
+				return nil
+			}
+		}
+		select {
+		case <-ended:
+			return fmt.Errorf("node %d ended before it was ready", n.number)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	return fmt.Errorf("node %d not ready within %v", n.number, readyWithin)
+}
+
+// kill ends the process without warning and waits until it is gone.
+func (n *node) kill() { n.end(syscall.SIGKILL, 0) }
+
+// end asks the process to end, and kills it where it doesn't within a time.
+func (n *node) end(first syscall.Signal, within time.Duration) {
+	n.mu.Lock()
+	p, ended := n.process, n.ended
+	n.expect = true
+	n.mu.Unlock()
+	if p == nil {
+		return
+	}
+	_ = p.Process.Signal(first)
+	if within > 0 {
+		select {
+		case <-ended:
+			return
+		case <-time.After(within):
+			_ = p.Process.Kill()
+		}
+	}
+	<-ended
+}
+
+// open tells whether the front before the nodes still sends clients here.
+func (n *node) open(now float64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ready || n.deadAt >= 0 && n.life > 0 && now < n.deadAt+n.hub.e.Clients.DeadNodeMs
+}
+
+func (n *node) letter() byte {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ready {
+		return 'U'
+	}
+	return '-'
+}
+
+// freeAddress finds a port that nobody has now.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// drain reads an answer's rest, so that its connection can be used again.
+func drain(r io.Reader) ([]byte, error) { return io.ReadAll(io.LimitReader(r, 1<<20)) }
--- /dev/null
+++ b/internal/lab/measure/measure.go
@@ -0,0 +1,419 @@
+// Package measure turns what happened in a run into its figures: service, answer times, amplification, herding, work
+// wasted, and recovery after each trouble. Answer times count from an op's intended first sending, so that a client
+// that stalls hides nothing. Both hosts tell it the same things.
+package measure
+
+import (
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"pearknot/balance"
+	"pearknot/internal/lab/clients"
+	"pearknot/internal/lab/experiment"
+	"pearknot/internal/rules"
+)
+
+const (
+	window    = 500.0 // ms
+	herdSpan  = 100.0 // ms
+	recovered = 0.95  // of the service before
+	loopBin   = 0.05  // of the load's multiple
+)
+
+// Version is that of the result's form.
+const Version = 1
+
+// Result is all runs of an experiment under one policy.
+type Result struct {
+	Version    int     `json:"version"`
+	Experiment string  `json:"experiment"`
+	About      string  `json:"about,omitempty"`
+	Policy     string  `json:"policy"`
+	Host       string  `json:"host"` // virtual or loopback
+	Seconds    float64 `json:"seconds"`
+	Nodes      int     `json:"nodes"`
+	Backends   int     `json:"backends"`
+	Service    Spread  `json:"service"`
+	Runs       []Run   `json:"runs"`
+}
+
+// Run is one seed's.
+type Run struct {
+	Seed         uint64     `json:"seed"`
+	Service      float64    `json:"service"`    // benefit earned over benefit asked for
+	Worst10      float64    `json:"worst_10_s"` // of any 10 s
+	Ops          int        `json:"ops"`
+	PushesPerOp  float64    `json:"pushes_per_op"`
+	TriesPerOp   float64    `json:"tries_per_op"`
+	CrossingsPer float64    `json:"crossings_per_op"`
+	Nacks        int        `json:"nacks"`
+	DeadLetters  int        `json:"dead_letters"`
+	Unreached    int        `json:"unreached"` // tries that no node took
+	GivenUp      int        `json:"given_up"`  // tries whose client waited in vain
+	Wasted       float64    `json:"work_wasted"`
+	Herding      float64    `json:"herding"`     // most pushes a backend got in 100 ms over its even share
+	Herding99    float64    `json:"herding_p99"` // the same, of 99 in 100 such spans
+	Fallen       int        `json:"backends_fallen"`
+	Categories   []Category `json:"categories"`
+	Troubles     []Recovery `json:"troubles,omitempty"`
+	Loop         *Loop      `json:"loop,omitempty"`
+	Rules        Verdict    `json:"rules"`
+	Windows      []Window   `json:"windows"`
+	Events       uint64     `json:"events,omitempty"` // of the event loop
+}
+
+// Category is one category's part.
+type Category struct {
+	Name    string     `json:"name"`
+	Ops     int        `json:"ops"`
+	Service float64    `json:"service"`
+	Times   [4]float64 `json:"answer_ms_50_90_99_999"`
+}
+
+// Recovery is how one trouble went.
+type Recovery struct {
+	Kind    string  `json:"kind"`
+	From    float64 `json:"from_s"`
+	To      float64 `json:"to_s"`
+	Before  float64 `json:"service_before"`
+	Worst   float64 `json:"service_worst"`
+	After   float64 `json:"recovery_s"` // from its end until service is within 5% of before; -1 never
+	Lost    float64 `json:"benefit_lost"`
+	Targets []int   `json:"targets,omitempty"`
+}
+
+// Loop is service against offered load, on the way up and down.
+type Loop struct {
+	Multiple []float64 `json:"multiple"`
+	Up       []float64 `json:"service_up"`
+	Down     []float64 `json:"service_down"`
+	Area     float64   `json:"area"` // between the two, in service times multiple; what the way up cost the way down
+}
+
+// Verdict is the auditor's.
+type Verdict struct {
+	Kept     bool     `json:"kept"`
+	Counts   [4]int   `json:"breaches"` // by rule
+	Breaches []string `json:"evidence,omitempty"`
+	Text     string   `json:"verdict"`
+}
+
+// Window is half a second.
+type Window struct {
+	At        float64    `json:"at_s"`
+	Asked     float64    `json:"asked"`
+	Earned    float64    `json:"earned"`
+	Category  []float64  `json:"service_by_category"` // NaN-free: -1 where none was asked for
+	Pushes    int        `json:"pushes"`
+	Crossings int        `json:"crossings"`
+	Nacks     int        `json:"nacks"`
+	Times     [3]float64 `json:"answer_ms_50_99_max"`
+	Load      []float64  `json:"load,omitempty"` // busy share of each backend
+
+	asked, earned []float64
+	hist          *hdrhistogram.Histogram
+}
+
+// Recorder takes what happens in one run.
+type Recorder struct {
+	e       *experiment.Experiment
+	cats    []balance.Category
+	windows []Window
+	hists   []*hdrhistogram.Histogram
+	counts  []int
+	asked   []float64
+	earned  []float64
+	run     Run
+	pushes  int
+	tries   int
+	cross   int
+	herdAt  float64
+	herd    []int
+	spans   []float64
+	useful  float64
+	open    map[uint64]bool
+}
+
+// New makes a recorder.
+func New(e *experiment.Experiment, seed uint64) *Recorder {
+	n := len(e.Category)
+	r := &Recorder{e: e, cats: e.Categories(), counts: make([]int, n), asked: make([]float64, n), earned: make([]float64, n),
+		herd: make([]int, e.Fleet.Backends), open: map[uint64]bool{}}
+	r.run.Seed = seed
+	for range n {
+		r.hists = append(r.hists, histogram())
+	}
+	return r
+}
+
+func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 600_000_000, 3) } // microseconds
+
+func (r *Recorder) at(ms float64) *Window {
+	k := max(int(ms/window), 0)
+	for len(r.windows) <= k {
+		n := len(r.e.Category)
+		r.windows = append(r.windows, Window{At: float64(len(r.windows)) * window / 1e3, asked: make([]float64, n),
+			earned: make([]float64, n), hist: histogram1()})
+	}
+	return &r.windows[k]
+}
+
+// a window's times are rougher: there are many windows.
+func histogram1() *hdrhistogram.Histogram { return hdrhistogram.New(100, 600_000_000, 1) }
+
+func (r *Recorder) benefit(op *clients.Op) float64 {
+	b := r.cats[op.Category].Benefit
+	if r.e.Rules.BenefitByWork {
+		b *= op.Work
+	}
+	return b
+}
+
+// Asked tells of an op that a client wants.
+func (r *Recorder) Asked(op *clients.Op) {
+	w, b := r.at(op.At), r.benefit(op)
+	w.asked[op.Category] += b
+	r.asked[op.Category] += b
+	r.counts[op.Category]++
+	r.run.Ops++
+	r.open[op.ID] = true
+}
+
+// Served tells that the op's client has its answer. Work is what the answer cost.
+func (r *Recorder) Served(op *clients.Op, now float64) {
+	if !r.open[op.ID] {
+		return
+	}
+	delete(r.open, op.ID)
+	elapsed := math.Max(now-op.At, 0)
+	share := clients.Earned(&r.cats[op.Category], elapsed, r.e.Category[op.Category].TTLMs)
+	w, b := r.at(op.At), r.benefit(op)*share
+	w.earned[op.Category] += b
+	r.earned[op.Category] += b
+	us := int64(math.Min(elapsed*1e3, 599e6)) + 1
+	_ = r.hists[op.Category].RecordValue(us)
+	_ = w.hist.RecordValue(max(us, 100))
+	r.useful += op.Work
+}
+
+// Over tells that no try follows and nobody served the op.
+func (r *Recorder) Over(op *clients.Op) { delete(r.open, op.ID) }
+
+// Tried counts a sending, Unreached one that no node took, GaveUp one that waited in vain.
+func (r *Recorder) Tried()     { r.tries++ }
+func (r *Recorder) Unreached() { r.run.Unreached++ }
+func (r *Recorder) GaveUp()    { r.run.GivenUp++ }
+
+// Pushed counts a push.
+func (r *Recorder) Pushed(now float64, backend int, crossing bool) {
+	w := r.at(now)
+	w.Pushes++
+	r.pushes++
+	if crossing {
+		w.Crossings++
+		r.cross++
+	}
+	if now >= r.herdAt+herdSpan {
+		r.endSpan()
+		r.herdAt = math.Floor(now/herdSpan) * herdSpan
+	}
+	r.herd[backend]++
+}
+
+func (r *Recorder) endSpan() {
+	sum, most := 0, 0
+	for _, n := range r.herd {
+		sum, most = sum+n, max(most, n)
+	}
+	if sum > 0 {
+		// An even share under one push can't be kept to: one is then even.
+		r.spans = append(r.spans, float64(most)/math.Max(float64(sum)/float64(len(r.herd)), 1))
+	}
+	clear(r.herd)
+}
+
+// Final counts an answer of a node's own.
+func (r *Recorder) Final(now float64, f rules.Final) {
+	switch f {
+	case rules.Nacked:
+		r.run.Nacks++
+		r.at(now).Nacks++
+	case rules.DeadLettered:
+		r.run.DeadLetters++
+	}
+}
+
+// Load tells the busy share of each backend in the window that ends now.
+func (r *Recorder) Load(now float64, busy []float64) { r.at(now - window/2).Load = busy }
+
+// Look is how often Load is to be told, in ms.
+const Look = window
+
+// Open is the number of ops that are neither served nor over.
+func (r *Recorder) Open() int { return len(r.open) }
+
+// Trouble is one span of the schedule, for Finish.
+type Trouble struct {
+	Kind     string
+	From, To float64
+	Targets  []int
+}
+
+// Finish gives the run's figures. Worked is all work that backends did.
+func (r *Recorder) Finish(a *rules.Auditor, worked float64, fallen int, troubles []Trouble) Run {
+	r.endSpan()
+	run := &r.run
+	n := float64(max(run.Ops, 1))
+	run.PushesPerOp, run.TriesPerOp, run.CrossingsPer = float64(r.pushes)/n, float64(r.tries)/n, float64(r.cross)/n
+	run.Fallen = fallen
+	if worked > 0 {
+		run.Wasted = math.Max(0, 1-r.useful/worked)
+	}
+	sum, got := 0.0, 0.0
+	for k, c := range r.e.Category {
+		sum, got = sum+r.asked[k], got+r.earned[k]
+		h := r.hists[k]
+		run.Categories = append(run.Categories, Category{c.Name, r.counts[k], ratio(r.earned[k], r.asked[k]),
+			[4]float64{ms(h, 50), ms(h, 90), ms(h, 99), ms(h, 99.9)}})
+	}
+	run.Service = ratio(got, sum)
+	if len(r.spans) > 0 {
+		slices.Sort(r.spans)
+		run.Herding, run.Herding99 = r.spans[len(r.spans)-1], r.spans[len(r.spans)*99/100]
+	}
+	for len(r.windows) > 0 && r.windows[len(r.windows)-1].At*1e3 >= r.e.Length() { // what came after the end
+		r.windows = r.windows[:len(r.windows)-1]
+	}
+	for i := range r.windows {
+		w := &r.windows[i]
+		for k := range w.asked {
+			w.Asked, w.Earned = w.Asked+w.asked[k], w.Earned+w.earned[k]
+			s := -1.0
+			if w.asked[k] > 0 {
+				s = w.earned[k] / w.asked[k]
+			}
+			w.Category = append(w.Category, s)
+		}
+		w.Times = [3]float64{ms(w.hist, 50), ms(w.hist, 99), ms(w.hist, 100)}
+	}
+	run.Windows = r.windows
+	run.Worst10 = worst(r.windows, 20)
+	for _, t := range troubles {
+		run.Troubles = append(run.Troubles, recovery(r.windows, t))
+	}
+	if len(r.e.Clients.Ramp) > 2 {
+		run.Loop = r.loop()
+	}
+	run.Rules = Verdict{Kept: a.Kept(), Text: a.Verdict()}
+	for k := range run.Rules.Counts {
+		run.Rules.Counts[k] = a.Count(rules.Rule(k + 1))
+	}
+	for _, b := range a.Breaches()[:min(len(a.Breaches()), 10)] {
+		run.Rules.Breaches = append(run.Rules.Breaches, b.String())
+	}
+	return *run
+}
+
+func ms(h *hdrhistogram.Histogram, p float64) float64 {
+	return math.Round(float64(h.ValueAtQuantile(p))) / 1e3
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 1
+	}
+	return a / b
+}
+
+// worst is the least service of any so many windows in a row.
+func worst(w []Window, span int) float64 {
+	least := 1.0
+	for i := 0; i+span <= len(w) || i == 0; i++ {
+		asked, earned := 0.0, 0.0
+		for _, x := range w[i:min(i+span, len(w))] {
+			asked, earned = asked+x.Asked, earned+x.Earned
+		}
+		least = math.Min(least, ratio(earned, asked))
+	}
+	return least
+}
+
+// recovery looks at service before, during and after a trouble.
+func recovery(all []Window, t Trouble) Recovery {
+	r := Recovery{Kind: t.Kind, From: t.From / 1e3, To: t.To / 1e3, After: -1, Worst: 1, Targets: t.Targets}
+	asked, earned := 0.0, 0.0
+	from, to := int(t.From/window), int(math.Ceil(t.To/window))
+	for i := max(0, from-20); i < min(from, len(all)); i++ {
+		asked, earned = asked+all[i].Asked, earned+all[i].Earned
+	}
+	r.Before = ratio(earned, asked)
+	good := func(i int) bool { // over a second: a window of few ops says little
+		asked, earned := 0.0, 0.0
+		for _, w := range all[i:min(i+2, len(all))] {
+			asked, earned = asked+w.Asked, earned+w.Earned
+		}
+		return ratio(earned, asked) >= recovered*r.Before
+	}
+	end := len(all)
+	for i := to; i < len(all); i++ {
+		if good(i) && (i+1 >= len(all) || good(i+1)) {
+			r.After, end = math.Max(0, all[i].At-r.To), i
+			break
+		}
+	}
+	for i := min(from, len(all)); i < end; i++ {
+		r.Lost += math.Max(0, r.Before*all[i].Asked-all[i].Earned)
+		if all[i].Asked > 0 {
+			r.Worst = math.Min(r.Worst, all[i].Earned/all[i].Asked)
+		}
+	}
+	return r
+}
+
+// loop puts the windows into bins of offered load, before and after the ramp's top.
+func (r *Recorder) loop() *Loop {
+	top := r.e.Clients.Ramp[0]
+	for _, p := range r.e.Clients.Ramp {
+		if p[1] > top[1] {
+			top = p
+		}
+	}
+	type sum struct{ asked, earned float64 }
+	up, down := map[int]sum{}, map[int]sum{}
+	for _, w := range r.windows {
+		side := up
+		if w.At >= top[0] {
+			side = down
+		}
+		k := int(math.Round(r.e.Multiple(w.At*1e3+window/2) / loopBin))
+		s := side[k]
+		side[k] = sum{s.asked + w.Asked, s.earned + w.Earned}
+	}
+	l := &Loop{}
+	var bins []int
+	for k := range up {
+		if _, both := down[k]; both {
+			bins = append(bins, k)
+		}
+	}
+	slices.Sort(bins)
+	for _, k := range bins {
+		u, d := ratio(up[k].earned, up[k].asked), ratio(down[k].earned, down[k].asked)
+		l.Multiple, l.Up, l.Down = append(l.Multiple, float64(k)*loopBin), append(l.Up, u), append(l.Down, d)
+		l.Area += (u - d) * loopBin
+	}
+	return l
+}
+
+// Line is a run's figures in one line.
+func (r Run) Line() string {
+	rule := "kept"
+	if !r.Rules.Kept {
+		rule = fmt.Sprintf("BROKEN %v", r.Rules.Counts)
+	}
+	return fmt.Sprintf("seed %d: service %.3f, worst 10 s %.3f, pushes an op %.2f, tries %.2f, crossings %.2f, wasted %.2f, herding %.1f, rules %s",
+		r.Seed, r.Service, r.Worst10, r.PushesPerOp, r.TriesPerOp, r.CrossingsPer, r.Wasted, r.Herding99, rule)
+}
--- /dev/null
+++ b/internal/lab/policy/policy.go
@@ -0,0 +1,293 @@
+// Package policy has the baselines that the module is measured against, in the lab only. They choose a backend on
+// arrival, push again after a failure where the category allows it, and know nothing of cold budgets, held ops or
+// nacks in time.
+package policy
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+
+	"pearknot/balance"
+)
+
+// Decider is what a host asks: the module itself, or a baseline in its place.
+type Decider interface {
+	Listed(now float64, lines []balance.Listing, full, cached bool)
+	ListFailed(now float64)
+	Arrived(now float64, op *balance.Op)
+	Left(now float64, op *balance.Op)
+	Begun(now float64, p *balance.Push)
+	Ended(now float64, p *balance.Push, how balance.Ending, elapsed float64, finished bool)
+	Reported(now float64, b *balance.Backend, service float64)
+	Due(now float64)
+	Next() (balance.Decision, bool)
+}
+
+// Sight tells what only an all-seeing policy knows: in what time a backend would be done with an op of this work, +Inf
+// where it never would.
+type Sight func(now float64, b *balance.Backend, op *balance.Op) float64
+
+// New makes a policy by its name; sight may be nil for all but all-seeing.
+func New(name string, t *balance.Terms, now float64, sight Sight) (Decider, error) {
+	if name == "cda" {
+		return balance.New(t, now), nil
+	}
+	p := &plain{t: t, rng: rand.New(rand.NewPCG(t.Seed, 9)), out: map[*balance.Backend]int{}, ops: map[*balance.Op]*state{},
+		askAt: math.Inf(1)}
+	if t.MustAsk {
+		p.askAt = now
+	}
+	switch name {
+	case "random":
+		p.pick = func(open []*balance.Backend, _ *balance.Op) *balance.Backend { return open[p.rng.IntN(len(open))] }
+	case "rotation":
+		p.pick = func(open []*balance.Backend, _ *balance.Op) *balance.Backend {
+			p.turn++
+			return open[p.turn%len(open)]
+		}
+	case "fewest":
+		p.pick = func(open []*balance.Backend, _ *balance.Op) *balance.Backend {
+			from := p.rng.IntN(len(open)) // equals by chance
+			best := open[from]
+			for k := range open {
+				if b := open[(from+k)%len(open)]; p.out[b] < p.out[best] {
+					best = b
+				}
+			}
+			return best
+		}
+	case "two-choices":
+		p.pick = func(open []*balance.Backend, _ *balance.Op) *balance.Backend {
+			a, b := open[p.rng.IntN(len(open))], open[p.rng.IntN(len(open))]
+			if p.out[b] < p.out[a] {
+				return b
+			}
+			return a
+		}
+	case "all-seeing":
+		if sight == nil {
+			return nil, fmt.Errorf("policy %s: only in virtual time", name)
+		}
+		p.sees = true
+		p.pick = func(open []*balance.Backend, op *balance.Op) *balance.Backend {
+			from := p.rng.IntN(len(open))
+			var best *balance.Backend
+			least := math.Inf(1)
+			for k := range open {
+				b := open[(from+k)%len(open)]
+				if x := sight(p.now, b, op); x < least {
+					best, least = b, x
+				}
+			}
+			if least > op.GiveUp-p.now { // what can't be answered is given up at once
+				return nil
+			}
+			return best
+		}
+	default:
+		return nil, fmt.Errorf("unknown policy %q", name)
+	}
+	return p, nil
+}
+
+type plain struct {
+	t        *balance.Terms
+	rng      *rand.Rand
+	now      float64
+	backends []*balance.Backend
+	out      map[*balance.Backend]int // own pushes
+	ops      map[*balance.Op]*state
+	turn     int
+	sees     bool
+	pick     func(open []*balance.Backend, op *balance.Op) *balance.Backend
+	queue    []balance.Decision
+	tracked  bool
+	askAt    float64
+	armed    float64
+	fails    int
+}
+
+// state is what a baseline keeps of an op.
+type state struct {
+	out   map[*balance.Push]bool
+	first *balance.Push // the first that is not known never to have run
+	ended map[*balance.Push]balance.Ending
+}
+
+func (p *plain) Listed(now float64, lines []balance.Listing, full, cached bool) {
+	p.now = now
+	if !cached {
+		p.tracked, p.fails = true, 0
+	}
+	if full {
+		for _, b := range p.backends {
+			b.State = balance.Gone
+		}
+	}
+	for _, l := range lines {
+		b := l.Backend
+		known := false
+		for _, x := range p.backends {
+			known = known || x == b
+		}
+		if !known {
+			p.backends = append(p.backends, b)
+		}
+		b.State, b.Zone, b.Cell, b.Kind, b.Started, b.Weight = l.State, l.Zone, l.Cell, l.Kind, l.Started, l.Weight
+	}
+}
+
+func (p *plain) ListFailed(now float64) {
+	p.now, p.tracked = now, false
+	p.askAt = now + math.Min(500*math.Exp2(float64(p.fails)), 4e3)*(0.5+p.rng.Float64())
+	p.fails++
+}
+
+func (p *plain) Arrived(now float64, op *balance.Op) {
+	p.now = now
+	op.Arrived = now
+	p.ops[op] = &state{out: map[*balance.Push]bool{}, ended: map[*balance.Push]balance.Ending{}}
+	p.place(op)
+}
+
+func (p *plain) Left(now float64, op *balance.Op) {
+	p.now = now
+	p.close(op, true)
+}
+
+func (p *plain) Begun(now float64, _ *balance.Push) { p.now = now }
+
+func (p *plain) Reported(now float64, _ *balance.Backend, _ float64) { p.now = now }
+
+func (p *plain) Ended(now float64, push *balance.Push, how balance.Ending, _ float64, finished bool) {
+	p.now = now
+	p.out[push.Backend]--
+	s := p.ops[push.Op]
+	if s == nil {
+		return
+	}
+	delete(s.out, push)
+	s.ended[push] = how
+	if how.NeverRan() && s.first == push {
+		s.first = nil
+		for _, q := range push.Op.Pushes {
+			if e, over := s.ended[q]; !over || !e.NeverRan() {
+				s.first = q
+				break
+			}
+		}
+	}
+	if finished {
+		p.close(push.Op, true)
+	} else if len(s.out) == 0 {
+		p.place(push.Op)
+	}
+}
+
+func (p *plain) Due(now float64) { p.now = now; p.armed = 0 }
+
+func (p *plain) Next() (balance.Decision, bool) {
+	if len(p.queue) > 0 {
+		d := p.queue[0]
+		p.queue = p.queue[1:]
+		return d, true
+	}
+	if !p.tracked && !math.IsInf(p.askAt, 1) {
+		if p.now >= p.askAt {
+			p.askAt = p.now + p.t.AskWithin/2
+			return balance.Decision{Kind: balance.DoWatch}, true
+		}
+		if p.armed == 0 {
+			p.armed = p.askAt
+			return balance.Decision{Kind: balance.DoTimer, Wait: p.askAt - p.now}, true
+		}
+	}
+	return balance.Decision{}, false
+}
+
+// may keeps the rules of repeats and drains; what a cold backend stands is not among what a baseline knows.
+func (p *plain) may(op *balance.Op, s *state, b *balance.Backend) bool {
+	if b.State != balance.Ready || op.GiveUp <= p.now {
+		return false
+	}
+	if s.first == nil {
+		return true
+	}
+	c := &p.t.Categories[op.Category]
+	switch c.Effect {
+	case balance.AtMostOnce:
+		return false
+	case balance.Deduplicated:
+		return p.now-s.first.SentAt < c.Remembered && (c.Group == balance.GroupAll ||
+			c.Group == balance.GroupZone && b.Zone == s.first.Backend.Zone || c.Group == balance.GroupCell && b.Cell == s.first.Backend.Cell)
+	}
+	return true
+}
+
+func (p *plain) place(op *balance.Op) {
+	s := p.ops[op]
+	var open, fresh []*balance.Backend
+	for _, b := range p.backends {
+		if !p.may(op, s, b) {
+			continue
+		}
+		open = append(open, b)
+		tried := false
+		for _, q := range op.Pushes {
+			tried = tried || q.Backend == b
+		}
+		if !tried {
+			fresh = append(fresh, b)
+		}
+	}
+	if len(fresh) > 0 {
+		open = fresh
+	}
+	var b *balance.Backend
+	if len(open) > 0 && len(op.Pushes) < p.t.MaxPushes {
+		b = p.pick(open, op)
+	}
+	if b == nil {
+		p.giveUp(op, s)
+		return
+	}
+	push := &balance.Push{Op: op, Backend: b, Number: len(op.Pushes), SentAt: p.now}
+	op.Pushes = append(op.Pushes, push)
+	s.out[push] = true
+	if s.first == nil {
+		s.first = push
+	}
+	p.out[b]++
+	p.queue = append(p.queue, balance.Decision{Kind: balance.DoPush, Op: op, Push: push})
+}
+
+func (p *plain) giveUp(op *balance.Op, s *state) {
+	c := &p.t.Categories[op.Category]
+	kind := balance.DoDeadLetter
+	if s.first == nil || c.Effect == balance.Redeliverable || c.Effect == balance.Deduplicated && c.Group == balance.GroupAll {
+		kind = balance.DoNack
+	}
+	d := balance.Decision{Kind: kind, Op: op}
+	if kind == balance.DoNack && p.t.ComeBack {
+		d.Wait = math.Min(p.t.MaxComeBack, c.TargetLatency) * (0.5 + 0.5*p.rng.Float64())
+	}
+	p.queue = append(p.queue, d)
+	p.close(op, true)
+}
+
+// close ends an op and calls off what is out.
+func (p *plain) close(op *balance.Op, revoke bool) {
+	s := p.ops[op]
+	if s == nil {
+		return
+	}
+	delete(p.ops, op)
+	if revoke && p.t.Cancel {
+		for _, q := range op.Pushes {
+			if s.out[q] {
+				p.queue = append(p.queue, balance.Decision{Kind: balance.DoRevoke, Op: op, Push: q})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/report/report.go
@@ -0,0 +1,261 @@
+// Package report writes a result to a directory and makes a page of it that needs nothing else: plots are drawn into
+// the page.
+package report
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"image/color"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"pearknot/internal/lab/measure"
+)
+
+// Names of the files in a result's directory.
+const (
+	ResultFile = "result.json"
+	PageFile   = "report.html"
+	EventsFile = "events.jsonl.zst"
+)
+
+// Write puts result.json into a directory, which is made where it isn't there.
+func Write(dir string, r measure.Result) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	data, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, ResultFile), append(data, '\n'), 0o644)
+}
+
+// Read reads a directory's result; one of another version is refused.
+func Read(dir string) (r measure.Result, err error) {
+	name := filepath.Join(dir, ResultFile)
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return r, err
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	if err := d.Decode(&r); err != nil {
+		return r, fmt.Errorf("%s: byte %d: %w", name, d.InputOffset(), err)
+	}
+	if r.Version != measure.Version {
+		return r, fmt.Errorf("%s: version %d, this program reads %d", name, r.Version, measure.Version)
+	}
+	if len(r.Runs) == 0 {
+		return r, fmt.Errorf("%s: no runs", name)
+	}
+	return r, nil
+}
+
+// Page writes report.html beside the result.
+func Page(dir string, r measure.Result) error {
+	data, err := Render(r)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, PageFile), data, 0o644)
+}
+
+type figure struct {
+	Title string
+	SVG   template.HTML
+}
+
+type section struct {
+	Run     measure.Run
+	Figures []figure
+}
+
+// Render makes the page.
+func Render(r measure.Result) ([]byte, error) {
+	var sections []section
+	for _, run := range r.Runs {
+		s := section{Run: run}
+		for _, f := range figures(run) {
+			svg, err := drawn(f.plot)
+			if err != nil {
+				return nil, err
+			}
+			s.Figures = append(s.Figures, figure{f.title, svg})
+		}
+		sections = append(sections, s)
+	}
+	var out bytes.Buffer
+	err := page.Execute(&out, map[string]any{"R": r, "Sections": sections, "Kept": kept(r)})
+	return out.Bytes(), err
+}
+
+func kept(r measure.Result) bool {
+	return !slices.ContainsFunc(r.Runs, func(r measure.Run) bool { return !r.Rules.Kept })
+}
+
+type titled struct {
+	title string
+	plot  *plot.Plot
+}
+
+var hues = []color.RGBA{{31, 119, 180, 255}, {214, 90, 30, 255}, {44, 140, 60, 255}, {150, 60, 160, 255}, {120, 90, 40, 255},
+	{90, 90, 90, 255}, {20, 160, 160, 255}, {200, 40, 90, 255}}
+
+func figures(run measure.Run) []titled {
+	var all []titled
+	add := func(title, y string, lines []line, top float64) {
+		p := plot.New()
+		p.X.Label.Text, p.Y.Label.Text = "seconds", y
+		p.Y.Min = 0
+		shade(p, run, top)
+		for i, l := range lines {
+			if len(l.points) == 0 {
+				continue
+			}
+			curve, err := plotter.NewLine(l.points)
+			if err != nil {
+				continue // no finite point: nothing to draw
+			}
+			curve.Color, curve.Width = hues[i%len(hues)], vg.Points(1.2)
+			p.Add(curve)
+			if l.name != "" {
+				p.Legend.Add(l.name, curve)
+			}
+		}
+		p.Legend.Top = true
+		p.Y.Max = top
+		all = append(all, titled{title, p})
+	}
+	series := func(name string, of func(measure.Window) float64) line {
+		l := line{name: name}
+		for _, w := range run.Windows {
+			if y := of(w); y >= 0 && !math.IsInf(y, 0) {
+				l.points = append(l.points, plotter.XY{X: w.At, Y: y})
+			}
+		}
+		return l
+	}
+	service := []line{series("all", func(w measure.Window) float64 {
+		if w.Asked == 0 {
+			return -1
+		}
+		return w.Earned / w.Asked
+	})}
+	for k, c := range run.Categories {
+		service = append(service, series(c.Name, func(w measure.Window) float64 {
+			if k >= len(w.Category) {
+				return -1
+			}
+			return w.Category[k]
+		}))
+	}
+	add("Service by category", "benefit earned of asked", service, 1.05)
+	times := []line{series("50 of 100", func(w measure.Window) float64 { return w.Times[0] }),
+		series("99 of 100", func(w measure.Window) float64 { return w.Times[1] })}
+	add("Answer times, from the intended sending", "ms", times, highest(times))
+	pushes := []line{series("pushes", func(w measure.Window) float64 { return float64(w.Pushes) * 2 }),
+		series("crossings", func(w measure.Window) float64 { return float64(w.Crossings) * 2 }),
+		series("nacks", func(w measure.Window) float64 { return float64(w.Nacks) * 2 })}
+	add("Pushes, crossings and nacks a second", "a second", pushes, highest(pushes))
+	load := func(share float64) func(measure.Window) float64 {
+		return func(w measure.Window) float64 {
+			if len(w.Load) == 0 {
+				return -1
+			}
+			x := slices.Sorted(slices.Values(w.Load))
+			return x[int(share*float64(len(x)-1))]
+		}
+	}
+	add("Backends' load: least, middle, most", "busy share", []line{series("least", load(0)), series("middle", load(0.5)),
+		series("most", load(1))}, 1.1)
+	if l := run.Loop; l != nil && len(l.Multiple) > 1 {
+		p := plot.New()
+		p.X.Label.Text, p.Y.Label.Text = "offered load, multiple", "service"
+		for i, side := range [][]float64{l.Up, l.Down} {
+			var points plotter.XYs
+			for k, m := range l.Multiple {
+				points = append(points, plotter.XY{X: m, Y: side[k]})
+			}
+			if curve, err := plotter.NewLine(points); err == nil {
+				curve.Color, curve.Width = hues[i], vg.Points(1.5)
+				p.Add(curve)
+				p.Legend.Add([]string{"on the way up", "on the way down"}[i], curve)
+			}
+		}
+		p.Y.Min, p.Y.Max, p.Legend.Top = 0, 1.05, true
+		all = append(all, titled{fmt.Sprintf("Service against offered load, both ways: area %.3f", l.Area), p})
+	}
+	return all
+}
+
+type line struct {
+	name   string
+	points plotter.XYs
+}
+
+func highest(lines []line) float64 {
+	top := 1.0
+	for _, l := range lines {
+		for _, p := range l.points {
+			top = math.Max(top, p.Y)
+		}
+	}
+	return 1.1 * top
+}
+
+// shade marks the troubles' spans.
+func shade(p *plot.Plot, run measure.Run, top float64) {
+	for _, t := range run.Troubles {
+		box, err := plotter.NewPolygon(plotter.XYs{{X: t.From, Y: 0}, {X: t.To, Y: 0}, {X: t.To, Y: top}, {X: t.From, Y: top}})
+		if err != nil {
+			continue
+		}
+		box.Color, box.LineStyle.Width = color.NRGBA{200, 60, 60, 35}, 0
+		p.Add(box)
+	}
+}
+
+func drawn(p *plot.Plot) (template.HTML, error) {
+	c := vgsvg.New(18*vg.Centimeter, 6.5*vg.Centimeter)
+	p.Draw(draw.New(c))
+	var out bytes.Buffer
+	if _, err := c.WriteTo(&out); err != nil {
+		return "", err
+	}
+	svg := out.Bytes()
+	if at := bytes.Index(svg, []byte("<svg")); at > 0 { // the head of a file of its own
+		svg = svg[at:]
+	}
+	return template.HTML(svg), nil
+}
+
+var page = template.Must(template.New("page").Funcs(template.FuncMap{"pct": func(x float64) string { return fmt.Sprintf("%.3f", x) },
+	"ms": func(x float64) string { return fmt.Sprintf("%.0f", x) }}).Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>{{.R.Experiment}}, {{.R.Policy}}</title>
+<style>body{font:15px/1.45 sans-serif;max-width:56em;margin:2em auto;padding:0 1em;color:#222}
+table{border-collapse:collapse;margin:1em 0}td,th{border:1px solid #bbb;padding:.25em .6em;text-align:right}
+td:first-child,th:first-child{text-align:left}.broken{color:#b00;font-weight:bold}pre{background:#f4f4f4;padding:1em;overflow:auto}
+svg{width:100%;height:auto}</style></head><body>
+<h1>{{.R.Experiment}}: {{.R.Policy}}, {{.R.Host}}</h1><p>{{.R.About}}</p>
+<p>{{.R.Nodes}} nodes, {{.R.Backends}} backends, {{.R.Seconds}} s; service {{.R.Service}} over {{.R.Service.N}} seeds (mean, 95% interval).
+Backends, clients and list are stand-ins. <span {{if not .Kept}}class="broken"{{end}}>{{if .Kept}}All rules kept.{{else}}Rules broken.{{end}}</span></p>
+{{range .Sections}}<h2>Seed {{.Run.Seed}}</h2>
+<table><tr><th>service</th><th>worst 10 s</th><th>ops</th><th>pushes an op</th><th>tries an op</th><th>crossings an op</th><th>work wasted</th><th>herding</th></tr>
+<tr><td>{{pct .Run.Service}}</td><td>{{pct .Run.Worst10}}</td><td>{{.Run.Ops}}</td><td>{{pct .Run.PushesPerOp}}</td><td>{{pct .Run.TriesPerOp}}</td><td>{{pct .Run.CrossingsPer}}</td><td>{{pct .Run.Wasted}}</td><td>{{pct .Run.Herding99}}</td></tr></table>
+<table><tr><th>category</th><th>ops</th><th>service</th><th>50%, ms</th><th>90%</th><th>99%</th><th>99.9%</th></tr>
+{{range .Run.Categories}}<tr><td>{{.Name}}</td><td>{{.Ops}}</td><td>{{pct .Service}}</td>{{range .Times}}<td>{{ms .}}</td>{{end}}</tr>{{end}}</table>
+{{if .Run.Troubles}}<table><tr><th>trouble</th><th>from, s</th><th>to</th><th>service before</th><th>worst</th><th>recovered after, s</th><th>benefit lost</th></tr>
+{{range .Run.Troubles}}<tr><td>{{.Kind}}</td><td>{{.From}}</td><td>{{.To}}</td><td>{{pct .Before}}</td><td>{{pct .Worst}}</td><td>{{if lt .After 0.0}}never{{else}}{{pct .After}}{{end}}</td><td>{{ms .Lost}}</td></tr>{{end}}</table>{{end}}
+<p {{if not .Run.Rules.Kept}}class="broken"{{end}}>{{.Run.Rules.Text}}</p>{{range .Run.Rules.Breaches}}<pre>{{.}}</pre>{{end}}
+{{range .Figures}}<h3>{{.Title}}</h3>{{.SVG}}{{end}}{{end}}</body></html>
+`))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,24 @@
 // pushes time out and it answers them; what it holds for a later moment has none.
 const abandonAfter = 50.0
 
+// Decider is what decides for a node: the module, or what is measured against it in its place.
+type Decider interface {
+	Listed(now float64, lines []balance.Listing, full, cached bool)
+	ListFailed(now float64)
+	Arrived(now float64, op *balance.Op)
+	Left(now float64, op *balance.Op)
+	Ended(now float64, p *balance.Push, how balance.Ending, elapsed float64, finished bool)
+	Reported(now float64, b *balance.Backend, service float64)
+	Due(now float64)
+	Next() (balance.Decision, bool)
+}
+
+// Decide makes a decider; now is the node's clock.
+type Decide func(t *balance.Terms, now float64) Decider
+
+// Module makes the decision module.
+func Module(t *balance.Terms, now float64) Decider { return balance.New(t, now) }
+
 // Node is the module's actor. Its fields below box are its own.
 type Node struct {
 	clock *clock.Clock
@@ -32,7 +50,8 @@
 	box   *mailbox.Box[func()]
 	ready chan struct{} // closed once a list is held
 
-	module   *balance.Node
+	decide   Decide
+	module   Decider
 	now      float64 // the batch's
 	ops      map[uint64]*Op
 	seq      uint64
@@ -52,8 +71,8 @@
 }
 
 // New makes a node; ask is how it begins a watch on the list, and must not block.
-func New(told *terms.Deployment, c *clock.Clock, peers *upstream.Terms, ask func(), log *slog.Logger) *Node {
-	return &Node{clock: c, log: log, told: told, peers: peers, ask: ask, box: mailbox.New[func()](),
+func New(told *terms.Deployment, decide Decide, c *clock.Clock, peers *upstream.Terms, ask func(), log *slog.Logger) *Node {
+	return &Node{decide: decide, clock: c, log: log, told: told, peers: peers, ask: ask, box: mailbox.New[func()](),
 		ready: make(chan struct{}), ops: map[uint64]*Op{}, backends: map[string]*backend{},
 		behind: map[*balance.Backend]*backend{}, timer: time.NewTimer(time.Hour), done: make(chan struct{})}
 }
@@ -61,7 +80,7 @@
 // Start runs the actor, with the list as the node last had it, if it had one.
 func (n *Node) Start(known *members.List) {
 	n.now = n.clock.Now()
-	n.module = balance.New(n.told.Terms, n.now)
+	n.module = n.decide(n.told.Terms, n.now)
 	if known != nil {
 		n.listed(known, true)
 	}
@@ -175,7 +194,7 @@
 			return
 		}
 		n.log.Error("module fault, starting it anew", "fault", fmt.Sprint(fault), "stack", string(debug.Stack()))
-		n.module = balance.New(n.told.Terms, n.now)
+		n.module = n.decide(n.told.Terms, n.now)
 		for ref, op := range n.ops {
 			op.finish(Answer{Final: DeadLettered})
 			for _, c := range op.calls {
@@ -314,6 +333,7 @@
 		})
 	})
 	op.calls = append(op.calls, call)
+	op.out++
 	if peer := n.behind[p.Backend].peer; peer != nil {
 		peer.Send(call)
 		return
@@ -323,10 +343,7 @@
 
 // ended takes a push's ending. The first answer acks its op.
 func (n *Node) ended(op *Op, p *balance.Push, out upstream.Outcome) {
-	if !p.Out() {
-		out.Reply.Release()
-		return
-	}
+	op.out--
 	if out.Service > 0 {
 		n.module.Reported(n.now, p.Backend, out.Service)
 	}
@@ -349,7 +366,7 @@
 // forget lets go of an op that is over. The module's due times hold its part for as long as its TTL: not what it
 // carried as well.
 func (n *Node) forget(op *Op) {
-	if op.Over() {
+	if op.answered && op.out == 0 {
 		delete(n.ops, op.Ref)
 		op.Message, op.calls = nil, nil
 	}
--- a/internal/node/op.go
+++ b/internal/node/op.go
@@ -29,6 +29,7 @@
 	answer   chan Answer
 	answered bool             // or its client is gone; the actor's
 	calls    []*upstream.Call // by number of the push; the actor's
+	out      int              // of them, those that have not ended; the actor's
 }
 
 // NewOp makes an op; the front fills in what it knows of it.
--- a/cmd/pearknot/place.go
+++ b/internal/serve/place.go
@@ -1,4 +1,5 @@
-package main
+// Package serve puts a node together from its configuration and runs it until it is told to end.
+package serve
 
 import (
 	"cmp"
@@ -16,8 +17,8 @@
 	"pearknot/internal/terms"
 )
 
-// place is where a node runs: its addresses, its limits and what the deployment tells it.
-type place struct {
+// Place is where a node runs: its addresses, its limits and what the deployment tells it.
+type Place struct {
 	file      string
 	name      string
 	listen    string
@@ -30,8 +31,8 @@
 	known     *members.List // nil where the node never had one
 }
 
-// readPlace reads the configuration; the environment's own variables stand in for what it leaves out.
-func readPlace(file string, log *slog.Logger) (*place, error) {
+// Read reads the configuration; the environment's own variables stand in for what it leaves out.
+func Read(file string, log *slog.Logger) (*Place, error) {
 	if file == "" {
 		return nil, errors.New("no configuration: give -config or set ROUTER_CONFIG")
 	}
@@ -52,7 +53,7 @@
 	if err := json.Unmarshal(data, &read); err != nil {
 		return nil, fmt.Errorf("%s: %w", file, err)
 	}
-	p := &place{
+	p := &Place{
 		file:      file,
 		name:      cmp.Or(read.Name, os.Getenv("ROUTER_NAME")),
 		listen:    cmp.Or(read.Listen, os.Getenv("ROUTER_LISTEN")),
@@ -89,8 +90,8 @@
 
 // reread takes up a new text of the file: where the list is asked for, and the whole list from there. All else needs
 // a start. Of a file that can't be read nothing is taken.
-func (p *place) reread(move func(address string), log *slog.Logger) {
-	next, err := readPlace(p.file, log)
+func (p *Place) reread(move func(address string), log *slog.Logger) {
+	next, err := Read(p.file, log)
 	if err != nil {
 		log.Error("new configuration not taken, the old one holds", "error", err)
 		return
@@ -104,7 +105,7 @@
 	move(p.discovery)
 }
 
-func (p *place) String() string {
+func (p *Place) String() string {
 	known := 0
 	if p.known != nil {
 		known = len(p.known.Members)
--- a/cmd/pearknot/serve.go
+++ b/internal/serve/serve.go
@@ -1,4 +1,4 @@
-package main
+package serve
 
 import (
 	"cmp"
@@ -36,8 +36,8 @@
 	memoryShare = 0.7                    // of the limit, for the collector; the rest holds stacks and what the kernel books
 )
 
-// serve runs a node until SIGTERM has ended it.
-func serve(p *place, log *slog.Logger) error {
+// Run runs a node until SIGTERM has ended it. Decide makes its decision module.
+func Run(p *Place, decide node.Decide, version string, log *slog.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.cores))))
 	if p.memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(p.memory)))
@@ -60,7 +60,7 @@
 	if p.known != nil {
 		watch.Version, watch.Held = p.known.Version, true
 	}
-	n := node.New(p.told, now, &upstream.Terms{
+	n := node.New(p.told, decide, now, &upstream.Terms{
 		ConnectTimeout: clock.Span(p.told.ConnectTimeout),
 		IdleFor:        clock.Span(idleShare * p.told.ConnectionIdle),
 		Service:        terms.Service,
@@ -78,7 +78,7 @@
 	watch.Start(over)
 	n.Start(p.known)
 	go shed(over, budget, pressed, n.Shed, f.Shed)
-	log.Info("serving", "name", p.name, "address", f.Address(), "version", version())
+	log.Info("serving", "name", p.name, "address", f.Address(), "version", version)
 	failed := make(chan error, 1)
 	go func() { failed <- f.Serve() }()
 	for ctx.Err() == nil {
