--- a/cmd/pearknot-lab/play.go
+++ b/cmd/pearknot-lab/play.go
@@ -365,10 +365,10 @@
 		if _, err := policy.New(name, &balance.Terms{}, 0, nil); err != nil {
 			return &statusError{unread, err}
 		}
-		return serve.Run(p, func(t *balance.Terms, now float64) node.Decider {
+		return serve.Run(p, serve.Options{Version: version(), Decide: func(t *balance.Terms, now float64) node.Decider {
 			d, _ := policy.New(name, t, now, nil) // the name was tried above
 			return d
-		}, version(), log)
+		}}, log)
 	}}
 	c.Flags().StringVar(&name, "policy", "random", "who decides")
 	c.Flags().StringVar(&file, "config", "", "configuration file")
--- /dev/null
+++ b/cmd/pearknot/fleet.go
@@ -0,0 +1,400 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"pearknot/internal/agent"
+	"pearknot/internal/control"
+	"pearknot/internal/fleet"
+)
+
+// callWithin is how long the agent may take to answer, waits that were asked for aside.
+const callWithin = 70 * time.Second
+
+// tool is what the fleet's commands have in common.
+type tool struct {
+	socket   string
+	json     bool
+	reason   string
+	revision int64
+	wait     bool
+	within   time.Duration
+	options  fleet.Options
+	dryRun   bool
+}
+
+func (t *tool) client() *control.Client { return control.NewClient(t.socket, callWithin) }
+
+func (t *tool) view(ctx context.Context) (v agent.View, err error) {
+	err = t.client().Call(ctx, http.MethodGet, agent.FleetPath, nil, &v)
+	return v, err
+}
+
+func fleetCommand() *cobra.Command {
+	t := &tool{}
+	root := &cobra.Command{Use: "fleet", Short: "Speak with the agent: declare, look, change, roll back",
+		Long: `fleet speaks with the agent of this host over its socket.
+
+Every change is made from a revision of the fleet, the one just read where --revision is not given. Of two conflicting
+ones exactly one is taken; the other is told what came first and exits with 3.
+
+Exit status: 0 done, 1 failed (also a change that was rolled back), 2 the command line or a file can't be read, 3 not all
+is as wanted (status), something differs (diff), or another's change came first.`}
+	root.PersistentFlags().StringVar(&t.socket, "socket", os.Getenv("PEARKNOT_AGENT"), "the agent's socket (default $PEARKNOT_AGENT)")
+	root.PersistentFlags().BoolVar(&t.json, "json", false, "JSON for programs")
+	root.PersistentPreRunE = func(*cobra.Command, []string) error {
+		if t.socket == "" {
+			return &statusError{status: unread, err: errors.New("no agent: give --socket or set PEARKNOT_AGENT")}
+		}
+		return nil
+	}
+	root.AddCommand(t.apply(), t.diff(), t.status(), t.words("start"), t.words("stop"), t.words("restart"), t.reconfigure(), t.rollback(),
+		t.history(), t.logs(), t.watch())
+	return root
+}
+
+func (t *tool) writing(c *cobra.Command) *cobra.Command {
+	f := c.Flags()
+	f.StringVar(&t.reason, "reason", "", "why, for the history")
+	f.Int64Var(&t.revision, "revision", -1, "the revision that this was made from")
+	f.BoolVar(&t.wait, "wait", false, "wait for the end of the change")
+	f.DurationVar(&t.within, "within", 10*time.Minute, "wait no longer")
+	f.BoolVar(&t.dryRun, "dry-run", false, "only tell what would be touched")
+	f.IntVar(&t.options.AtOnce, "at-once", 0, "instances out of service at a time (default: the agent's)")
+	f.IntVar(&t.options.Canary, "canary", -1, "instances that go first (default: the agent's)")
+	f.Float64Var(&t.options.HealthMs, "health-ms", -1, "time that one must stay well (default: the agent's)")
+	f.BoolVar(&t.options.NoRevert, "no-revert", false, "stop on failure and leave it there")
+	_ = c.MarkFlagRequired("reason")
+	return c
+}
+
+// write sends a change and, where asked, waits for its end.
+func (t *tool) write(c *cobra.Command, w agent.Write) error {
+	ctx := c.Context()
+	if t.revision >= 0 {
+		w.Revision = uint64(t.revision)
+	} else {
+		v, err := t.view(ctx)
+		if err != nil {
+			return err
+		}
+		w.Revision = v.Revision
+	}
+	w.Reason, w.DryRun = t.reason, t.dryRun
+	if o := t.options; o.AtOnce > 0 || o.Canary >= 0 || o.HealthMs >= 0 || o.NoRevert {
+		o.AtOnce, o.Canary = max(o.AtOnce, 1), max(o.Canary, 0)
+		o.HealthMs = max(o.HealthMs, 0)
+		w.Options = &o
+	}
+	var out agent.Written
+	err := t.client().Call(ctx, http.MethodPost, agent.WritePath, w, &out)
+	var refused *control.Refused
+	if errors.As(err, &refused) {
+		switch refused.Status {
+		case http.StatusConflict:
+			return &statusError{status: no, err: err}
+		case agent.NothingToChange:
+			fmt.Fprintln(c.OutOrStdout(), "nothing to change")
+			return nil
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if t.dryRun {
+		return t.show(c, out, func(w io.Writer) {
+			fmt.Fprintf(w, "would touch %d instances: %s\n", len(out.Differs), strings.Join(out.Differs, " "))
+		})
+	}
+	if t.wait {
+		if out.Change, err = t.follow(ctx, out.Change.ID); err != nil {
+			return err
+		}
+	}
+	if err := t.show(c, out, func(w io.Writer) { line(w, out.Change) }); err != nil {
+		return err
+	}
+	if t.wait && out.Change.Status != fleet.Succeeded && !(w.What == "rollback" && out.Change.Status == fleet.RolledBack) {
+		return &statusError{status: failed, err: fmt.Errorf("change %d: %s: %s", out.Change.ID, out.Change.Status, out.Change.Failure)}
+	}
+	return nil
+}
+
+// follow waits until a change is over.
+func (t *tool) follow(ctx context.Context, id uint64) (fleet.Change, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.within)
+	defer cancel()
+	since := uint64(0)
+	for {
+		var v agent.View
+		err := t.client().Call(ctx, http.MethodGet, fmt.Sprintf("%s?since=%d&wait_ms=5000", agent.FleetPath, since), nil, &v)
+		switch {
+		case ctx.Err() != nil:
+			return fleet.Change{}, fmt.Errorf("change %d is not over after %v", id, t.within)
+		case err != nil: // the agent may be on its way back
+			select {
+			case <-time.After(200 * time.Millisecond):
+			case <-ctx.Done():
+			}
+			since = 0
+			continue
+		case v.Change != nil && v.Change.ID == id && v.Change.Status.Over():
+			return *v.Change, nil
+		case v.Change != nil && v.Change.ID > id:
+			return fleet.Change{}, fmt.Errorf("change %d was followed by another: see history", id)
+		}
+		since = v.Seq
+	}
+}
+
+// show prints a value for programs, or its table for people.
+func (t *tool) show(c *cobra.Command, v any, table func(io.Writer)) error {
+	if t.json {
+		e := json.NewEncoder(c.OutOrStdout())
+		e.SetIndent("", " ")
+		return e.Encode(v)
+	}
+	w := tabwriter.NewWriter(c.OutOrStdout(), 2, 8, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
+func line(w io.Writer, c fleet.Change) {
+	fmt.Fprintf(w, "change %d\t%s\t%s\tby %s\t%s\tgeneration %d to %d\t%d of %d instances\t%s\n", c.ID, c.Status, c.What, c.Author, c.Reason,
+		c.From, c.To, len(c.Done), len(c.Order), c.Failure)
+}
+
+func (t *tool) apply() *cobra.Command {
+	return t.writing(&cobra.Command{Use: "apply FILE", Short: "Declare all instances, as a file has them", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			instances, configs, err := agent.ReadFleet(args[0])
+			if err != nil {
+				return &statusError{status: unread, err: err}
+			}
+			return t.write(c, agent.Write{What: "apply", Instances: instances, Configs: configs})
+		}})
+}
+
+func (t *tool) diff() *cobra.Command {
+	return &cobra.Command{Use: "diff FILE", Short: "Tell what apply would change", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			instances, configs, err := agent.ReadFleet(args[0])
+			if err != nil {
+				return &statusError{status: unread, err: err}
+			}
+			v, err := t.view(c.Context())
+			if err != nil {
+				return err
+			}
+			type difference struct {
+				Name     string `json:"name"`
+				What     string `json:"what"`
+				Was, Now string
+			}
+			all := []difference{}
+			declared := map[string]fleet.Instance{}
+			for _, i := range v.Instances {
+				if i.Declared != nil {
+					declared[i.Name] = *i.Declared
+				}
+			}
+			for _, i := range instances {
+				was, had := declared[i.Name]
+				delete(declared, i.Name)
+				if !had {
+					all = append(all, difference{i.Name, "new", "", i.Listen})
+					continue
+				}
+				for _, x := range []struct{ what, was, now string }{{"listen", was.Listen, i.Listen}, {"list", was.List, i.List},
+					{"configuration", was.Digest[:min(12, len(was.Digest))], agent.Digest(configs[i.Name])[:12]},
+					{"state", string(was.Wanted), string(i.Wanted)}} {
+					if x.was != x.now {
+						all = append(all, difference{i.Name, x.what, x.was, x.now})
+					}
+				}
+			}
+			for name, i := range declared {
+				all = append(all, difference{name, "gone", i.Listen, ""})
+			}
+			slices.SortStableFunc(all, func(a, b difference) int { return strings.Compare(a.Name, b.Name) })
+			if err := t.show(c, all, func(w io.Writer) {
+				for _, d := range all {
+					fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", d.Name, d.What, d.Was, d.Now)
+				}
+			}); err != nil {
+				return err
+			}
+			if len(all) > 0 {
+				return &statusError{status: no, err: errors.New("differs"), silent: true}
+			}
+			return nil
+		}}
+}
+
+// table is the fleet for people: what is declared, what was seen, and when.
+func table(w io.Writer, v agent.View) {
+	fmt.Fprintf(w, "revision %d, generation %d\n", v.Revision, v.Generation)
+	if v.Broken != "" {
+		fmt.Fprintf(w, "the state can't be written, nothing is changed until it can: %s\n", v.Broken)
+	}
+	if c := v.Change; c != nil && !c.Status.Over() {
+		line(w, *c)
+	}
+	fmt.Fprintln(w, "instance\twanted\tverdict\tseen\tago\tlisten\tconfiguration\tpid\tops\tMB\twhy")
+	for _, i := range v.Instances {
+		wanted, listen := "none", ""
+		if i.Declared != nil {
+			wanted, listen = string(i.Declared.Wanted), i.Declared.Listen
+		}
+		ago := "never"
+		if i.Seen.At > 0 {
+			ago = fmt.Sprintf("%.1f s", max(0, (v.Now-i.Seen.At)/1e3))
+		}
+		phase := string(i.Seen.Phase)
+		if i.Seen.InService {
+			phase = "in service"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%.0f\t%s\n", i.Name, wanted, i.Verdict, phase, ago, listen,
+			i.Seen.Digest[:min(8, len(i.Seen.Digest))], i.Seen.Pid, i.Seen.Open, i.Seen.MemoryMB, i.Why)
+	}
+}
+
+func (t *tool) status() *cobra.Command {
+	return &cobra.Command{Use: "status", Short: "What is declared, what was seen, and when", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			v, err := t.view(c.Context())
+			if err != nil {
+				return err
+			}
+			if err := t.show(c, v, func(w io.Writer) { table(w, v) }); err != nil {
+				return err
+			}
+			for _, i := range v.Instances {
+				if i.Verdict != fleet.AsWanted {
+					return &statusError{status: no, err: errors.New("not all as wanted"), silent: true}
+				}
+			}
+			return nil
+		}}
+}
+
+func (t *tool) words(what string) *cobra.Command {
+	return t.writing(&cobra.Command{Use: what + " [NAME ...]", Short: strings.ToUpper(what[:1]) + what[1:] + " instances, all where none is named",
+		RunE: func(c *cobra.Command, args []string) error {
+			return t.write(c, agent.Write{What: what, Names: args})
+		}})
+}
+
+func (t *tool) reconfigure() *cobra.Command {
+	return t.writing(&cobra.Command{Use: "reconfigure FILE NAME [NAME ...]", Short: "Give some instances what a file has for them, and leave the others",
+		Args: cobra.MinimumNArgs(2), RunE: func(c *cobra.Command, args []string) error {
+			instances, configs, err := agent.ReadFleet(args[0])
+			if err != nil {
+				return &statusError{status: unread, err: err}
+			}
+			w := agent.Write{What: "reconfigure", Configs: map[string]string{}}
+			for _, name := range args[1:] {
+				k := slices.IndexFunc(instances, func(i fleet.Instance) bool { return i.Name == name })
+				if k < 0 {
+					return &statusError{status: unread, err: fmt.Errorf("%s: no instance %s", args[0], name)}
+				}
+				w.Instances = append(w.Instances, instances[k])
+				w.Configs[name] = configs[name]
+			}
+			return t.write(c, w)
+		}})
+}
+
+func (t *tool) rollback() *cobra.Command {
+	to := uint64(0)
+	c := t.writing(&cobra.Command{Use: "rollback [--to GENERATION]", Short: "Turn the change that is on its way, or go back to a generation",
+		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			return t.write(c, agent.Write{What: "rollback", To: to})
+		}})
+	c.Flags().Uint64Var(&to, "to", 0, "a generation that is kept: see history")
+	return c
+}
+
+func (t *tool) history() *cobra.Command {
+	n := 20
+	c := &cobra.Command{Use: "history", Short: "Who changed what, when and why", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			var h agent.History
+			if err := t.client().Call(c.Context(), http.MethodGet, agent.HistoryPath+"?n="+strconv.Itoa(n), nil, &h); err != nil {
+				return err
+			}
+			return t.show(c, h, func(w io.Writer) {
+				fmt.Fprintf(w, "revision %d, generations kept %v\n", h.Revision, h.Kept)
+				for _, x := range h.Changes {
+					fmt.Fprintf(w, "%s\t", time.UnixMilli(int64(x.At)).UTC().Format(time.RFC3339))
+					line(w, x)
+				}
+			})
+		}}
+	c.Flags().IntVarP(&n, "lines", "n", 20, "changes at most")
+	return c
+}
+
+func (t *tool) logs() *cobra.Command {
+	n := 50
+	c := &cobra.Command{Use: "logs NAME", Short: "An instance's last log lines", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			var l agent.Logs
+			if err := t.client().Call(c.Context(), http.MethodGet, agent.LogsPath+"?lines="+strconv.Itoa(n)+"&name="+url.QueryEscape(args[0]), nil, &l); err != nil {
+				return err
+			}
+			return t.show(c, l, func(w io.Writer) {
+				for _, x := range append(l.Lines, l.Out...) {
+					fmt.Fprintln(w, x)
+				}
+			})
+		}}
+	c.Flags().IntVarP(&n, "lines", "n", 50, "lines at most")
+	return c
+}
+
+func (t *tool) watch() *cobra.Command {
+	within := time.Duration(0)
+	c := &cobra.Command{Use: "watch", Short: "The status, again whenever it changes", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx := c.Context()
+			if within > 0 {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithTimeout(ctx, within)
+				defer cancel()
+			}
+			since := ""
+			for ctx.Err() == nil {
+				var v agent.View
+				if err := t.client().Call(ctx, http.MethodGet, agent.FleetPath+"?wait_ms=5000"+since, nil, &v); err != nil {
+					if ctx.Err() != nil {
+						return nil
+					}
+					return err
+				}
+				if next := fmt.Sprintf("&since=%d", v.Seq); next != since {
+					since = next
+					if err := t.show(c, v, func(w io.Writer) { table(w, v); fmt.Fprintln(w) }); err != nil {
+						return err
+					}
+				}
+			}
+			return nil
+		}}
+	c.Flags().DurationVar(&within, "for", 0, "end after so long")
+	return c
+}
--- a/cmd/pearknot/main.go
+++ b/cmd/pearknot/main.go
@@ -1,76 +1,159 @@
-// Command pearknot is one real node on sockets.
+// Command pearknot is one real node on sockets, and the agent and the tool that look after many.
 package main
 
 import (
-	"flag"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"gopkg.in/natefinch/lumberjack.v2"
 
 	"pearknot/internal/node"
 	"pearknot/internal/serve"
+	"pearknot/internal/strict"
 )
 
-const usage = `pearknot is a load balancer's node.
-
-usage:
-  pearknot [serve] [flags]   serve clients until SIGTERM
-  pearknot check [flags]     read the configuration, tell what it says, and end
-  pearknot version           tell the version
+// Exit statuses.
+const (
+	done   = 0
+	failed = 1
+	unread = 2 // the command line can't be read, or a file of the agent's or the fleet's
+	no     = 3 // a check says no; a conflicting command came first
+)
 
-Flags of serve and check: -config FILE (default $ROUTER_CONFIG), -log LEVEL (debug, info, warn, error).
-`
+// A node's own log is kept to so much.
+const (
+	logMB   = 20
+	logKept = 5
+)
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-// run gives the exit status: 1 for what fails, 2 for a command line that can't be read.
+// statusError is an error with the exit status that it means; silent ones have been told already.
+type statusError struct {
+	status int
+	err    error
+	silent bool
+}
+
+func (e *statusError) Error() string { return e.err.Error() }
+func (e *statusError) Unwrap() error { return e.err }
+
+// run gives the exit status.
 func run(args []string, out, errs io.Writer) int {
-	command := "serve"
-	if len(args) > 0 && args[0] != "" && args[0][0] != '-' {
-		command, args = args[0], args[1:]
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := nodeCommand("pearknot", "serve")
+	root.Short = "A load balancer's node, and the agent and tool for many of them"
+	root.Long = `pearknot is a load balancer's node. Without a command it serves, as 'pearknot serve' does.
+
+Exit status: 0 done, 1 failed, 2 the command line or an operator's file can't be read, 3 a check says no, or another
+operator's command came first.`
+	root.Args = nil // an unknown word is an unknown command, whatever follows it
+	root.SilenceUsage, root.SilenceErrors = true, true
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &statusError{status: unread, err: err} })
+	serveCommand, check := nodeCommand("serve", "serve"), nodeCommand("check", "check")
+	serveCommand.Short = "Serve clients in the foreground until SIGTERM"
+	check.Short = "Read the configuration, tell what it says, and end"
+	root.AddCommand(serveCommand, check, &cobra.Command{Use: "version", Short: "Tell the version", Args: cobra.NoArgs,
+		Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "pearknot", version()) }},
+		agentCommand(), fleetCommand())
+	root.SetArgs(longFlags(args))
+	root.SetOut(out)
+	root.SetErr(errs)
+	err := root.ExecuteContext(ctx)
+	var status *statusError
+	var odd *strict.Error
+	switch {
+	case err == nil:
+		return done
+	case errors.As(err, &status):
+		if !status.silent {
+			fmt.Fprintln(errs, "pearknot:", err)
+		}
+		return status.status
+	case errors.As(err, &odd):
+		fmt.Fprintln(errs, err) // begins with its place
+		return unread
 	}
-	flags := flag.NewFlagSet("pearknot "+command, flag.ContinueOnError)
-	flags.SetOutput(errs)
-	flags.Usage = func() { fmt.Fprint(errs, usage) }
-	file := flags.String("config", os.Getenv("ROUTER_CONFIG"), "configuration file")
-	level := slog.LevelInfo
-	flags.TextVar(&level, "log", slog.LevelInfo, "least level of log lines")
-	switch err := flags.Parse(args); {
-	case err == flag.ErrHelp:
-		return 0
-	case err != nil:
-		return 2
-	case flags.NArg() > 0:
-		fmt.Fprintf(errs, "pearknot %s: unexpected %q\n", command, flags.Arg(0))
-		return 2
+	fmt.Fprintln(errs, "pearknot:", strings.SplitN(err.Error(), "\n", 2)[0])
+	for _, start := range []string{"unknown command", "accepts ", "requires ", "required flag"} {
+		if strings.HasPrefix(err.Error(), start) {
+			return unread
+		}
 	}
-	log := slog.New(slog.NewTextHandler(errs, &slog.HandlerOptions{Level: level}))
-	var err error
-	switch command {
-	case "serve", "check":
-		var p *serve.Place
-		switch p, err = serve.Read(*file, log); {
-		case err != nil:
-		case command == "serve":
-			err = serve.Run(p, node.Module, version(), log)
-		default:
-			fmt.Fprintln(out, p)
+	return failed
+}
+
+// longFlags takes the node's flags with one dash too, as they always were.
+func longFlags(args []string) []string {
+	long := make([]string, 0, len(args))
+	for k, a := range args {
+		if a == "--" {
+			return append(long, args[k:]...)
+		}
+		for _, name := range []string{"-config", "-log"} {
+			if a == name || strings.HasPrefix(a, name+"=") {
+				a = "-" + a
+				break
+			}
 		}
-	case "version":
-		fmt.Fprintln(out, "pearknot", version())
-	case "help":
-		fmt.Fprint(out, usage)
-	default:
-		fmt.Fprintf(errs, "pearknot: unknown command %q\n%s", command, usage)
-		return 2
+		long = append(long, a)
 	}
-	if err != nil {
-		fmt.Fprintln(errs, "pearknot:", err)
-		return 1
+	return long
+}
+
+// nodeCommand serves or checks.
+func nodeCommand(use, what string) *cobra.Command {
+	var file, logFile string
+	var o serve.Options
+	level := slog.LevelInfo
+	c := &cobra.Command{Use: use, Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+		var sink io.Writer = c.ErrOrStderr()
+		if logFile != "" {
+			rotated := &lumberjack.Logger{Filename: logFile, MaxSize: logMB, MaxBackups: logKept}
+			defer rotated.Close()
+			sink = rotated
+		}
+		log := slog.New(slog.NewTextHandler(sink, &slog.HandlerOptions{Level: level}))
+		if what == "serve" {
+			if err := serve.NoteLock(); err != nil {
+				return err
+			}
+		}
+		p, err := serve.Read(file, log)
+		switch {
+		case err != nil:
+			return err
+		case what == "check":
+			fmt.Fprintln(c.OutOrStdout(), p)
+			return nil
+		}
+		o.Decide, o.Version, o.Token = node.Module, version(), os.Getenv(serve.TokenVariable)
+		if e := os.Getenv(serve.EpochVariable); e != "" {
+			if o.Epoch, err = strconv.ParseUint(e, 10, 64); err != nil {
+				return fmt.Errorf("%s: %w", serve.EpochVariable, err)
+			}
+		}
+		return serve.Run(p, o, log)
+	}}
+	c.Flags().StringVar(&file, "config", os.Getenv("ROUTER_CONFIG"), "configuration file (default $ROUTER_CONFIG)")
+	c.Flags().TextVar(&level, "log", slog.LevelInfo, "least level of log lines: debug, info, warn, error")
+	if what == "serve" {
+		c.Flags().StringVar(&o.Control, "control", "", "path of a control socket")
+		c.Flags().BoolVar(&o.Held, "held", false, "stay out of service until the control socket says otherwise")
+		c.Flags().StringVar(&logFile, "log-file", "", "log to a file, rotated, and not to standard error")
 	}
-	return 0
+	return c
 }
 
 func version() string {
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,391 @@
+package agent
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pearknot/internal/clock"
+	"pearknot/internal/fleet"
+)
+
+// Twenty instances; the agent is killed at every named point of a change over ten of them. After its return all are in
+// one generation, each runs once, and none is lost.
+func TestKilledAtEveryPoint(t *testing.T) {
+	r := newRig(t, self(t), "")
+	r.start("")
+	all := names(20)
+	w := declared(all, normal, "0")
+	w.Options = &fleet.Options{AtOnce: 20}
+	_, err := r.write(w)
+	require.NoError(t, err)
+	r.until(20*time.Second, "twenty run", settled)
+	watch := make(chan struct{})
+	var wg sync.WaitGroup
+	twice := map[string]bool{}
+	wg.Go(func() { // no instance runs twice at any moment
+		for {
+			for name, n := range r.counts() {
+				if n > 1 {
+					twice[name] = true
+				}
+			}
+			select {
+			case <-watch:
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+	})
+	worst := time.Duration(0)
+	for k, point := range Points {
+		for _, nth := range []int{1, 3} {
+			if point == "proposed" || point == "planned" {
+				nth = 1
+			} else if point == "snapshot" {
+				nth = 2 // the first is right after the start
+			}
+			r.stop()
+			r.start(fmt.Sprintf("%s:%d", point, nth))
+			mark := fmt.Sprintf("%d-%d", k, nth)
+			w := declared(all, normal, "0")
+			for _, name := range all[:10] {
+				w.Configs[name] = strings.Replace(w.Configs[name], `"mark":"0"`, `"mark":"`+mark+`"`, 1)
+			}
+			w.Options = &fleet.Options{AtOnce: 4}
+			_, err := r.write(w)
+			if point == "proposed" || point == "planned" {
+				require.Error(t, err, "killed before it could answer")
+			}
+			require.Error(t, <-r.ended, "killed at %s", point)
+			r.agent = nil
+			begun := time.Now()
+			r.start("")
+			v := r.until(20*time.Second, fmt.Sprintf("one generation after %s:%d", point, nth), settled)
+			worst = max(worst, time.Since(begun))
+			require.Len(t, v.Instances, 20)
+			if point != "proposed" { // what was planned is done
+				for _, i := range v.Instances[:10] {
+					require.Equal(t, Digest(w.Configs[i.Name]), i.Seen.Digest)
+				}
+			}
+			for _, i := range v.Instances {
+				require.Equal(t, i.Declared.Digest, i.Seen.Digest)
+				require.Equal(t, []int{i.Seen.Pid}, r.pids(i.Name))
+			}
+			if point == "proposed" || point == "planned" || point == "snapshot" {
+				break
+			}
+		}
+	}
+	close(watch)
+	wg.Wait()
+	assert.Empty(t, twice)
+	t.Logf("slowest return: %v", worst)
+}
+
+// What goes wrong with one instance is told as it is, and a change that meets it goes back.
+func TestBadInstances(t *testing.T) {
+	for behaviour, c := range map[string]struct{ failure string }{
+		"exits": {"ended by itself: no use"}, "dies": {"ended by itself"}, "hangs": {"not ready within"},
+		"never ready": {"not ready within"}, "wrong list": {"wrong list: declared 127.0.0.1:1"},
+	} {
+		t.Run(behaviour, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, self(t), "start_within_ms = 600\nbackoff_ms = 50\n")
+			data, err := os.ReadFile(r.file)
+			require.NoError(t, err)
+			require.NoError(t, os.WriteFile(r.file, []byte(strings.Replace(string(data), "start_within_ms = 3000\n", "", 1)), 0o600))
+			r.start("")
+			_, err = r.write(declared(names(3), normal, "a"))
+			require.NoError(t, err)
+			r.until(10*time.Second, "three run", settled)
+			w := declared(names(3), func(n string) string {
+				if n == "n00" {
+					return behaviour
+				}
+				return ""
+			}, "b")
+			w.Options = &fleet.Options{AtOnce: 1, Canary: 1, HealthMs: 600} // dies lives for half of that
+			_, err = r.write(w)
+			require.NoError(t, err)
+			v := r.until(20*time.Second, "gone back", func(v View) bool { return v.Change.Status == fleet.RolledBack && settled(v) })
+			assert.Contains(t, v.Change.Failure, c.failure)
+			assert.Equal(t, uint64(3), v.Generation)
+			for _, i := range v.Instances {
+				assert.Len(t, r.pids(i.Name), 1)
+			}
+		})
+	}
+}
+
+// An instance that ignores SIGTERM has its full time, and is killed after it.
+func TestIgnoresTerm(t *testing.T) {
+	r := newRig(t, self(t), "")
+	r.start("")
+	_, err := r.write(declared(names(1), func(string) string { return "stubborn" }, "a"))
+	require.NoError(t, err)
+	r.until(10*time.Second, "runs", settled)
+	begun := time.Now()
+	_, err = r.write(Write{What: "stop", Names: names(1)})
+	require.NoError(t, err)
+	r.until(10*time.Second, "stopped", settled)
+	assert.Greater(t, time.Since(begun), 3*time.Second)
+	assert.Empty(t, r.pids("n00"))
+}
+
+// What dies while the agent is away is started again, what lives is adopted as it is, and what was told to stop meanwhile
+// is not started.
+func TestAgentAway(t *testing.T) {
+	r := newRig(t, self(t), "")
+	r.start("")
+	_, err := r.write(declared(names(4), normal, "a"))
+	require.NoError(t, err)
+	v := r.until(10*time.Second, "four run", settled)
+	pids := map[string]int{}
+	for _, i := range v.Instances {
+		pids[i.Name] = i.Seen.Pid
+	}
+	require.NoError(t, r.agent.Process.Kill())
+	<-r.ended
+	require.NoError(t, syscall.Kill(pids["n01"], syscall.SIGKILL))
+	r.start("")
+	v = r.until(10*time.Second, "four run again", func(v View) bool { return settled(v) && len(v.Instances) == 4 })
+	for _, i := range v.Instances {
+		if i.Name == "n01" {
+			assert.NotEqual(t, pids[i.Name], i.Seen.Pid)
+			assert.Equal(t, 1, i.Tries)
+		} else {
+			assert.Equal(t, pids[i.Name], i.Seen.Pid, "adopted, not started anew")
+		}
+	}
+}
+
+// A process that has got an instance's old id is never signalled: ids are reused, locks are not.
+func TestReusedID(t *testing.T) {
+	r := newRig(t, self(t), "")
+	r.start("")
+	_, err := r.write(declared(names(1), normal, "a"))
+	require.NoError(t, err)
+	v := r.until(10*time.Second, "runs", settled)
+	r.stop()
+	require.NoError(t, syscall.Kill(v.Instances[0].Seen.Pid, syscall.SIGKILL))
+	other := exec.Command("sleep", "60")
+	require.NoError(t, other.Start())
+	defer func() { _ = other.Process.Kill(); _ = other.Wait() }()
+	p := place{r.dir, "n00"}
+	data, err := os.ReadFile(p.lock())
+	require.NoError(t, err)
+	text := strings.Replace(string(data), fmt.Sprint(v.Instances[0].Seen.Pid), fmt.Sprint(other.Process.Pid), 1)
+	require.NoError(t, os.WriteFile(p.lock(), []byte(text), 0o600))
+	h, err := p.holder()
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		lock, err := p.take()
+		if lock != nil {
+			_ = lock.Close()
+		}
+		return err == nil && lock != nil
+	}, 5*time.Second, time.Millisecond)
+	assert.ErrorContains(t, p.signal(h.Token, syscall.SIGKILL), "another program's")
+	r.start("")
+	_, err = r.write(Write{What: "stop"})
+	require.NoError(t, err)
+	r.until(10*time.Second, "stopped", settled)
+	assert.NoError(t, other.Process.Signal(syscall.Signal(0)), "it lives")
+}
+
+// A frozen instance is unknown, never its last good state; nothing is started beside it, and it can be stopped.
+func TestFrozen(t *testing.T) {
+	r := newRig(t, self(t), "call_within_ms = 100\n")
+	r.start("")
+	_, err := r.write(declared(names(2), normal, "a"))
+	require.NoError(t, err)
+	v := r.until(10*time.Second, "run", settled)
+	pid := v.Instances[0].Seen.Pid
+	require.NoError(t, syscall.Kill(pid, syscall.SIGSTOP))
+	v = r.until(10*time.Second, "unknown", func(v View) bool { return v.Instances[0].Verdict == fleet.NotKnown })
+	assert.Contains(t, v.Instances[0].Why, "does not answer")
+	assert.False(t, v.Instances[0].Seen.InService)
+	assert.Equal(t, fleet.AsWanted, v.Instances[1].Verdict)
+	assert.Equal(t, []int{pid}, r.pids("n00"))
+	_, err = r.write(Write{What: "stop", Names: []string{"n00"}})
+	require.NoError(t, err)
+	r.until(10*time.Second, "stopped", settled)
+	assert.Empty(t, r.pids("n00"))
+}
+
+// Somebody else's process that holds an instance's lock is told of, and left alone.
+func TestAlien(t *testing.T) {
+	r := newRig(t, self(t), "")
+	r.start("")
+	_, err := r.write(declared(names(1), normal, "a"))
+	require.NoError(t, err)
+	r.until(10*time.Second, "runs", settled)
+	pid := r.pids("n00")[0]
+	r.stop()
+	s, state, _, err := openStore(r.dir, discard)
+	require.NoError(t, err)
+	rec := state.Records["n00"]
+	rec.Token = "another"
+	state.Records["n00"] = rec
+	require.NoError(t, s.save(state))
+	require.NoError(t, s.close())
+	r.start("")
+	v := r.until(10*time.Second, "alien", func(v View) bool { return v.Instances[0].Verdict == fleet.CantProve })
+	assert.Contains(t, v.Instances[0].Why, "another token")
+	_, err = r.write(Write{What: "stop"})
+	require.NoError(t, err)
+	r.until(5*time.Second, "told", func(v View) bool { return v.Change.Status.Over() })
+	assert.Equal(t, []int{pid}, r.pids("n00"))
+}
+
+// The state file cut short or flipped at any place, or gone: nothing that runs is stopped for it.
+func TestDamagedState(t *testing.T) {
+	r := newRig(t, self(t), "")
+	r.start("")
+	_, err := r.write(declared(names(3), normal, "a"))
+	require.NoError(t, err)
+	v := r.until(10*time.Second, "three run", settled)
+	var pids []int
+	for _, i := range v.Instances {
+		pids = append(pids, i.Seen.Pid)
+	}
+	r.until(5*time.Second, "snapshot", func(View) bool { _, err := os.Stat(filepath.Join(r.dir, snapshotFile)); return err == nil })
+	r.stop()
+	path := filepath.Join(r.dir, stateFile)
+	whole, err := os.ReadFile(path)
+	require.NoError(t, err)
+	snapshot, err := os.ReadFile(filepath.Join(r.dir, snapshotFile))
+	require.NoError(t, err)
+	for name, spoil := range map[string]func(){
+		"empty":    func() { require.NoError(t, os.WriteFile(path, nil, 0o600)) },
+		"half":     func() { require.NoError(t, os.WriteFile(path, whole[:len(whole)/2], 0o600)) },
+		"gone":     func() { require.NoError(t, os.Remove(path)) },
+		"no state": func() { require.NoError(t, os.WriteFile(path, []byte("nonsense"), 0o600)) },
+		"snapshot too": func() {
+			require.NoError(t, os.WriteFile(path, whole[:5000], 0o600))
+			require.NoError(t, os.WriteFile(filepath.Join(r.dir, snapshotFile), snapshot[:20], 0o600))
+		},
+	} {
+		require.NoError(t, os.WriteFile(filepath.Join(r.dir, snapshotFile), snapshot, 0o600))
+		spoil()
+		r.start("")
+		v := r.until(10*time.Second, name, func(v View) bool { return settled(v) && len(v.Instances) == 3 })
+		var now []int
+		for _, i := range v.Instances {
+			now = append(now, i.Seen.Pid)
+		}
+		assert.Equal(t, pids, now, name)
+		r.stop()
+		aside, err := filepath.Glob(path + ".damaged-*")
+		require.NoError(t, err)
+		assert.True(t, len(aside) > 0 || name == "gone" || name == "half", name) // half may hold all
+		for _, f := range aside {
+			require.NoError(t, os.Remove(f))
+		}
+	}
+}
+
+// Of two operators' conflicting commands exactly one wins, and the other is told what changed under it.
+func TestTwoOperators(t *testing.T) {
+	r := newRig(t, self(t), "")
+	r.start("")
+	_, err := r.write(declared(names(1), normal, "a"))
+	require.NoError(t, err)
+	v := r.until(10*time.Second, "runs", settled)
+	errs := make(chan error, 2)
+	for _, reason := range []string{"ann wants it so", "bob wants it so"} {
+		go func() {
+			w := declared(names(1), normal, reason)
+			w.Revision, w.Reason = v.Revision, reason
+			_, err := r.write(w)
+			errs <- err
+		}()
+	}
+	var won int
+	for range 2 {
+		if err := <-errs; err == nil {
+			won++
+		} else {
+			assert.Equal(t, http.StatusConflict, refusedStatus(err))
+			assert.Contains(t, err.Error(), fmt.Sprintf("made from revision %d, the fleet is at %d: change 2 by", v.Revision, v.Revision+1))
+			assert.Contains(t, err.Error(), "wants it so")
+		}
+	}
+	assert.Equal(t, 1, won)
+}
+
+// The disk is full: the write is refused, what runs goes on, and when there is room all goes on.
+func TestDiskFull(t *testing.T) {
+	dir := t.TempDir()
+	s, state, _, err := openStore(dir, discard)
+	require.NoError(t, err)
+	f := fleet.New(state, fleet.Defaults())
+	a := &Agent{clock: clock.New(), store: s, fleet: f, log: discard, o: Options{Dir: dir, Point: func(string) {}}}
+	require.True(t, a.save())
+	require.NoError(t, s.close()) // whatever is written now fails
+	before := f.Copy()
+	assert.False(t, a.save() && f.Revision == 99)
+	f.Begin(1, fleet.Action{Step: fleet.Start, Name: "x"}, "t")
+	a.take(t.Context(), []fleet.Action{{Step: fleet.Start, Name: "y"}})
+	assert.Error(t, a.broken)
+	assert.NotContains(t, f.Records, "y", "nothing is begun that could not be written down")
+	f.Restore(before)
+	assert.Empty(t, f.Records)
+}
+
+func TestStopAndHistory(t *testing.T) {
+	r := newRig(t, self(t), "")
+	r.start("")
+	_, err := r.write(declared(names(2), normal, "a"))
+	require.NoError(t, err)
+	r.until(10*time.Second, "run", settled)
+	for _, w := range []Write{{What: "stop", Names: []string{"n01"}}, {What: "start"}, {What: "restart", Names: []string{"n00"}}, {What: "rollback", To: 1}} {
+		_, err := r.write(w)
+		require.NoError(t, err, w.What)
+		r.until(10*time.Second, w.What, settled)
+	}
+	var h History
+	require.NoError(t, r.client.Call(t.Context(), http.MethodGet, HistoryPath, nil, &h))
+	var what []string
+	for _, c := range h.Changes {
+		what = append(what, c.What)
+		assert.NotEmpty(t, c.Author)
+		assert.Equal(t, "test", c.Reason)
+	}
+	assert.Equal(t, []string{"rollback to generation 1", "restart", "start", "stop", "apply"}, what)
+	assert.True(t, slices.Contains(h.Kept, 1))
+	for _, c := range []struct {
+		w      Write
+		status int
+		says   string
+	}{
+		{Write{What: "dance"}, 422, "unknown command"}, {Write{What: "stop", Names: []string{"x"}}, 422, "not declared"},
+		{Write{What: "rollback", To: 77}, 422, "not kept"}, {Write{What: "start"}, 412, "nothing to change"},
+		{Write{What: "rollback"}, 422, "no change is on its way"}, {Write{What: "stop", Revision: 1}, 409, "made from revision 1"},
+	} {
+		_, err := r.write(c.w)
+		assert.Equal(t, c.status, refusedStatus(err), c.w.What)
+		assert.ErrorContains(t, err, c.says)
+	}
+	dry := declared(names(1), normal, "z")
+	dry.DryRun = true
+	out, err := r.write(dry)
+	require.NoError(t, err)
+	assert.Equal(t, []string{"n00", "n01"}, out.Differs)
+	v, err := r.view()
+	require.NoError(t, err)
+	assert.Equal(t, h.Revision, v.Revision, "nothing was changed")
+}
--- /dev/null
+++ b/internal/agent/file.go
@@ -0,0 +1,214 @@
+package agent
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"pearknot/internal/fleet"
+	"pearknot/internal/strict"
+)
+
+// agentFile is deploy/agent.toml. Times are in ms, as their names say.
+type agentFile struct {
+	Dir     string   `toml:"dir"`
+	Socket  string   `toml:"socket"`
+	Binary  []string `toml:"binary"`
+	Witness bool     `toml:"witness"`
+	Rolling struct {
+		AtOnce   int     `toml:"at_once"`
+		Canary   int     `toml:"canary"`
+		HealthMs float64 `toml:"health_ms"`
+		NoRevert bool    `toml:"no_revert"`
+	} `toml:"rolling"`
+	Timing struct {
+		EveryMs       float64 `toml:"every_ms"`
+		CalmMs        float64 `toml:"calm_ms"`
+		CallWithinMs  float64 `toml:"call_within_ms"`
+		StartWithinMs float64 `toml:"start_within_ms"`
+		EndWithinMs   float64 `toml:"end_within_ms"`
+		BackoffMs     float64 `toml:"backoff_ms"`
+		BackoffMostMs float64 `toml:"backoff_most_ms"`
+		LoopCount     int     `toml:"loop_count"`
+		LoopWithinMs  float64 `toml:"loop_within_ms"`
+		WitnessMs     float64 `toml:"witness_ms"`
+	} `toml:"timing"`
+}
+
+// ReadOptions reads the agent's file; paths in it are seen from where it lies.
+func ReadOptions(name string) (Options, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return Options{}, err
+	}
+	return DecodeOptions(name, data)
+}
+
+// DecodeOptions reads text as if it were a file of that name.
+func DecodeOptions(name string, data []byte) (o Options, err error) {
+	d := fleet.Defaults()
+	f := agentFile{Socket: "agent.sock", Binary: []string{"pearknot"}}
+	f.Rolling.AtOnce, f.Rolling.Canary, f.Rolling.HealthMs = 1, 1, 1000
+	t := &f.Timing
+	t.EveryMs, t.CalmMs, t.CallWithinMs, t.WitnessMs = 100, 1000, 1000, 5000
+	t.StartWithinMs, t.EndWithinMs, t.BackoffMs, t.BackoffMostMs = d.StartWithin, d.EndWithin, d.BackoffMs, d.BackoffMost
+	t.LoopCount, t.LoopWithinMs = d.LoopCount, d.LoopWithin
+	at, err := strict.Decode(name, data, &f)
+	if err != nil {
+		return o, err
+	}
+	base := filepath.Dir(name)
+	abs := func(p string) string {
+		if !filepath.IsAbs(p) {
+			p = filepath.Join(base, p)
+		}
+		return p
+	}
+	switch {
+	case f.Dir == "":
+		return o, at.Errorf("dir", "none given")
+	case len(f.Binary) == 0 || f.Binary[0] == "":
+		return o, at.Errorf("binary", "none given")
+	case f.Rolling.AtOnce < 1:
+		return o, at.Errorf("rolling.at_once", "%d is below 1", f.Rolling.AtOnce)
+	case f.Rolling.Canary < 0:
+		return o, at.Errorf("rolling.canary", "%d is below 0", f.Rolling.Canary)
+	case f.Rolling.HealthMs < 0:
+		return o, at.Errorf("rolling.health_ms", "%v is below 0", f.Rolling.HealthMs)
+	case t.LoopCount < 1:
+		return o, at.Errorf("timing.loop_count", "%d is below 1", t.LoopCount)
+	}
+	for _, x := range []struct {
+		key   string
+		value float64
+	}{{"every_ms", t.EveryMs}, {"calm_ms", t.CalmMs}, {"call_within_ms", t.CallWithinMs}, {"start_within_ms", t.StartWithinMs},
+		{"end_within_ms", t.EndWithinMs}, {"backoff_ms", t.BackoffMs}, {"backoff_most_ms", t.BackoffMostMs}, {"loop_within_ms", t.LoopWithinMs},
+		{"witness_ms", t.WitnessMs}} {
+		if !(x.value >= 1 && x.value <= 1e9) {
+			return o, at.Errorf("timing."+x.key, "%v is not 1 to 1e9", x.value)
+		}
+	}
+	span := func(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+	o = Options{Dir: abs(f.Dir), Socket: f.Socket, Binary: f.Binary, Witness: f.Witness, Every: span(t.EveryMs), Calm: span(t.CalmMs),
+		CallWithin: span(t.CallWithinMs), WitnessEvery: span(t.WitnessMs),
+		Rolling: fleet.Options{AtOnce: f.Rolling.AtOnce, Canary: f.Rolling.Canary, HealthMs: f.Rolling.HealthMs, NoRevert: f.Rolling.NoRevert},
+		Timing: fleet.Timing{StartWithin: t.StartWithinMs, EndWithin: t.EndWithinMs, BackoffMs: t.BackoffMs, BackoffMost: t.BackoffMostMs,
+			LoopCount: t.LoopCount, LoopWithin: t.LoopWithinMs, SeenWithin: max(5e3, 3*t.CalmMs+2*t.CallWithinMs)}}
+	if !filepath.IsAbs(o.Socket) {
+		o.Socket = filepath.Join(o.Dir, o.Socket)
+	}
+	if len(o.Socket) > 100 {
+		return o, at.Errorf("socket", "%s is longer than the system takes for a socket", o.Socket)
+	}
+	if strings.Contains(o.Binary[0], "/") {
+		o.Binary[0] = abs(o.Binary[0])
+	}
+	return o, nil
+}
+
+// fleetFile is an operator's fleet.toml.
+type fleetFile struct {
+	Instance []struct {
+		Name     string  `toml:"name"`
+		Config   string  `toml:"config"`
+		State    string  `toml:"state"`
+		Listen   string  `toml:"listen"`
+		List     string  `toml:"list"`
+		Cores    float64 `toml:"cores"`
+		MemoryMB float64 `toml:"memory_mb"`
+		Sockets  int     `toml:"sockets"`
+	} `toml:"instance"`
+}
+
+// ReadFleet reads what an operator declares: the instances, and the text of the configuration that each is to run: its
+// file, with what is said here in the place of what stands there.
+func ReadFleet(name string) (instances []fleet.Instance, configs map[string]string, err error) {
+	var f fleetFile
+	at, err := strict.Read(name, &f)
+	if err != nil {
+		return nil, nil, err
+	}
+	configs = map[string]string{}
+	for k, i := range f.Instance {
+		key := fmt.Sprintf("instance.%d.", k)
+		if i.Name == "" {
+			return nil, nil, at.Errorf(key+"name", "none given")
+		}
+		if _, twice := configs[i.Name]; twice {
+			return nil, nil, at.Errorf(key+"name", "%s declared twice", i.Name)
+		}
+		if i.Config == "" {
+			return nil, nil, at.Errorf(key+"config", "none given")
+		}
+		if i.State == "" {
+			i.State = string(fleet.Running)
+		}
+		if i.State != string(fleet.Running) && i.State != string(fleet.Stopped) {
+			return nil, nil, at.Errorf(key+"state", "%q is neither running nor stopped", i.State)
+		}
+		if i.Cores < 0 || i.MemoryMB < 0 || i.Sockets < 0 {
+			return nil, nil, at.Errorf(key+"cores", "limits below 0")
+		}
+		path := i.Config
+		if !filepath.IsAbs(path) {
+			path = filepath.Join(filepath.Dir(name), path)
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, nil, at.Errorf(key+"config", "%v", err)
+		}
+		limits := map[string]any{}
+		for what, x := range map[string]float64{"cores": i.Cores, "memory_mb": i.MemoryMB, "sockets": float64(i.Sockets)} {
+			if x > 0 {
+				limits[what] = x
+			}
+		}
+		text, listen, list, err := Configure(data, map[string]any{"name": i.Name, "listen": i.Listen, "discovery": i.List}, limits)
+		if err != nil {
+			return nil, nil, at.Errorf(key+"config", "%s: %v", path, err)
+		}
+		instances = append(instances, fleet.Instance{Name: i.Name, Listen: listen, Config: path, List: list, Wanted: fleet.Wanted(i.State)})
+		configs[i.Name] = text
+	}
+	return instances, configs, nil
+}
+
+// Configure puts values in the place of those in a configuration, and tells where the node listens and asks for its
+// list. An empty value changes nothing.
+func Configure(data []byte, values, limits map[string]any) (text, listen, list string, err error) {
+	var c map[string]any
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.UseNumber() // a number keeps its text
+	if err := d.Decode(&c); err != nil {
+		return "", "", "", fmt.Errorf("no configuration: %w", err)
+	}
+	for k, v := range values {
+		if v != "" {
+			c[k] = v
+		}
+	}
+	if len(limits) > 0 {
+		was, _ := c["limits"].(map[string]any)
+		if was == nil {
+			was = map[string]any{}
+		}
+		for k, v := range limits {
+			was[k] = v
+		}
+		c["limits"] = was
+	}
+	listen, _ = c["listen"].(string)
+	list, _ = c["discovery"].(string)
+	for what, address := range map[string]string{"listen": listen, "discovery": list} {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return "", "", "", fmt.Errorf("%s: %w", what, err)
+		}
+	}
+	out, err := json.MarshalIndent(c, "", " ")
+	return string(out) + "\n", listen, list, err
+}
--- /dev/null
+++ b/internal/agent/store.go
@@ -0,0 +1,355 @@
+package agent
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io/fs"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/renameio/v2"
+	"go.etcd.io/bbolt"
+
+	"pearknot/internal/fleet"
+)
+
+// schema is the version of what is kept; another one is refused.
+const schema = 1
+
+const (
+	stateFile    = "state.db"
+	snapshotFile = "state.snapshot"
+)
+
+var bucket = []byte("state")
+
+// store is the agent's durable state, with one writer. Every value carries its checksum, and one key the checksum of
+// all, so that whatever was cut short or flipped is found when it is read.
+type store struct {
+	dir  string
+	db   *bbolt.DB
+	held map[string]string // as it is on disk
+	log  *slog.Logger
+}
+
+// errDamaged is a state file that can't be trusted.
+var errDamaged = errors.New("damaged")
+
+// errSchema is a state of another version of the agent: nothing is set aside for that.
+var errSchema = errors.New("another schema")
+
+// openStore opens the state of a directory. A damaged file is set aside and the latest snapshot taken in its place;
+// recovered tells that this was so, and that what runs is to be believed over what was read.
+func openStore(dir string, log *slog.Logger) (s *store, state fleet.State, recovered bool, err error) {
+	s = &store{dir: dir, held: map[string]string{}, log: log}
+	path := filepath.Join(dir, stateFile)
+	kept, err := readState(path)
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		kept = nil
+		if _, e := os.Stat(filepath.Join(dir, snapshotFile)); e == nil { // the state is gone, its snapshot not
+			recovered = true
+		}
+	case errors.Is(err, errSchema), errors.Is(err, os.ErrPermission):
+		return nil, state, false, err
+	case err != nil:
+		aside := fmt.Sprintf("%s.damaged-%d", path, time.Now().UnixNano())
+		log.Error("state file damaged, set aside", "error", err, "as", aside)
+		if err := os.Rename(path, aside); err != nil {
+			return nil, state, false, err
+		}
+		kept, recovered = nil, true
+	}
+	if recovered {
+		if kept, err = readSnapshot(filepath.Join(dir, snapshotFile)); err != nil {
+			log.Error("no snapshot can be read: the state is rebuilt from what runs", "error", err)
+			kept = nil
+		}
+	}
+	if state, err = decode(kept); err != nil { // whole by its checksums, and yet not readable: not ours to guess
+		return nil, state, false, fmt.Errorf("%s: %w", path, err)
+	}
+	// What was read goes into a fresh file: a damage in a place that reading does not touch ends here.
+	if err := s.begin(path, kept); err != nil {
+		return nil, state, false, err
+	}
+	return s, state, recovered, nil
+}
+
+func (s *store) begin(path string, kept map[string]string) error {
+	fresh := path + ".new"
+	if err := os.Remove(fresh); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	db, err := bbolt.Open(fresh, 0o600, &bbolt.Options{Timeout: time.Second})
+	if err != nil {
+		return err
+	}
+	s.db = db
+	if err := s.write(kept, nil); err != nil {
+		_ = db.Close()
+		return err
+	}
+	return os.Rename(fresh, path)
+}
+
+func (s *store) close() error { return s.db.Close() }
+
+// save writes what differs from what is on disk, in one transaction that is durable when it returns.
+func (s *store) save(state fleet.State) error {
+	now, err := encode(state)
+	if err != nil {
+		return err
+	}
+	var gone []string
+	changed := map[string]string{}
+	for key, value := range now {
+		if s.held[key] != value {
+			changed[key] = value
+		}
+	}
+	for key := range s.held {
+		if _, there := now[key]; !there {
+			gone = append(gone, key)
+		}
+	}
+	if len(changed) == 0 && len(gone) == 0 {
+		return nil
+	}
+	return s.write(changed, gone)
+}
+
+func (s *store) write(changed map[string]string, gone []string) error {
+	next := make(map[string]string, len(s.held)+len(changed))
+	for k, v := range s.held {
+		next[k] = v
+	}
+	for k, v := range changed {
+		next[k] = v
+	}
+	for _, k := range gone {
+		delete(next, k)
+	}
+	err := s.db.Update(func(tx *bbolt.Tx) error {
+		b, err := tx.CreateBucketIfNotExists(bucket)
+		if err != nil {
+			return err
+		}
+		for _, k := range gone {
+			if err := b.Delete([]byte(k)); err != nil {
+				return err
+			}
+		}
+		for k, v := range changed {
+			if err := b.Put([]byte(k), sealed(v)); err != nil {
+				return err
+			}
+		}
+		return b.Put([]byte("sum"), total(next))
+	})
+	if err == nil {
+		s.held = next
+	}
+	return err
+}
+
+// snapshot writes all of it to a file of its own.
+func (s *store) snapshot() error {
+	data, err := json.Marshal(s.held)
+	if err != nil {
+		return err
+	}
+	return renameio.WriteFile(filepath.Join(s.dir, snapshotFile), sealed(string(data)), 0o600)
+}
+
+// sealed puts a value behind its checksum.
+func sealed(v string) []byte {
+	return append(binary.BigEndian.AppendUint64(make([]byte, 0, 8+len(v)), xxhash.Sum64String(v)), v...)
+}
+
+func unsealed(data []byte) (string, error) {
+	if len(data) < 8 {
+		return "", errDamaged
+	}
+	v := string(data[8:])
+	if binary.BigEndian.Uint64(data) != xxhash.Sum64String(v) {
+		return "", errDamaged
+	}
+	return v, nil
+}
+
+// total is a checksum over all keys and values, whatever their order.
+func total(all map[string]string) []byte {
+	sum := uint64(len(all))
+	for k, v := range all {
+		sum += xxhash.Sum64String(k + "\x00" + v)
+	}
+	return binary.BigEndian.AppendUint64(nil, sum)
+}
+
+// readState reads a state file whole, and trusts nothing in it that has no checksum.
+func readState(path string) (kept map[string]string, err error) {
+	if _, err := os.Stat(path); err != nil {
+		return nil, err
+	}
+	if err := metas(path); err != nil {
+		return nil, err
+	}
+	// A file that was cut short is mapped beyond its end, and one with flipped bytes may send the reader anywhere.
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if fault := recover(); fault != nil {
+			kept, err = nil, fmt.Errorf("%s: %w: %v", path, errDamaged, fault)
+		}
+	}()
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{ReadOnly: true, Timeout: 2 * time.Second})
+	if err != nil {
+		if errors.Is(err, bbolt.ErrTimeout) || errors.Is(err, os.ErrPermission) { //nolint:staticcheck // the name that the library exports
+			return nil, fmt.Errorf("%s: %w: another agent has it: %v", path, os.ErrPermission, err)
+		}
+		return nil, fmt.Errorf("%s: %w: %v", path, errDamaged, err)
+	}
+	defer db.Close()
+	kept = map[string]string{}
+	var sum []byte
+	steps := 0
+	err = db.View(func(tx *bbolt.Tx) error {
+		b := tx.Bucket(bucket)
+		if b == nil {
+			return errDamaged
+		}
+		return b.ForEach(func(k, v []byte) error {
+			if steps++; steps > 1_000_000 { // pages that point at each other
+				return errDamaged
+			}
+			if string(k) == "sum" {
+				sum = append([]byte{}, v...)
+				return nil
+			}
+			value, err := unsealed(v)
+			kept[string(k)] = value
+			return err
+		})
+	})
+	if err == nil && string(sum) != string(total(kept)) {
+		err = errDamaged
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return kept, version(kept, path)
+}
+
+// metas sees that both of the file's heads are whole. The library goes on with the older one where the newer is not, and
+// so with a state from before the last step: here that is a damage, and what runs is believed instead.
+func metas(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	const head, size = 16, 64 // of a page, and of what stands there, its checksum last
+	for page := range 2 {
+		b := make([]byte, head+size)
+		if _, err := f.ReadAt(b, int64(page*os.Getpagesize())); err != nil {
+			return fmt.Errorf("%s: %w: head %d: %v", path, errDamaged, page, err)
+		}
+		h := fnv.New64a()
+		_, _ = h.Write(b[head : head+size-8])
+		if binary.LittleEndian.Uint64(b[head+size-8:]) != h.Sum64() {
+			return fmt.Errorf("%s: %w: head %d", path, errDamaged, page)
+		}
+	}
+	return nil
+}
+
+func version(kept map[string]string, path string) error {
+	if v := kept["schema"]; v != "" && v != fmt.Sprint(schema) {
+		return fmt.Errorf("%s: %w: version %s, this agent has %d", path, errSchema, v, schema)
+	}
+	return nil
+}
+
+func readSnapshot(path string) (map[string]string, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	text, err := unsealed(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	kept := map[string]string{}
+	if err := json.Unmarshal([]byte(text), &kept); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return kept, version(kept, path)
+}
+
+// encode puts a state into keys, so that a step writes a record and not the whole.
+func encode(s fleet.State) (map[string]string, error) {
+	all := map[string]string{"schema": fmt.Sprint(schema), "revision": fmt.Sprint(s.Revision)}
+	put := func(key string, v any) error {
+		data, err := json.Marshal(v)
+		all[key] = string(data)
+		return err
+	}
+	for _, g := range s.Generations {
+		if err := put(fmt.Sprintf("generation/%020d", g.Number), g); err != nil {
+			return nil, err
+		}
+	}
+	for _, c := range s.Changes {
+		if err := put(fmt.Sprintf("change/%020d", c.ID), c); err != nil {
+			return nil, err
+		}
+	}
+	for _, r := range s.Records {
+		if err := put("record/"+r.Name, r); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+func decode(all map[string]string) (s fleet.State, err error) {
+	keys := make([]string, 0, len(all))
+	for k := range all {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	s.Records = map[string]fleet.Record{}
+	for _, k := range keys {
+		kind, _, _ := strings.Cut(k, "/")
+		data := []byte(all[k])
+		switch kind {
+		case "revision":
+			err = json.Unmarshal(data, &s.Revision)
+		case "generation":
+			var g fleet.Generation
+			err = json.Unmarshal(data, &g)
+			s.Generations = append(s.Generations, g)
+		case "change":
+			var c fleet.Change
+			err = json.Unmarshal(data, &c)
+			s.Changes = append(s.Changes, c)
+		case "record":
+			var r fleet.Record
+			err = json.Unmarshal(data, &r)
+			s.Records[r.Name] = r
+		}
+		if err != nil {
+			return s, fmt.Errorf("%s: %w", k, err)
+		}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/control/status.go
@@ -0,0 +1,66 @@
+package control
+
+import (
+	"context"
+	"net/http"
+)
+
+// Paths of a node's socket.
+const (
+	StatusPath  = "/v1/status"
+	ServicePath = "/v1/service"
+)
+
+// Status is a node's own word about itself.
+type Status struct {
+	Token     string  `json:"token"` // that it was started with: proves that it is the one
+	PID       int     `json:"pid"`
+	Name      string  `json:"name"`
+	Listen    string  `json:"listen"`
+	Version   string  `json:"version"`
+	Started   float64 `json:"started"` // Unix ms
+	Config    string  `json:"config"`  // file
+	Digest    string  `json:"digest"`  // SHA-256 of the configuration as it was read
+	Epoch     uint64  `json:"epoch"`
+	List      string  `json:"list"` // where it asks for the list
+	ListAt    uint64  `json:"list_version"`
+	ListSum   string  `json:"list_digest"`
+	Backends  int     `json:"backends"`
+	Ready     bool    `json:"ready"` // it holds a list
+	InService bool    `json:"in_service"`
+	Ending    bool    `json:"ending"`
+	Open      int64   `json:"open_ops"`
+	MemoryMB  float64 `json:"memory_mb"` // that the runtime has of the system
+}
+
+// Service tells a node whether its health says that it may be sent clients.
+type Service struct {
+	In  bool   `json:"in"`
+	Why string `json:"why"`
+}
+
+// Node serves a node's socket.
+func Node(status func(context.Context) (Status, error), service func(Service) error) http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET "+StatusPath, func(w http.ResponseWriter, r *http.Request) {
+		s, err := status(r.Context())
+		if err != nil {
+			Fail(w, http.StatusServiceUnavailable, err.Error())
+			return
+		}
+		Answer(w, http.StatusOK, s)
+	})
+	m.HandleFunc("POST "+ServicePath, func(w http.ResponseWriter, r *http.Request) {
+		var s Service
+		if err := Decode(r, &s); err != nil {
+			Fail(w, http.StatusBadRequest, err.Error())
+			return
+		}
+		if err := service(s); err != nil {
+			Fail(w, http.StatusConflict, err.Error())
+			return
+		}
+		Answer(w, http.StatusOK, struct{}{})
+	})
+	return m
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,531 @@
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func instance(name, digest string) Instance {
+	return Instance{Name: name, Listen: "127.0.0.1:" + name[1:], Digest: digest, List: "list:1", Wanted: Running}
+}
+
+func set(n int, digest string) Set {
+	s := Set{}
+	for k := range n {
+		i := instance(fmt.Sprintf("n%03d", k), digest)
+		s[i.Name] = i
+	}
+	return s
+}
+
+// process is a real instance in the model.
+type process struct {
+	token, digest, list string
+	epoch               uint64
+	ready, in           bool
+	term                bool
+	since               float64
+}
+
+// world is a plain model of processes, and of an agent whose memory may be cut off between any two of its moves.
+type world struct {
+	t        *rapid.T
+	now      float64
+	f        *Fleet
+	disk     []byte
+	procs    map[string]*process
+	bad      map[string]bool // digests with which a process never gets ready
+	dies     map[string]bool // digests with which it ends by itself
+	stubborn bool            // processes ignore SIGTERM
+	blind    map[string]bool // instances that can't be seen now
+	serial   int
+	wrong    string // a list that instances ask instead
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, now: 1e6, procs: map[string]*process{}, bad: map[string]bool{}, dies: map[string]bool{}, blind: map[string]bool{}}
+	w.f = New(State{}, Defaults())
+	w.save()
+	return w
+}
+
+func (w *world) save() {
+	var err error
+	if w.disk, err = json.Marshal(w.f.State); err != nil {
+		panic(err)
+	}
+}
+
+// crash is the agent's end and return.
+func (w *world) crash() {
+	var s State
+	if err := json.Unmarshal(w.disk, &s); err != nil {
+		panic(err)
+	}
+	w.f = New(s, Defaults())
+}
+
+func (w *world) look() {
+	names := map[string]bool{}
+	for _, n := range w.f.names() {
+		names[n] = true
+	}
+	for n := range w.procs {
+		names[n] = true
+	}
+	for n := range names {
+		p, r := w.procs[n], w.f.Records[n]
+		switch {
+		case w.blind[n]:
+			w.f.See(n, Seen{Phase: Unknown, At: w.now, Why: "blind"})
+		case p == nil:
+			if r.StartedAt > 0 {
+				w.f.Gone(w.now, n, "ended by itself")
+			}
+			w.f.See(n, Seen{Phase: Down, At: w.now})
+		case p.token != r.Token:
+			w.f.See(n, Seen{Phase: Alien, At: w.now, Why: "token"})
+		default:
+			s := Seen{Phase: Starting, At: w.now, Digest: p.digest, Epoch: p.epoch, List: p.list, InService: p.in}
+			if p.ready {
+				s.Phase = Ready
+			}
+			if p.term {
+				s.Phase = Ending
+			}
+			w.f.See(n, s)
+		}
+	}
+}
+
+// step takes one action, and may be cut off at any point of it; cut counts those points down.
+func (w *world) step(a Action, cut int) bool {
+	w.serial++
+	token := fmt.Sprint("t", w.serial)
+	w.f.Begin(w.now, a, token)
+	w.save()
+	if cut == 0 {
+		return false
+	}
+	p := w.procs[a.Name]
+	switch a.Step {
+	case Start:
+		if p != nil {
+			w.t.Fatalf("%s started while it runs", a.Name)
+		}
+		w.procs[a.Name] = &process{token: token, digest: a.Instance.Digest, epoch: a.Instance.Epoch, list: a.Instance.List, since: w.now}
+		if w.wrong != "" {
+			w.procs[a.Name].list = w.wrong
+		}
+	case Terminate:
+		if p != nil {
+			p.term = true
+			if !w.stubborn {
+				delete(w.procs, a.Name)
+			}
+		}
+	case Kill:
+		if !p.term {
+			w.t.Fatalf("%s killed before it was told to end", a.Name)
+		}
+		delete(w.procs, a.Name)
+	case Admit:
+		p.in = true
+	case Withhold:
+		p.in = false
+	}
+	if cut == 1 {
+		return false
+	}
+	w.f.End(w.now, a, 1, nil)
+	if cut == 2 {
+		return false
+	}
+	w.save()
+	return cut != 3
+}
+
+// turn is one round of the agent: look, plan, act. A cut of -1 is none.
+func (w *world) turn(cut int) {
+	w.now += 200
+	for n, p := range w.procs {
+		if w.dies[p.digest] && w.now-p.since > 300 {
+			delete(w.procs, n)
+		} else if !w.bad[p.digest] && w.now-p.since > 300 {
+			p.ready = true
+		}
+	}
+	w.look()
+	for _, a := range w.f.Plan(w.now) {
+		if cut >= 0 && cut < 4 {
+			if !w.step(a, cut) {
+				w.crash()
+				return
+			}
+		}
+		cut -= 4
+		if cut < -1 {
+			cut = -1
+		}
+		if !w.step(a, -1) {
+			w.t.Fatal("not cut")
+		}
+	}
+	w.save()
+}
+
+func (w *world) propose(to Set, o Options) error {
+	_, err := w.f.Propose(w.now, w.f.Revision, to, Change{Author: "a", Reason: "r", What: "apply", Options: o})
+	if err == nil {
+		w.save()
+	}
+	return err
+}
+
+// settled tells whether all that runs is what one generation says.
+func (w *world) settled() string {
+	g := w.f.Current()
+	for name, i := range g.Set {
+		p := w.procs[name]
+		if i.Wanted == Running && (p == nil || p.digest != i.Digest || p.epoch != i.Epoch || !p.in) {
+			return fmt.Sprintf("%s is %+v, generation %d wants %+v", name, p, g.Number, i)
+		}
+		if i.Wanted == Stopped && p != nil {
+			return name + " runs"
+		}
+	}
+	for name := range w.procs {
+		if _, declared := g.Set[name]; !declared {
+			return name + " is not declared"
+		}
+	}
+	return ""
+}
+
+func (w *world) run(turns int) {
+	for range turns {
+		w.turn(-1)
+	}
+}
+
+func TestRollingChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		n := rapid.IntRange(1, 12).Draw(t, "n")
+		require.NoError(t, w.propose(set(n, "a"), Options{AtOnce: n}))
+		w.run(20)
+		require.Empty(t, w.settled())
+		require.Equal(t, Succeeded, w.f.Latest().Status)
+		most := rapid.IntRange(1, 4).Draw(t, "at once")
+		canary := rapid.IntRange(0, 3).Draw(t, "canary")
+		require.NoError(t, w.propose(set(n, "b"), Options{AtOnce: most, Canary: canary, HealthMs: 400}))
+		for range 400 {
+			w.turn(-1)
+			out, changed := 0, 0
+			for name := range w.f.Current().Set {
+				if p := w.procs[name]; p == nil || !p.in {
+					out++
+				} else if p.digest == "b" {
+					changed++
+				}
+			}
+			if out > most {
+				t.Fatalf("%d out of service, %d allowed", out, most)
+			}
+			if c := min(canary, n); c > 0 && len(w.f.Latest().Done) < c && out+changed > c {
+				t.Fatal("others before the canaries were well")
+			}
+			if w.f.Latest().Status.Over() {
+				break
+			}
+		}
+		require.Equal(t, Succeeded, w.f.Latest().Status)
+		require.Empty(t, w.settled())
+	})
+}
+
+// A change that goes wrong is turned, and ends in the generation before, under a new number.
+func TestRollBack(t *testing.T) {
+	for name, spoil := range map[string]func(*world){
+		"never ready": func(w *world) { w.bad["b"] = true }, "ends by itself": func(w *world) { w.dies["b"] = true },
+	} {
+		rapid.Check(t, func(t *rapid.T) {
+			w := newWorld(t)
+			require.NoError(t, w.propose(set(6, "a"), Options{AtOnce: 6}))
+			w.run(20)
+			spoil(w)
+			require.NoError(t, w.propose(set(8, "b"), Options{AtOnce: 2, Canary: 1}))
+			w.run(300)
+			c := w.f.Latest()
+			require.Equal(t, RolledBack, c.Status, name)
+			require.Contains(t, c.Failure, "n000")
+			require.Empty(t, w.settled(), name)
+			require.Equal(t, uint64(3), w.f.Current().Number)
+			require.LessOrEqual(t, c.Reached, 1, "stopped at the canary")
+		})
+	}
+}
+
+func TestRevertByHand(t *testing.T) {
+	w := newWorld(nil)
+	require.NoError(t, w.propose(set(4, "a"), Options{AtOnce: 4}))
+	_, err := w.f.Propose(w.now, w.f.Revision, set(4, "b"), Change{})
+	var busy *Busy
+	require.ErrorAs(t, err, &busy)
+	w.run(20)
+	require.NoError(t, w.propose(set(4, "b"), Options{AtOnce: 1, HealthMs: 1e6}))
+	w.run(10)
+	_, err = w.f.Revert(w.now, w.f.Revision, "me", "no")
+	require.NoError(t, err)
+	w.run(40)
+	assert.Equal(t, RolledBack, w.f.Latest().Status)
+	assert.Contains(t, w.f.Latest().Failure, "rolled back by me: no")
+	assert.Empty(t, w.settled())
+	_, err = w.f.Revert(w.now, w.f.Revision, "me", "no")
+	assert.Error(t, err)
+}
+
+// Whatever is cut off, blinded, killed or asked for meanwhile: nothing runs twice, nothing is done about what can't be
+// known, nobody is killed without having been told to end, and at last all is in one generation.
+func TestAnyHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.stubborn = rapid.Bool().Draw(t, "stubborn")
+		digests := []string{"a", "b", "c"}
+		t.Repeat(map[string]func(*rapid.T){
+			"turn": func(t *rapid.T) { w.turn(rapid.IntRange(-1, 30).Draw(t, "cut")) },
+			"propose": func(t *rapid.T) {
+				to := set(rapid.IntRange(0, 6).Draw(t, "n"), rapid.SampledFrom(digests).Draw(t, "digest"))
+				for _, name := range to.Names() {
+					if i := to[name]; rapid.IntRange(0, 4).Draw(t, "stop") == 0 {
+						i.Wanted = Stopped
+						to[name] = i
+					}
+				}
+				err := w.propose(to, Options{AtOnce: rapid.IntRange(1, 3).Draw(t, "at once")})
+				var busy *Busy
+				if err != nil && !errors.As(err, &busy) && !errors.Is(err, ErrNothing) {
+					t.Fatal(err)
+				}
+			},
+			"revert": func(*rapid.T) {
+				if _, err := w.f.Revert(w.now, w.f.Revision, "x", "y"); err == nil {
+					w.save()
+				}
+			},
+			"dies": func(t *rapid.T) {
+				if names := w.f.Current().Set.Names(); len(names) > 0 {
+					delete(w.procs, rapid.SampledFrom(names).Draw(t, "who"))
+				}
+			},
+			"blind":  func(t *rapid.T) { w.blind[rapid.SampledFrom([]string{"n000", "n001", "n002"}).Draw(t, "who")] = true },
+			"sight":  func(*rapid.T) { clear(w.blind) },
+			"spoilt": func(t *rapid.T) { w.bad[rapid.SampledFrom(digests[1:]).Draw(t, "digest")] = true },
+			"crash":  func(*rapid.T) { w.crash() },
+		})
+		clear(w.blind)
+		clear(w.bad)
+		for range 2000 {
+			w.turn(-1)
+			if c := w.f.Latest(); (c == nil || c.Status.Over()) && w.settled() == "" {
+				return
+			}
+		}
+		halted := false
+		for _, r := range w.f.Records {
+			halted = halted || r.Halted
+		}
+		if c := w.f.Latest(); c != nil && (!c.Status.Over() || !halted && c.Status != Stuck) {
+			t.Fatalf("not settled: %s; change %+v; records %+v", w.settled(), *c, w.f.Records)
+		}
+	})
+}
+
+// Of conflicting writes made from one revision exactly one is taken, and the other told by whom.
+func TestConflict(t *testing.T) {
+	f := New(State{}, Defaults())
+	_, err := f.Propose(1, 0, set(2, "a"), Change{Author: "ann", Reason: "first", What: "apply"})
+	require.NoError(t, err)
+	_, err = f.Propose(1, 0, set(2, "b"), Change{Author: "bob"})
+	var c *Conflict
+	require.ErrorAs(t, err, &c)
+	assert.Equal(t, "made from revision 0, the fleet is at 1: change 1 by ann (apply: first)", err.Error())
+	_, err = f.Revert(1, 0, "bob", "")
+	require.ErrorAs(t, err, &c)
+}
+
+func TestBadSets(t *testing.T) {
+	two := set(2, "a")
+	other := two["n001"]
+	other.Listen = two["n000"].Listen
+	two["n001"] = other
+	for want, s := range map[string]Set{
+		"listens on": two, "no name for a file": {"../x": Instance{Name: "../x", Wanted: Running}},
+		"wanted is": {"x": Instance{Name: "x", Wanted: "maybe"}},
+	} {
+		_, err := New(State{}, Defaults()).Propose(0, 0, s, Change{})
+		assert.ErrorContains(t, err, want)
+	}
+	_, err := New(State{}, Defaults()).Propose(0, 0, Set{}, Change{})
+	assert.ErrorIs(t, err, ErrNothing)
+}
+
+// What is seen is judged honestly: unknown is a value, both digests are shown, and a wrong list is kept out of service.
+func TestJudge(t *testing.T) {
+	base := Seen{Phase: Ready, Digest: "a", List: "list:1", ListAt: 7, ListSum: "good", InService: true}
+	with := func(f func(*Seen)) Seen { s := base; f(&s); return s }
+	for name, c := range map[string]struct {
+		seen Seen
+		want Verdict
+		why  string
+		step Step
+	}{
+		"as wanted":                 {base, AsWanted, "", ""},
+		"unknown":                   {Seen{Phase: Unknown, Why: "no answer"}, NotKnown, "no answer", ""},
+		"alien":                     {Seen{Phase: Alien, Why: "token"}, CantProve, "token", ""},
+		"down":                      {Seen{Phase: Down}, OnTheWay, "", Start},
+		"wrong source":              {with(func(s *Seen) { s.List = "list:2" }), WrongList, "declared list:1 (good), asks list:2 (good)", Withhold},
+		"wrong content":             {with(func(s *Seen) { s.ListSum = "bad" }), WrongList, "declared good, holds bad at version 7 of list:1", Withhold},
+		"another version":           {with(func(s *Seen) { s.ListSum, s.ListAt = "bad", 6 }), AsWanted, "", ""},
+		"wrong, out":                {with(func(s *Seen) { s.List, s.InService = "list:2", false }), WrongList, "asks list:2", ""},
+		"out of service":            {with(func(s *Seen) { s.InService = false }), OnTheWay, "out of service", Admit},
+		"configuration":             {with(func(s *Seen) { s.Digest = "z" }), WrongFile, "declared a, runs z", Withhold},
+		"configuration, out":        {with(func(s *Seen) { s.Digest, s.InService = "z", false }), WrongFile, "declared a, runs z", ""},
+		"starting":                  {Seen{Phase: Starting}, OnTheWay, "starting", ""},
+		"ended while it was wanted": {Seen{Phase: Ending}, OnTheWay, "ending", ""},
+	} {
+		f := New(State{Generations: []Generation{{1, Set{"n1": instance("n1", "a")}}},
+			Records: map[string]Record{"n1": {Name: "n1", Digest: "a", StartedAt: 1000}}}, Defaults())
+		f.Attest("list:1", Witness{Version: 7, Sum: "good"})
+		c.seen.At = 1000
+		f.See("n1", c.seen)
+		v, why := f.Judge(1000, "n1")
+		assert.Equal(t, c.want, v, name)
+		assert.Contains(t, why, c.why, name)
+		actions := f.Plan(1000)
+		if c.step == "" {
+			assert.Empty(t, actions, name)
+		} else if assert.Len(t, actions, 1, name) {
+			assert.Equal(t, c.step, actions[0].Step, name)
+		}
+		v, why = f.Judge(1000+Defaults().SeenWithin+1, "n1")
+		assert.Equal(t, NotKnown, v, "never the last good value")
+		assert.NotEmpty(t, why)
+	}
+}
+
+// A loop of crashes is stopped and told; the waits before grow and are not in step.
+func TestCrashLoop(t *testing.T) {
+	w := newWorld(nil)
+	w.dies["a"] = true
+	require.NoError(t, w.propose(set(3, "a"), Options{AtOnce: 3, NoRevert: true}))
+	starts := map[string][]float64{}
+	for range 600 {
+		w.now += 200
+		for n, p := range w.procs {
+			if w.now-p.since > 300 {
+				delete(w.procs, n)
+			}
+		}
+		w.look()
+		for _, a := range w.f.Plan(w.now) {
+			if a.Step == Start {
+				starts[a.Name] = append(starts[a.Name], w.now)
+			}
+			w.step(a, -1)
+		}
+	}
+	assert.Equal(t, Stuck, w.f.Latest().Status)
+	for n, at := range starts {
+		require.Len(t, at, Defaults().LoopCount, n)
+		assert.Greater(t, at[4]-at[3], at[1]-at[0])
+		v, why := w.f.Judge(w.now, n)
+		assert.Equal(t, CrashLoop, v)
+		assert.Contains(t, why, "ended by itself")
+	}
+	assert.NotEqual(t, starts["n000"], starts["n001"])
+	delete(w.dies, "a")
+	require.NoError(t, w.propose(w.f.Current().Set, Options{AtOnce: 3}), "the operator's word gives another chance")
+	w.run(30)
+	assert.Empty(t, w.settled())
+}
+
+// One that ignores SIGTERM has its full time, then is killed.
+func TestStubborn(t *testing.T) {
+	w := newWorld(nil)
+	w.stubborn = true
+	require.NoError(t, w.propose(set(1, "a"), Options{}))
+	w.run(10)
+	require.NoError(t, w.propose(set(1, "b"), Options{}))
+	told := 0.0
+	for w.procs["n000"] == nil || w.procs["n000"].digest == "a" {
+		if p := w.procs["n000"]; p != nil && p.term && told == 0 {
+			told = w.now
+		}
+		w.turn(-1)
+		require.Less(t, w.now, 1.1e6)
+	}
+	assert.GreaterOrEqual(t, w.now-told, Defaults().EndWithin)
+}
+
+func many(n int) (*Fleet, float64) {
+	f := New(State{}, Defaults())
+	now := 1000.0
+	s := Set{}
+	for k := range n {
+		i := Instance{Name: fmt.Sprintf("n%05d", k), Listen: fmt.Sprintf("127.0.0.1:%d", k), Digest: "a", List: "l", Wanted: Running}
+		s[i.Name] = i
+		f.See(i.Name, Seen{Phase: Ready, At: now, Digest: "a", List: "l", InService: true})
+	}
+	if _, err := f.Propose(now, 0, s, Change{Options: Options{AtOnce: n}}); err != nil {
+		panic(err)
+	}
+	f.Plan(now)
+	to := s.Clone()
+	for name, i := range to {
+		i.Digest = "b"
+		to[name] = i
+	}
+	if _, err := f.Propose(now, f.Revision, to, Change{Options: Options{AtOnce: n / 2}}); err != nil {
+		panic(err)
+	}
+	return f, now
+}
+
+// Ten thousand instances are planned in under 50 ms, in the middle of a change that touches all of them.
+func TestPlanOfTenThousand(t *testing.T) {
+	f, now := many(10_000)
+	best := time.Hour
+	for range 5 {
+		begun := time.Now()
+		f.Plan(now)
+		best = min(best, time.Since(begun))
+	}
+	assert.Less(t, best, 50*time.Millisecond)
+}
+
+func BenchmarkPlan10000(b *testing.B) {
+	f, now := many(10_000)
+	b.ResetTimer()
+	for range b.N {
+		f.Plan(now)
+	}
+}
+
+func TestDifferences(t *testing.T) {
+	a, b := set(3, "a"), set(4, "a")
+	i := b["n001"]
+	i.Epoch++
+	b["n001"] = i
+	delete(b, "n000")
+	assert.Equal(t, []string{"n000", "n001", "n003"}, Differences(a, b))
+	assert.True(t, slices.IsSorted(b.Names()))
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -55,6 +55,7 @@
 
 	server   http.Server
 	listener *listener
+	withheld atomic.Bool  // kept out of service
 	leaving  atomic.Bool  // told to end: no client is to be sent here any more
 	draining atomic.Bool  // those who still come are asked to close
 	latest   atomic.Int64 // when an op came, Unix ms
@@ -129,6 +130,14 @@
 	return f.open.Load()
 }
 
+// Withhold keeps the node out of service, or takes it back: its health says so, and whoever comes is served all the same.
+func (f *Front) Withhold(out bool) { f.withheld.Store(out) }
+
+// State tells whether the node's health would send clients here, and whether it is about to end.
+func (f *Front) State() (in, ending bool) {
+	return !f.withheld.Load() && !f.leaving.Load(), f.leaving.Load()
+}
+
 // Shed closes clients' connections that have had no op for a while; what crosses that a client sends again on
 // another.
 func (f *Front) Shed() { f.shed(idleAtLeast) }
@@ -216,7 +225,7 @@
 func (f *Front) health(w http.ResponseWriter, c *client) {
 	select {
 	case <-f.node.Ready():
-		if !f.leaving.Load() {
+		if !f.leaving.Load() && !f.withheld.Load() {
 			f.write(w, c, http.StatusOK, []byte("ready\n"))
 			return
 		}
--- a/internal/members/list.go
+++ b/internal/members/list.go
@@ -2,10 +2,13 @@
 package members
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"net"
 	"slices"
@@ -38,6 +41,42 @@
 // Names are those that the list uses for places of the settings.
 type Names struct{ Zones, Kinds []string }
 
+// Digest tells lists with the same backends in the same states from others, wherever they were read: by names and states
+// of what is not gone, in order.
+func Digest(states map[string]balance.State) string {
+	h := sha256.New()
+	for _, name := range slices.Sorted(maps.Keys(states)) {
+		if states[name] != balance.Gone {
+			fmt.Fprintf(h, "%q %d\n", name, states[name])
+		}
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// Sum reads the version of a whole list, as its source gives it, and its digest, without the names of any settings.
+func Sum(data []byte) (version uint64, digest string, err error) {
+	var told struct {
+		Rev     *uint64
+		All     bool
+		Targets []struct{ UID, State string }
+	}
+	if err := json.Unmarshal(data, &told); err != nil {
+		return 0, "", err
+	}
+	if told.Rev == nil || !told.All {
+		return 0, "", errors.New("no whole list")
+	}
+	all := map[string]balance.State{}
+	for _, t := range told.Targets {
+		state, known := states[t.State]
+		if !known {
+			return 0, "", fmt.Errorf("unknown state %q", t.State)
+		}
+		all[t.UID] = state
+	}
+	return *told.Rev, Digest(all), nil
+}
+
 // Decode reads a list. Entries that can't be are logged and skipped: they must not hide the others.
 func (n Names) Decode(data []byte, log *slog.Logger) (*List, error) {
 	var told struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,8 @@
 package node
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"log/slog"
@@ -58,6 +60,7 @@
 	backends map[string]*backend           // by name
 	behind   map[*balance.Backend]*backend // the same, as the module knows them
 	held     bool
+	version  uint64 // of the list that is held
 	timer    *time.Timer
 	until    float64 // when the node ends; 0 while it goes on
 	done     chan struct{}
@@ -129,6 +132,37 @@
 // ListFailed takes a failed call for the list.
 func (n *Node) ListFailed() { n.box.Put(func() { n.module.ListFailed(n.now) }) }
 
+// Look is what the node holds.
+type Look struct {
+	Held     bool
+	Version  uint64 // of the list
+	Digest   string // of the list
+	Backends int
+	Open     int // ops
+}
+
+// Look asks the actor; one that does not answer in ctx's time is no state to guess.
+func (n *Node) Look(ctx context.Context) (l Look, err error) {
+	told := make(chan Look, 1)
+	n.box.Put(func() {
+		states := make(map[string]balance.State, len(n.backends))
+		for name, b := range n.backends {
+			if b.member.State != balance.Gone {
+				states[name] = b.member.State
+			}
+		}
+		told <- Look{n.held, n.version, members.Digest(states), len(states), len(n.ops)}
+	})
+	select {
+	case l = <-told:
+		return l, nil
+	case <-n.done:
+		return l, errors.New("the node has ended")
+	case <-ctx.Done():
+		return l, fmt.Errorf("the node does not answer: %w", ctx.Err())
+	}
+}
+
 // Shed has idle connections to backends closed.
 func (n *Node) Shed() {
 	n.box.Put(func() {
@@ -259,6 +293,7 @@
 			delete(n.behind, b.Backend)
 		}
 	}
+	n.version = list.Version
 	n.log.Debug("list", "version", list.Version, "whole", list.Whole, "entries", len(lines))
 	if !n.held {
 		n.held = true
--- /dev/null
+++ b/internal/serve/control.go
@@ -0,0 +1,62 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"runtime/metrics"
+	"time"
+
+	"pearknot/internal/control"
+	"pearknot/internal/front"
+	"pearknot/internal/node"
+)
+
+// lookWithin is how long the module's actor may take to tell what it holds.
+const lookWithin = time.Second
+
+// openControl serves the node's control socket until it is closed.
+func openControl(p *Place, o Options, n *node.Node, f *front.Front, started float64, log *slog.Logger) (io.Closer, error) {
+	l, err := control.Listen(o.Control)
+	if err != nil {
+		return nil, err
+	}
+	status := func(ctx context.Context) (control.Status, error) {
+		ctx, cancel := context.WithTimeout(ctx, lookWithin)
+		defer cancel()
+		look, err := n.Look(ctx)
+		if err != nil {
+			return control.Status{}, err
+		}
+		in, ending := f.State()
+		now := p.now.Load()
+		return control.Status{Token: o.Token, PID: os.Getpid(), Name: p.name, Listen: f.Address(), Version: o.Version, Started: started,
+			Config: p.file, Digest: now.digest, Epoch: o.Epoch, List: now.discovery, ListAt: look.Version, ListSum: look.Digest,
+			Backends: look.Backends, Ready: look.Held, InService: in, Ending: ending, Open: int64(look.Open), MemoryMB: memory()}, nil
+	}
+	service := func(s control.Service) error {
+		if _, ending := f.State(); ending {
+			return errors.New("the node is about to end")
+		}
+		f.Withhold(!s.In)
+		log.Info("service", "in", s.In, "why", s.Why)
+		return nil
+	}
+	server := control.Server(control.Node(status, service))
+	go func() {
+		if err := server.Serve(control.Limited(l)); !errors.Is(err, http.ErrServerClosed) {
+			log.Error("control socket ended", "error", err)
+		}
+	}()
+	return server, nil
+}
+
+// memory is what the runtime has of the system, in MB.
+func memory() float64 {
+	sample := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(sample)
+	return float64(sample[0].Value.Uint64()-sample[1].Value.Uint64()) / (1 << 20)
+}
--- a/internal/serve/place.go
+++ b/internal/serve/place.go
@@ -2,7 +2,10 @@
 package serve
 
 import (
+	"bytes"
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -12,6 +15,7 @@
 	"os"
 	"reflect"
 	"strconv"
+	"sync/atomic"
 
 	"pearknot/internal/members"
 	"pearknot/internal/terms"
@@ -29,8 +33,12 @@
 	told      *terms.Deployment
 	names     members.Names
 	known     *members.List // nil where the node never had one
+	now       atomic.Pointer[reading]
 }
 
+// reading is what of a configuration may change while the node runs: its text, and where the list is asked for.
+type reading struct{ digest, discovery string }
+
 // Read reads the configuration; the environment's own variables stand in for what it leaves out.
 func Read(file string, log *slog.Logger) (*Place, error) {
 	if file == "" {
@@ -51,7 +59,7 @@
 		Settings json.RawMessage
 	}
 	if err := json.Unmarshal(data, &read); err != nil {
-		return nil, fmt.Errorf("%s: %w", file, err)
+		return nil, wrong(file, data, err)
 	}
 	p := &Place{
 		file:      file,
@@ -79,6 +87,8 @@
 	if p.told.Terms.Seed, err = strconv.ParseUint(read.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("%s: seed: %w", file, err)
 	}
+	sum := sha256.Sum256(data)
+	p.now.Store(&reading{hex.EncodeToString(sum[:]), p.discovery})
 	p.names = members.Names{Zones: p.told.Zones, Kinds: p.told.Kinds}
 	if len(read.Known) > 0 && string(read.Known) != "null" {
 		if p.known, err = p.names.Decode(read.Known, log); err != nil {
@@ -88,6 +98,22 @@
 	return p, nil
 }
 
+// wrong names the place of what can't be read.
+func wrong(file string, data []byte, err error) error {
+	at := int64(len(data))
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		at = syntax.Offset
+	case errors.As(err, &kind):
+		at = kind.Offset
+	}
+	before := data[:min(max(at-1, 0), int64(len(data)))]
+	line, column := 1+bytes.Count(before, []byte("\n")), len(before)-bytes.LastIndexByte(before, '\n')
+	return fmt.Errorf("%s:%d:%d: no configuration: %w", file, line, column, err)
+}
+
 // reread takes up a new text of the file: where the list is asked for, and the whole list from there. All else needs
 // a start. Of a file that can't be read nothing is taken.
 func (p *Place) reread(move func(address string), log *slog.Logger) {
@@ -101,6 +127,7 @@
 		log.Warn("new configuration differs in what only a start takes up")
 	}
 	p.discovery = next.discovery
+	p.now.Store(next.now.Load())
 	log.Info("new configuration", "discovery", p.discovery)
 	move(p.discovery)
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -36,8 +36,18 @@
 	memoryShare = 0.7                    // of the limit, for the collector; the rest holds stacks and what the kernel books
 )
 
-// Run runs a node until SIGTERM has ended it. Decide makes its decision module.
-func Run(p *Place, decide node.Decide, version string, log *slog.Logger) error {
+// Options are how a node is run; zero is a node that stands alone.
+type Options struct {
+	Decide  node.Decide // makes its decision module
+	Version string
+	Control string // path of its control socket; none is served where empty
+	Held    bool   // out of service until the control socket says otherwise
+	Token   string // that the control socket answers with
+	Epoch   uint64 // the agent's count of its restarts
+}
+
+// Run runs a node until SIGTERM has ended it.
+func Run(p *Place, o Options, log *slog.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.cores))))
 	if p.memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(p.memory)))
@@ -60,7 +70,7 @@
 	if p.known != nil {
 		watch.Version, watch.Held = p.known.Version, true
 	}
-	n := node.New(p.told, decide, now, &upstream.Terms{
+	n := node.New(p.told, o.Decide, now, &upstream.Terms{
 		ConnectTimeout: clock.Span(p.told.ConnectTimeout),
 		IdleFor:        clock.Span(idleShare * p.told.ConnectionIdle),
 		Service:        terms.Service,
@@ -73,12 +83,20 @@
 	if err := f.Listen(p.listen); err != nil {
 		return err
 	}
+	f.Withhold(o.Held)
 	over, end := context.WithCancel(context.Background())
 	defer end()
+	if o.Control != "" {
+		c, err := openControl(p, o, n, f, now.Now(), log)
+		if err != nil {
+			return err
+		}
+		defer c.Close()
+	}
 	watch.Start(over)
 	n.Start(p.known)
 	go shed(over, budget, pressed, n.Shed, f.Shed)
-	log.Info("serving", "name", p.name, "address", f.Address(), "version", version)
+	log.Info("serving", "name", p.name, "address", f.Address(), "version", o.Version)
 	failed := make(chan error, 1)
 	go func() { failed <- f.Serve() }()
 	for ctx.Err() == nil {
