Agent: operators' history checked for linearizability, rolling changes of real nodes under load

A change over many nodes must lose no op, and of two operators one must win. pearknot-lab fleet plays a rolling change of all nodes of an agent under load; porcupine checks histories of four operators. Found on the way: a bound on the control socket's connections hid who called, so that the node refused its own agent.

--- a/cmd/pearknot-lab/main.go
+++ b/cmd/pearknot-lab/main.go
@@ -53,7 +53,7 @@
 	root.SetOut(out)
 	root.SetErr(errs)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &statusError{unread, err} })
-	root.AddCommand(demoCommand(), runCommand(), sweepCommand(), compareCommand(), searchCommand(), reportCommand(), nodeCommand())
+	root.AddCommand(demoCommand(), runCommand(), sweepCommand(), compareCommand(), searchCommand(), reportCommand(), fleetCommand(), instancesCommand(), nodeCommand())
 	err := root.ExecuteContext(ctx)
 	var status *statusError
 	var odd *strict.Error
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -71,10 +71,8 @@
 	if o.Point == nil {
 		o.Point = func(string) {}
 	}
-	for _, d := range []string{"", "run", "logs", "configs"} {
-		if err := os.MkdirAll(filepath.Join(o.Dir, d), 0o700); err != nil {
-			return nil, err
-		}
+	if err := mkdirs(o.Dir); err != nil {
+		return nil, err
 	}
 	a := &Agent{o: o, clock: clock.New(), log: log, box: mailbox.New[func()](), done: make(chan struct{}), changed: make(chan struct{}),
 		wake: time.NewTimer(0)}
@@ -92,6 +90,16 @@
 	return a, nil
 }
 
+// mkdirs makes what an agent's directory holds.
+func mkdirs(dir string) error {
+	for _, d := range []string{"", "run", "logs", "configs"} {
+		if err := os.MkdirAll(filepath.Join(dir, d), 0o700); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // rebuild declares what runs, over what a snapshot said: nothing is stopped because a file was damaged.
 func (a *Agent) rebuild() error {
 	locks, err := filepath.Glob(filepath.Join(a.o.Dir, "run", "*.lock"))
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -173,7 +173,7 @@
 		case proven && r.TermAt > 0:
 			return fleet.Seen{Phase: fleet.Ending, At: now(), Pid: h.PID, Proven: true}
 		case proven && !r.WasReady:
-			return fleet.Seen{Phase: fleet.Starting, At: now(), Pid: h.PID, Proven: true}
+			return fleet.Seen{Phase: fleet.Starting, At: now(), Pid: h.PID, Proven: true, Why: "no answer yet: " + err.Error()}
 		}
 		return fleet.Seen{Phase: fleet.Unknown, At: now(), Proven: proven, Why: "runs, and does not answer: " + err.Error()}
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -14,9 +14,9 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
-	"golang.org/x/net/netutil"
 	"golang.org/x/sys/unix"
 )
 
@@ -79,11 +79,41 @@
 		})}
 }
 
-// Limited bounds a listener's connections.
-func Limited(l net.Listener) net.Listener { return netutil.LimitListener(l, mostCallers) }
+// Limited bounds a listener's connections: others wait in its queue.
+func Limited(l net.Listener) net.Listener { return &limited{l, make(chan struct{}, mostCallers)} }
+
+type limited struct {
+	net.Listener
+	open chan struct{}
+}
+
+// limitedConn gives its place back once. The kernel is asked of the connection within.
+type limitedConn struct {
+	net.Conn
+	once sync.Once
+	open chan struct{}
+}
+
+func (l *limited) Accept() (net.Conn, error) {
+	l.open <- struct{}{}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.open
+		return nil, err
+	}
+	return &limitedConn{Conn: c, open: l.open}, nil
+}
+
+func (c *limitedConn) Close() error {
+	c.once.Do(func() { <-c.open })
+	return c.Conn.Close()
+}
 
 // peer asks the kernel who is at the other end.
 func peer(c net.Conn) (who Caller, err error) {
+	if l, ok := c.(*limitedConn); ok {
+		c = l.Conn
+	}
 	u, ok := c.(*net.UnixConn)
 	if !ok {
 		return who, fmt.Errorf("no Unix socket: %T", c)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -277,7 +277,7 @@
 	case s.Phase == Ending:
 		return OnTheWay, "ending"
 	case s.Phase == Starting:
-		return OnTheWay, "starting"
+		return OnTheWay, strings.TrimSuffix("starting: "+s.Why, ": ")
 	case s.Digest != t.Digest:
 		return WrongFile, fmt.Sprintf("declared %s, runs %s", short(t.Digest), short(s.Digest))
 	case s.Epoch != t.Epoch:
@@ -393,7 +393,7 @@
 	}
 	if s.Phase == Starting {
 		if now-r.StartedAt >= f.timing.StartWithin {
-			return do(Terminate, fmt.Sprintf("not ready within %.1f s", f.timing.StartWithin/1e3))
+			return do(Terminate, strings.TrimSuffix(fmt.Sprintf("not ready within %.1f s: %s", f.timing.StartWithin/1e3, s.Why), ": "))
 		}
 		return Action{}, false
 	}
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -31,6 +31,16 @@
 	Watch   func(rules.Event) // is told every event that the auditor is
 	Live    func(Live)        // is told once a second
 	Started func()            // called when all is up and load begins
+
+	// External, where given, starts the nodes in the lab's place and returns when they serve. It ends them too.
+	External func([]External) error
+}
+
+// External is a node that somebody else starts and ends.
+type External struct {
+	Name    string
+	Address string
+	Config  string // its text
 }
 
 // startUp is longer than any start takes, in ms.
@@ -125,6 +135,7 @@
 	w.list = newList(w.hub, w.backends)
 	var wg sync.WaitGroup
 	errs := make(chan error, w.e.Fleet.Nodes)
+	var external []External
 	for k := range w.e.Fleet.Nodes {
 		n := &node{hub: w.hub, number: k, zone: k % len(w.e.Fleet.Zones), dir: w.dir, command: w.o.Command, list: w.list, deadAt: -1,
 			crashed: func(err error) {
@@ -141,8 +152,19 @@
 			return err
 		}
 		w.nodes = append(w.nodes, n)
+		if w.o.External != nil {
+			config, err := n.config(w.now())
+			if err != nil {
+				return err
+			}
+			external = append(external, External{fmt.Sprintf("n%d", k), n.address, config})
+			continue
+		}
 		wg.Go(func() { errs <- n.start(w.now()) })
 	}
+	if w.o.External != nil {
+		return w.o.External(external)
+	}
 	wg.Wait()
 	for range w.nodes {
 		if err := <-errs; err != nil {
@@ -164,6 +186,12 @@
 	if w.o.Started != nil {
 		w.o.Started()
 	}
+	if w.o.External != nil {
+		for _, n := range w.nodes {
+			n.ready = true // External said so
+			w.wg.Go(func() { n.follow(ctx) })
+		}
+	}
 	w.wg.Go(func() { w.trouble(ctx) })
 	w.wg.Go(func() { w.look(ctx) })
 	return nil
--- a/internal/lab/loopback/node.go
+++ b/internal/lab/loopback/node.go
@@ -1,6 +1,7 @@
 package loopback
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -19,6 +20,7 @@
 )
 
 const (
+	followEvery = 50 * time.Millisecond
 	readyWithin = 10 * time.Second
 	endWithin   = 5 * time.Second // after SIGTERM; then it is killed
 )
@@ -80,19 +82,25 @@
 			"fallMultiple": e.Backend.FallMultiple, "overloadFor": e.Backend.OverloadForMs, "warmWithin": e.Backend.WarmWithinMs}}
 }
 
-// start starts the process with the list as it was at a time, and waits until it says that it is ready.
-func (n *node) start(listAt float64) error {
+// config is the text of the node's configuration, with the list as it was at a time.
+func (n *node) config(listAt float64) (string, error) {
 	n.life++
 	e := n.hub.e
 	seed := strconv.FormatUint(uint64(n.number)*7919+uint64(n.life)*104729+n.hub.seed()*31+12345, 16)
 	data, err := json.MarshalIndent(map[string]any{"name": fmt.Sprintf("n%d", n.number), "listen": n.address, "discovery": n.from,
 		"seed": seed, "limits": map[string]any{"cores": e.Fleet.NodeCores, "memory_mb": e.Fleet.NodeMemory, "sockets": e.Fleet.NodeSockets},
 		"known": n.list.known(listAt, n.zone), "settings": settings(e, n.zone)}, "", " ")
+	return string(data), err
+}
+
+// start starts the process with the list as it was at a time, and waits until it says that it is ready.
+func (n *node) start(listAt float64) error {
+	data, err := n.config(listAt)
 	if err != nil {
 		return err
 	}
 	file := filepath.Join(n.dir, fmt.Sprintf("n%d.json", n.number))
-	if err := os.WriteFile(file, data, 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(data), 0o600); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(n.dir, fmt.Sprintf("n%d.log", n.number)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -150,6 +158,25 @@
 	return fmt.Errorf("node %d not ready within %v", n.number, readyWithin)
 }
 
+// follow looks at the health of a node that somebody else starts and ends, as a front before nodes does.
+func (n *node) follow(ctx context.Context) {
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	for ctx.Err() == nil {
+		well := false
+		if a, err := c.Get("http://" + n.address + "/_health"); err == nil {
+			_ = a.Body.Close()
+			well = a.StatusCode == http.StatusOK
+		}
+		n.mu.Lock()
+		if n.ready && !well {
+			n.deadAt = n.hub.now()
+		}
+		n.ready = well
+		n.mu.Unlock()
+		wait(ctx, followEvery)
+	}
+}
+
 // kill ends the process without warning and waits until it is gone.
 func (n *node) kill() { n.end(syscall.SIGKILL, 0) }
 
