--- a/cmd/pearknot-lab/play.go
+++ b/cmd/pearknot-lab/play.go
@@ -14,11 +14,13 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/klauspost/compress/zstd"
 	"github.com/spf13/cobra"
 
 	"pearknot/balance"
+	"pearknot/internal/capture"
 	"pearknot/internal/lab/experiment"
 	"pearknot/internal/lab/loopback"
 	"pearknot/internal/lab/measure"
@@ -39,6 +41,7 @@
 	seeds    []uint
 	out      string
 	events   bool
+	capture  string
 	pearknot string
 }
 
@@ -48,6 +51,7 @@
 	c.Flags().UintSliceVar(&p.seeds, "seeds", nil, "seeds in place of the file's")
 	c.Flags().StringVar(&p.out, "out", "", "directory for result.json and report.html")
 	c.Flags().BoolVar(&p.events, "events", false, "write all events too: events.jsonl.zst in the directory")
+	c.Flags().StringVar(&p.capture, "capture", "", "directory for a capture of node 0's module, with --virtual and one seed")
 	c.Flags().StringVar(&p.pearknot, "pearknot", "", "the node's program; else the one beside this, else it is built")
 }
 
@@ -65,6 +69,9 @@
 			e.Seeds = append(e.Seeds, uint64(s))
 		}
 	}
+	if p.capture != "" && (!p.virtual || len(e.Seeds) > 1 || e.Policy != "cda") {
+		return &statusError{unread, fmt.Errorf("--capture needs --virtual, one seed and the module itself")}
+	}
 	if p.events && p.out == "" {
 		return &statusError{unread, fmt.Errorf("--events needs --out")}
 	}
@@ -93,7 +100,17 @@
 		if watch != nil && len(e.Seeds) > 1 {
 			e.Seeds = e.Seeds[:1] // one file, one history
 		}
-		r, err = play.Virtual(ctx, e, virtual.Options{Watch: watch})
+		o := virtual.Options{Watch: watch}
+		if p.capture != "" {
+			w, e := capture.NewWriter(capture.Ring{Dir: p.capture, Node: "n0", SegmentMB: 16, MostMB: 1 << 10, Every: time.Second, BlockKB: 64,
+				MailboxMB: 1 << 10, Sync: capture.SyncSegment, Log: slog.Default(), Now: func() float64 { return float64(time.Now().UnixMilli()) }})
+			if e != nil {
+				return r, e
+			}
+			defer w.Close()
+			o.Wrap = wrap(w)
+		}
+		r, err = play.Virtual(ctx, e, o)
 	} else {
 		r, err = p.sockets(ctx, e, loopback.Options{Watch: watch}, out)
 	}
@@ -111,6 +128,20 @@
 	return r, nil
 }
 
+// wrap captures node 0.
+func wrap(w *capture.Writer) func(int, int, policy.Decider, *balance.Terms, float64) policy.Decider {
+	return func(node, life int, d policy.Decider, t *balance.Terms, now float64) policy.Decider {
+		if node != 0 {
+			return d
+		}
+		r, err := capture.NewRecorder(d, now, capture.Start{Name: "n0", Epoch: uint64(life), Build: version(), Terms: t}, w.Put)
+		if err != nil {
+			panic(err) // plain values
+		}
+		return r
+	}
+}
+
 // sockets plays the seeds one after the other with real processes.
 func (p *plan) sockets(ctx context.Context, e *experiment.Experiment, o loopback.Options, out io.Writer) (measure.Result, error) {
 	r := play.Empty(e, "loopback")
--- a/cmd/pearknot/main.go
+++ b/cmd/pearknot/main.go
@@ -66,7 +66,7 @@
 	check.Short = "Read the configuration, tell what it says, and end"
 	root.AddCommand(serveCommand, check, &cobra.Command{Use: "version", Short: "Tell the version", Args: cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "pearknot", version()) }},
-		agentCommand(), fleetCommand())
+		agentCommand(), fleetCommand(), replayCommand(), captureCommand())
 	root.SetArgs(longFlags(args))
 	root.SetOut(out)
 	root.SetErr(errs)
@@ -114,7 +114,7 @@
 
 // nodeCommand serves or checks.
 func nodeCommand(use, what string) *cobra.Command {
-	var file, logFile string
+	var file, logFile, captureFile string
 	var o serve.Options
 	level := slog.LevelInfo
 	c := &cobra.Command{Use: use, Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
@@ -138,6 +138,11 @@
 			fmt.Fprintln(c.OutOrStdout(), p)
 			return nil
 		}
+		if captureFile != "" {
+			if o.Capture, err = serve.ReadCapture(captureFile); err != nil {
+				return &statusError{status: unread, err: err}
+			}
+		}
 		o.Decide, o.Version, o.Token = node.Module, version(), os.Getenv(serve.TokenVariable)
 		if e := os.Getenv(serve.EpochVariable); e != "" {
 			if o.Epoch, err = strconv.ParseUint(e, 10, 64); err != nil {
@@ -150,6 +155,7 @@
 	c.Flags().TextVar(&level, "log", slog.LevelInfo, "least level of log lines: debug, info, warn, error")
 	if what == "serve" {
 		c.Flags().StringVar(&o.Control, "control", "", "path of a control socket")
+		c.Flags().StringVar(&captureFile, "capture", "", "file of a capture, such as deploy/capture.toml")
 		c.Flags().BoolVar(&o.Held, "held", false, "stay out of service until the control socket says otherwise")
 		c.Flags().StringVar(&logFile, "log-file", "", "log to a file, rotated, and not to standard error")
 	}
--- /dev/null
+++ b/internal/capture/capture_test.go
@@ -0,0 +1,395 @@
+package capture
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"pearknot/balance"
+	"pearknot/internal/lab/experiment"
+	"pearknot/internal/lab/policy"
+	"pearknot/internal/lab/virtual"
+)
+
+// played captures one node of an experiment, through all its lives.
+func played(t testing.TB, name string, seconds float64, node int, sink func(int, []byte)) {
+	e, err := experiment.Read("../../experiments/" + name + ".toml")
+	require.NoError(t, err)
+	e.Seconds = seconds
+	run, err := virtual.Run(e, 1, virtual.Options{Wrap: func(n, life int, d policy.Decider, terms *balance.Terms, now float64) policy.Decider {
+		if n != node {
+			return d
+		}
+		r, err := NewRecorder(d, now, Start{Name: fmt.Sprint("n", n), Epoch: uint64(life), Build: "test", Terms: terms}, sink)
+		require.NoError(t, err)
+		return r
+	}})
+	require.NoError(t, err)
+	require.True(t, run.Rules.Kept)
+}
+
+// captured is a capture in memory, as records.
+func captured(t testing.TB, name string, seconds float64, node int) (all []Record) {
+	played(t, name, seconds, node, func(_ int, data []byte) {
+		for len(data) > 0 {
+			size := int(data[0]) | int(data[1])<<8 | int(data[2])<<16
+			r, err := Decode(data[recordHead : recordHead+size])
+			require.NoError(t, err)
+			all = append(all, r)
+			data = data[recordHead+size:]
+		}
+	})
+	return all
+}
+
+func replay(all []Record) (Claim, error) {
+	p := &Replayer{}
+	for _, r := range all {
+		if err := p.Feed(r); err != nil {
+			return p.Claim, err
+		}
+	}
+	return p.Claim, nil
+}
+
+// What the module was told, played again, has it decide the same, bit for bit, many times, whatever the processors; also
+// through a node's restart within the capture.
+func TestReplayMatches(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(0))
+	for _, name := range []string{"hung", "zone-cut", "list-late", "cold-rush", "nodes", "cut-in-a-burst", "roll-in-a-shrink"} {
+		all := captured(t, name, 25, 0)
+		for k := range 20 {
+			runtime.GOMAXPROCS(1 + k%8)
+			claim, err := replay(all)
+			require.NoError(t, err, name)
+			require.Greater(t, claim.Decisions, 500)
+			require.Equal(t, len(all), claim.Records)
+			require.Zero(t, claim.Gaps+claim.Unclaimed)
+			if name == "nodes" || name == "roll-in-a-shrink" {
+				require.GreaterOrEqual(t, claim.Epochs, 1)
+			}
+		}
+	}
+}
+
+// A node that restarts within a capture is another epoch of the same name.
+func TestEpochs(t *testing.T) {
+	most := 0
+	for node := range 3 {
+		claim, err := replay(captured(t, "nodes", 30, node))
+		require.NoError(t, err)
+		most = max(most, claim.Epochs)
+	}
+	assert.GreaterOrEqual(t, most, 2)
+}
+
+// Whatever is changed in what was told or decided, the first difference is found, with its batch.
+func TestDifferenceIsFound(t *testing.T) {
+	all := captured(t, "hung", 12, 0)
+	found := 0
+	for k, r := range all {
+		if k%97 != 0 || r.Kind != Pulled {
+			continue
+		}
+		wrong := append([]Record{}, all...)
+		wrong[k].Value = math.Nextafter(wrong[k].Value, 1e9) // the last bit
+		_, err := replay(wrong)
+		var d *Difference
+		require.ErrorAs(t, err, &d, "record %d of %d: %v", k, len(all), r)
+		assert.Equal(t, k+1, d.At)
+		assert.Contains(t, d.Error(), "captured")
+		found++
+	}
+	assert.Positive(t, found)
+	// Other terms are another module: it can't pass for the one captured.
+	p := &Replayer{New: func(terms *balance.Terms, now float64) Decider {
+		terms.Seed ^= 0xff00 // the lowest bit is not the chance's
+		return balance.New(terms, now)
+	}}
+	var err error
+	for _, r := range all {
+		if err = p.Feed(r); err != nil {
+			break
+		}
+	}
+	var d *Difference
+	assert.ErrorAs(t, err, &d)
+}
+
+// After a gap nothing is claimed until the next start.
+func TestGap(t *testing.T) {
+	all := captured(t, "nodes", 30, 0)
+	whole, err := replay(all)
+	require.NoError(t, err)
+	cut := append(append([]Record{}, all[:100]...), Record{Kind: Gap, Now: all[100].Now, Count: 50})
+	cut = append(cut, all[150:]...)
+	claim, err := replay(cut)
+	require.NoError(t, err)
+	assert.Equal(t, uint64(50), claim.Missing)
+	assert.Less(t, claim.Decisions, whole.Decisions)
+	assert.Equal(t, len(cut), claim.Records)
+}
+
+func ring(t *testing.T, change func(*Ring)) (*Writer, Ring) {
+	r := Ring{Dir: t.TempDir(), Node: "n/1", SegmentMB: 0.05, MostMB: 100, Every: 5 * time.Millisecond, BlockKB: 8, MailboxMB: 64, Sync: SyncSegment,
+		Log: slog.New(slog.DiscardHandler), Now: func() float64 { return float64(time.Now().UnixMilli()) }}
+	if change != nil {
+		change(&r)
+	}
+	w, err := NewWriter(r)
+	require.NoError(t, err)
+	return w, r
+}
+
+func read(t *testing.T, path string) (all []Record, err error) {
+	files, err := Segments(path)
+	require.NoError(t, err)
+	for _, f := range files {
+		if err := Read(f, func(r Record) error { all = append(all, r); return nil }); err != nil {
+			return all, err
+		}
+	}
+	return all, nil
+}
+
+// Through the writer and its segments, a capture is what it was.
+func TestRing(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	w, r := ring(t, nil)
+	played(t, "hung", 25, 0, w.Put)
+	w.Close()
+	assert.Zero(t, w.Dropped())
+	files, err := Segments(r.Dir)
+	require.NoError(t, err)
+	assert.Greater(t, len(files), 2)
+	all, err := read(t, r.Dir)
+	require.NoError(t, err)
+	claim, err := replay(all)
+	require.NoError(t, err)
+	assert.Zero(t, claim.Gaps)
+	assert.Greater(t, claim.Decisions, 1000)
+}
+
+// Beyond its size the ring drops the oldest; what is left says nothing until a start stands in it.
+func TestRingIsBounded(t *testing.T) {
+	w, r := ring(t, func(r *Ring) { r.MostMB = 0.15 })
+	played(t, "hung", 30, 0, w.Put)
+	w.Close()
+	files, err := Segments(r.Dir)
+	require.NoError(t, err)
+	sum := int64(0)
+	for _, f := range files {
+		info, err := os.Stat(f)
+		require.NoError(t, err)
+		sum += info.Size()
+	}
+	assert.LessOrEqual(t, sum, int64(210_000))
+	all, err := read(t, r.Dir)
+	require.NoError(t, err)
+	claim, err := replay(all)
+	require.NoError(t, err)
+	assert.Equal(t, claim.Records, claim.Unclaimed, "its start is gone")
+}
+
+// Cut at every byte, a segment is read up to its last whole record, and what was read replays.
+func TestCutAtEveryByte(t *testing.T) {
+	w, r := ring(t, func(r *Ring) { r.SegmentMB, r.BlockKB = 100, 4 })
+	played(t, "hung", 2, 0, w.Put)
+	w.Close()
+	files, err := Segments(r.Dir)
+	require.NoError(t, err)
+	require.Len(t, files, 1)
+	data, err := os.ReadFile(files[0])
+	require.NoError(t, err)
+	last := 0
+	for at := range data {
+		var all []Record
+		err := ReadFrom("x", bytes.NewReader(data[:at]), func(r Record) error { all = append(all, r); return nil })
+		var cut *Cut
+		if err != nil {
+			require.ErrorAs(t, err, &cut, "at %d", at)
+		}
+		require.GreaterOrEqual(t, len(all), last, "at %d", at)
+		last = len(all)
+		if at%50 == 0 {
+			_, err = replay(all)
+			require.NoError(t, err)
+		}
+	}
+	assert.Greater(t, last, 50)
+	for at := 0; at < len(data); at += 3 { // and one flipped is never taken for what was written
+		flipped := bytes.Clone(data)
+		flipped[at] ^= 4
+		var all []Record
+		if err := ReadFrom("x", bytes.NewReader(flipped), func(r Record) error { all = append(all, r); return nil }); err == nil {
+			t.Fatalf("byte %d flipped and nothing found", at)
+		}
+		_, err = replay(all)
+		require.NoError(t, err, "what came before the damage is whole")
+	}
+}
+
+// disk is one that is full, slow, or both for a while.
+type disk struct {
+	mu   sync.Mutex
+	full bool
+	hold chan struct{} // writes wait here
+	file *os.File
+}
+
+func (d *disk) Write(b []byte) (int, error) {
+	d.mu.Lock()
+	full, hold := d.full, d.hold
+	d.mu.Unlock()
+	if hold != nil {
+		<-hold
+	}
+	if full {
+		n, _ := d.file.Write(b[:len(b)/2]) // torn
+		return n, errors.New("no space left on device")
+	}
+	return d.file.Write(b)
+}
+
+func (d *disk) Sync() error  { return nil }
+func (d *disk) Close() error { return d.file.Close() }
+
+// A disk that is full for a while costs what came meanwhile, which stands as a gap; nobody waits.
+func TestDiskFull(t *testing.T) {
+	var mu sync.Mutex
+	full := false
+	w, r := ring(t, func(r *Ring) {
+		r.SegmentMB, r.BlockKB, r.Every = 100, 1, time.Millisecond
+		r.create = func(name string) (segment, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			f, err := os.Create(name)
+			return &disk{full: full, file: f}, err
+		}
+	})
+	set := func(x bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		full = x
+	}
+	put := func(n int) {
+		for range n {
+			x := Record{Kind: Due, Now: 1}
+			w.Put(1, appendFramed(nil, x.Append(nil)))
+		}
+	}
+	set(true) // from the first segment on
+	put(1000)
+	require.Eventually(t, func() bool { return w.Dropped() > 0 }, 5*time.Second, time.Millisecond)
+	set(false)
+	<-time.After(retryAfter + 100*time.Millisecond)
+	put(10)
+	w.Close()
+	files, err := Segments(r.Dir)
+	require.NoError(t, err)
+	var all []Record
+	for _, f := range files {
+		_ = Read(f, func(r Record) error { all = append(all, r); return nil }) // the torn ones
+	}
+	missing, kept := uint64(0), 0
+	for _, x := range all {
+		if x.Kind == Gap {
+			missing += x.Count
+		} else {
+			kept++
+		}
+	}
+	assert.Equal(t, w.Dropped(), missing)
+	assert.GreaterOrEqual(t, kept+int(missing), 1010)
+}
+
+// A writer that stands still holds nobody up: its mailbox is bounded, and what does not fit is counted.
+func TestSlowDisk(t *testing.T) {
+	hold := make(chan struct{})
+	w, r := ring(t, func(r *Ring) {
+		r.MailboxMB, r.BlockKB, r.SegmentMB = 0.01, 1, 100
+		r.create = func(name string) (segment, error) {
+			f, err := os.Create(name)
+			return &disk{hold: hold, file: f}, err
+		}
+	})
+	begun := time.Now()
+	for range 20_000 {
+		x := Record{Kind: Due, Now: 1}
+		w.Put(1, appendFramed(nil, x.Append(nil)))
+	}
+	assert.Less(t, time.Since(begun), 5*time.Second)
+	assert.Greater(t, w.Dropped(), uint64(15_000))
+	close(hold)
+	w.Close()
+	all, err := read(t, r.Dir)
+	require.NoError(t, err)
+	missing, kept := uint64(0), 0
+	for _, x := range all {
+		if x.Kind == Gap {
+			missing += x.Count
+		} else {
+			kept++
+		}
+	}
+	assert.Equal(t, uint64(20_000), uint64(kept)+missing, "all are there, or counted")
+}
+
+func TestRecordsRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := Record{Kind: Kind(rapid.IntRange(1, 13).Draw(t, "kind")), Now: rapid.Float64Range(0, 1e13).Draw(t, "now"), Op: rapid.Uint64().Draw(t, "op"),
+			Ref: rapid.Uint64().Draw(t, "ref"), Push: rapid.IntRange(0, 200).Draw(t, "push"), Value: rapid.Float64().Draw(t, "value"),
+			Hint: rapid.Float64().Draw(t, "hint"), GiveUp: rapid.Float64().Draw(t, "give up"), Flags: rapid.Uint64().Draw(t, "flags"),
+			Category: rapid.IntRange(0, 300).Draw(t, "category"), Key: rapid.Uint64().Draw(t, "key")}
+		for range rapid.IntRange(0, 3).Draw(t, "lines") {
+			r.Lines = append(r.Lines, Line{Backend: rapid.Uint64().Draw(t, "b"), State: balance.State(rapid.IntRange(0, 2).Draw(t, "s")),
+				Zone: rapid.IntRange(0, 9).Draw(t, "z"), Weight: rapid.Float64().Draw(t, "w"), Started: rapid.Float64().Draw(t, "st")})
+		}
+		encoded := r.Append(nil)
+		got, err := Decode(append(encoded, 0xfa, 0x7f, 2, 1, 2)) // and a field that is not known
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !bytes.Equal(got.Append(nil), encoded) {
+			t.Fatalf("%+v became %+v", r, got)
+		}
+	})
+}
+
+func FuzzReader(f *testing.F) {
+	var data bytes.Buffer
+	x := Record{Kind: Due, Now: 3}
+	data.WriteString(magic + "\x01")
+	f.Add(data.Bytes())
+	f.Add(appendFramed(data.Bytes(), x.Append(nil)))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		p := &Replayer{}
+		_ = ReadFrom("x", bytes.NewReader(data), p.Feed)
+		if r, err := Decode(data); err == nil {
+			_ = r.String()
+		}
+	})
+}
+
+func TestOddFiles(t *testing.T) {
+	for text, want := range map[string]string{"": "no whole header", "nonsense and more": "no capture", magic + "\x63": "version 99, this program reads 1"} {
+		err := ReadFrom("f", bytes.NewReader([]byte(text)), func(Record) error { return nil })
+		assert.ErrorContains(t, err, want)
+	}
+	_, err := Segments(t.TempDir())
+	assert.ErrorContains(t, err, "no captures")
+	assert.Equal(t, "000000000001234-000007-a_b"+suffix, filepath.Base(Name("a/b", 1234, 7)))
+}
--- /dev/null
+++ b/internal/capture/record.go
@@ -0,0 +1,357 @@
+// Package capture keeps everything that a decision module was told, in its order and batch, and every decision that was
+// pulled, so that a replay takes exactly the same ones. A capture is a row of segments; a segment is a header and blocks
+// of records. Records are in the protobuf wire format, each with its checksum; what a reader does not know in one it
+// skips.
+package capture
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"pearknot/balance"
+)
+
+// Kind of a record.
+type Kind uint8
+
+const (
+	// Begin: a module's start: the clock, and in Data its terms, name, epoch and build as JSON.
+	Begin Kind = iota + 1
+	Listed
+	ListFailed
+	Arrived
+	Left
+	Begun
+	Ended
+	Reported
+	Due
+	Shortened // an op's give-up time was moved, as a node does that is about to end
+	Pulled    // a decision
+	Idle      // there was none left: the batch's end
+	Gap       // records are missing here: Count of them
+)
+
+var kinds = [...]string{"", "begin", "listed", "list failed", "arrived", "left", "begun", "ended", "reported", "due", "shortened", "pulled",
+	"idle", "gap"}
+
+func (k Kind) String() string {
+	if int(k) < len(kinds) && k > 0 {
+		return kinds[k]
+	}
+	return fmt.Sprintf("kind %d", uint8(k))
+}
+
+// Record is one thing told or pulled. Ops and backends go by the numbers that the capture gave them.
+type Record struct {
+	Kind     Kind
+	Now      float64
+	Op       uint64 // counts arrivals from 1
+	Ref      uint64 // the host's name of an op or backend
+	Push     int
+	Backend  uint64 // counts first listings from 1
+	Decision balance.Kind
+	Ending   balance.Ending
+	Value    float64 // elapsed, service, wait, give-up time
+	Flags    uint64
+	Category int
+	Tenant   int
+	Key      uint64
+	Hint     float64
+	GiveUp   float64
+	Count    uint64
+	Lines    []Line
+	Data     []byte // of Begin; a log line of Pulled
+}
+
+// Line is one of a list's.
+type Line struct {
+	Backend uint64
+	Ref     uint64
+	State   balance.State
+	Zone    int
+	Cell    int
+	Kind    int
+	Weight  float64
+	Started float64
+}
+
+// Flags of records.
+const (
+	flagFull uint64 = 1 << iota
+	flagCached
+	flagHint
+	flagRepeat
+	flagFinished
+)
+
+// Fields in the wire format.
+const (
+	fieldKind = iota + 1
+	fieldNow
+	fieldOp
+	fieldRef
+	fieldPush
+	fieldBackend
+	fieldDecision
+	fieldEnding
+	fieldValue
+	fieldFlags
+	fieldCategory
+	fieldTenant
+	fieldKey
+	fieldHint
+	fieldGiveUp
+	fieldCount
+	fieldLine
+	fieldData
+)
+
+// Append encodes a record. What is zero is left out.
+func (r *Record) Append(b []byte) []byte {
+	number := func(field protowire.Number, x uint64) {
+		if x != 0 {
+			b = protowire.AppendVarint(protowire.AppendTag(b, field, protowire.VarintType), x)
+		}
+	}
+	float := func(field protowire.Number, x float64) {
+		if bits := math.Float64bits(x); bits != 0 {
+			b = protowire.AppendFixed64(protowire.AppendTag(b, field, protowire.Fixed64Type), bits)
+		}
+	}
+	number(fieldKind, uint64(r.Kind))
+	float(fieldNow, r.Now)
+	number(fieldOp, r.Op)
+	number(fieldRef, r.Ref)
+	number(fieldPush, uint64(r.Push))
+	number(fieldBackend, r.Backend)
+	number(fieldDecision, uint64(r.Decision))
+	number(fieldEnding, uint64(r.Ending))
+	float(fieldValue, r.Value)
+	number(fieldFlags, r.Flags)
+	number(fieldCategory, uint64(r.Category))
+	number(fieldTenant, uint64(r.Tenant))
+	number(fieldKey, r.Key)
+	float(fieldHint, r.Hint)
+	float(fieldGiveUp, r.GiveUp)
+	number(fieldCount, r.Count)
+	for _, l := range r.Lines {
+		b = protowire.AppendBytes(protowire.AppendTag(b, fieldLine, protowire.BytesType), l.append(nil))
+	}
+	if len(r.Data) > 0 {
+		b = protowire.AppendBytes(protowire.AppendTag(b, fieldData, protowire.BytesType), r.Data)
+	}
+	return b
+}
+
+func (l Line) append(b []byte) []byte {
+	for field, x := range []uint64{l.Backend, l.Ref, uint64(l.State), uint64(l.Zone), uint64(l.Cell), uint64(l.Kind)} {
+		if x != 0 {
+			b = protowire.AppendVarint(protowire.AppendTag(b, protowire.Number(field+1), protowire.VarintType), x)
+		}
+	}
+	for field, x := range []float64{l.Weight, l.Started} {
+		if bits := math.Float64bits(x); bits != 0 {
+			b = protowire.AppendFixed64(protowire.AppendTag(b, protowire.Number(field+7), protowire.Fixed64Type), bits)
+		}
+	}
+	return b
+}
+
+var errOdd = errors.New("odd record")
+
+// fields walks a message; what is of no known form is an error, what is of no known number is told all the same.
+func fields(b []byte, f func(n protowire.Number, x uint64, bytes []byte) error) error {
+	for len(b) > 0 {
+		n, t, size := protowire.ConsumeTag(b)
+		if size < 0 {
+			return errOdd
+		}
+		b = b[size:]
+		var x uint64
+		var data []byte
+		switch t {
+		case protowire.VarintType:
+			x, size = protowire.ConsumeVarint(b)
+		case protowire.Fixed64Type:
+			x, size = protowire.ConsumeFixed64(b)
+		case protowire.BytesType:
+			data, size = protowire.ConsumeBytes(b)
+		default:
+			size = protowire.ConsumeFieldValue(n, t, b)
+		}
+		if size < 0 {
+			return errOdd
+		}
+		b = b[size:]
+		if err := f(n, x, data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// mostNumber bounds what is used as a place in a list.
+const mostNumber = 1 << 20
+
+// Decode reads a record.
+func Decode(b []byte) (r Record, err error) {
+	small := func(x uint64) int {
+		if x > mostNumber {
+			err = errOdd
+			return 0
+		}
+		return int(x)
+	}
+	walk := fields(b, func(n protowire.Number, x uint64, data []byte) error {
+		switch n {
+		case fieldKind:
+			r.Kind = Kind(min(x, math.MaxUint8))
+		case fieldNow:
+			r.Now = math.Float64frombits(x)
+		case fieldOp:
+			r.Op = x
+		case fieldRef:
+			r.Ref = x
+		case fieldPush:
+			r.Push = small(x)
+		case fieldBackend:
+			r.Backend = x
+		case fieldDecision:
+			r.Decision = balance.Kind(min(x, math.MaxUint8))
+		case fieldEnding:
+			r.Ending = balance.Ending(min(x, math.MaxUint8))
+		case fieldValue:
+			r.Value = math.Float64frombits(x)
+		case fieldFlags:
+			r.Flags = x
+		case fieldCategory:
+			r.Category = small(x)
+		case fieldTenant:
+			r.Tenant = small(x)
+		case fieldKey:
+			r.Key = x
+		case fieldHint:
+			r.Hint = math.Float64frombits(x)
+		case fieldGiveUp:
+			r.GiveUp = math.Float64frombits(x)
+		case fieldCount:
+			r.Count = x
+		case fieldLine:
+			l, odd := decodeLine(data)
+			if odd != nil {
+				return odd
+			}
+			r.Lines = append(r.Lines, l)
+		case fieldData:
+			r.Data = append([]byte{}, data...)
+		}
+		return err
+	})
+	if walk == nil && (r.Kind == 0 || math.IsNaN(r.Now)) {
+		walk = errOdd
+	}
+	return r, walk
+}
+
+func decodeLine(b []byte) (l Line, err error) {
+	walk := fields(b, func(n protowire.Number, x uint64, _ []byte) error {
+		if n >= 3 && n <= 6 && x > mostNumber {
+			return errOdd
+		}
+		switch n {
+		case 1:
+			l.Backend = x
+		case 2:
+			l.Ref = x
+		case 3:
+			if x > uint64(balance.Ready) {
+				return errOdd
+			}
+			l.State = balance.State(x)
+		case 4:
+			l.Zone = int(x)
+		case 5:
+			l.Cell = int(x)
+		case 6:
+			l.Kind = int(x)
+		case 7:
+			l.Weight = math.Float64frombits(x)
+		case 8:
+			l.Started = math.Float64frombits(x)
+		}
+		return nil
+	})
+	return l, walk
+}
+
+// Start is what a Begin record holds.
+type Start struct {
+	Name  string         `json:"name"`  // of the node: epochs of one name belong together
+	Epoch uint64         `json:"epoch"` // its process
+	Build string         `json:"build"`
+	Terms *balance.Terms `json:"terms"`
+}
+
+func (r Record) start() (s Start, err error) {
+	if err := json.Unmarshal(r.Data, &s); err != nil {
+		return s, fmt.Errorf("begin: %w", err)
+	}
+	if s.Terms == nil {
+		return s, errors.New("begin: no terms")
+	}
+	return s, nil
+}
+
+// String is a record in one line.
+func (r Record) String() string {
+	text := fmt.Sprintf("%.3f %s", r.Now, r.Kind)
+	switch r.Kind {
+	case Begin:
+		if s, err := r.start(); err == nil {
+			text += fmt.Sprintf(" %s epoch %d, seed %x, %d nodes, %d categories", s.Name, s.Epoch, s.Terms.Seed, s.Terms.Nodes, len(s.Terms.Categories))
+		}
+	case Listed:
+		text += fmt.Sprintf(" %d lines, whole %t, held %t", len(r.Lines), r.Flags&flagFull != 0, r.Flags&flagCached != 0)
+	case Arrived:
+		text += fmt.Sprintf(" op %d (%x) category %d hint %g until %.3f", r.Op, r.Ref, r.Category, r.Hint, r.GiveUp)
+	case Left, Shortened:
+		text += fmt.Sprintf(" op %d", r.Op)
+	case Begun:
+		text += fmt.Sprintf(" op %d push %d", r.Op, r.Push)
+	case Ended:
+		text += fmt.Sprintf(" op %d push %d ending %d after %.3f, finished %t", r.Op, r.Push, r.Ending, r.Value, r.Flags&flagFinished != 0)
+	case Reported:
+		text += fmt.Sprintf(" backend %d service %.3f", r.Backend, r.Value)
+	case Pulled:
+		text += " " + decision(r)
+	case Gap:
+		text += fmt.Sprintf(" %d records missing", r.Count)
+	}
+	return text
+}
+
+var decisions = [...]string{"push", "nack", "dead letter", "revoke", "watch", "timer", "log"}
+
+func decision(r Record) string {
+	name := "decision"
+	if int(r.Decision) < len(decisions) {
+		name = decisions[r.Decision]
+	}
+	switch r.Decision {
+	case balance.DoPush:
+		return fmt.Sprintf("%s op %d to backend %d (push %d), wait %g", name, r.Op, r.Backend, r.Push, r.Value)
+	case balance.DoNack, balance.DoDeadLetter:
+		return fmt.Sprintf("%s op %d, come back in %g", name, r.Op, r.Value)
+	case balance.DoRevoke:
+		return fmt.Sprintf("%s op %d push %d", name, r.Op, r.Push)
+	case balance.DoTimer:
+		return fmt.Sprintf("%s in %g", name, r.Value)
+	case balance.DoLog:
+		return fmt.Sprintf("%s %q", name, r.Data)
+	}
+	return name
+}
--- /dev/null
+++ b/internal/capture/replay.go
@@ -0,0 +1,187 @@
+package capture
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+
+	"pearknot/balance"
+)
+
+// Difference is the first place at which a replay did not do as the capture says.
+type Difference struct {
+	At       int // number of the record
+	Now      float64
+	Captured string
+	Replayed string
+	Batch    []Record // the inputs of that batch
+}
+
+func (d *Difference) Error() string {
+	text := fmt.Sprintf("record %d at %.3f: captured %s, replayed %s", d.At, d.Now, d.Captured, d.Replayed)
+	for _, r := range d.Batch {
+		text += "\n    " + r.String()
+	}
+	return text
+}
+
+// Claim is what a replay found.
+type Claim struct {
+	Records   int
+	Decisions int // that match, bit for bit
+	Epochs    int
+	Gaps      int
+	Missing   uint64 // records in them
+	Unclaimed int    // records after a gap, of which nothing can be said until the next start
+	From, To  float64
+}
+
+// Replayer plays records to a module of its own.
+type Replayer struct {
+	New func(t *balance.Terms, now float64) Decider // the module, where nil
+
+	Claim    Claim
+	node     Decider
+	ops      map[uint64]*balance.Op
+	numbers  map[*balance.Op]uint64
+	backends map[uint64]*balance.Backend
+	refs     map[*balance.Backend]uint64
+	batch    []Record
+	lost     bool // after a gap
+}
+
+// Feed takes the next record. Its error is a *Difference, or tells that the capture itself makes no sense.
+func (r *Replayer) Feed(x Record) error {
+	r.Claim.Records++
+	if r.Claim.From == 0 {
+		r.Claim.From = x.Now
+	}
+	r.Claim.To = math.Max(r.Claim.To, x.Now)
+	switch {
+	case x.Kind == Gap:
+		r.Claim.Gaps++
+		r.Claim.Missing += x.Count
+		r.lost = true
+		return nil
+	case x.Kind == Begin:
+		return r.begin(x)
+	case r.lost || r.node == nil:
+		r.Claim.Unclaimed++
+		return nil
+	}
+	if x.Kind != Pulled && x.Kind != Idle {
+		r.batch = append(r.batch, x)
+		return r.input(x)
+	}
+	d, more := r.node.Next()
+	if x.Kind == Idle {
+		if more {
+			return r.differs(x, "no decision left", decision(r.pulled(d)))
+		}
+		r.batch = r.batch[:0]
+		return nil
+	}
+	if !more {
+		return r.differs(x, decision(x), "no decision left")
+	}
+	got := r.pulled(d)
+	got.Now = x.Now
+	if !bytes.Equal(got.Append(nil), x.Append(nil)) {
+		return r.differs(x, decision(x), decision(got))
+	}
+	r.Claim.Decisions++
+	r.forget(d.Op)
+	return nil
+}
+
+func (r *Replayer) forget(op *balance.Op) {
+	if op != nil && op.Over() {
+		delete(r.ops, r.numbers[op])
+		delete(r.numbers, op)
+	}
+}
+
+func (r *Replayer) pulled(d balance.Decision) Record {
+	return pulled(d, func(op *balance.Op) uint64 { return r.numbers[op] }, func(b *balance.Backend) uint64 { return r.refs[b] })
+}
+
+func (r *Replayer) differs(x Record, captured, replayed string) *Difference {
+	return &Difference{At: r.Claim.Records, Now: x.Now, Captured: captured, Replayed: replayed, Batch: append([]Record{}, r.batch...)}
+}
+
+func (r *Replayer) begin(x Record) error {
+	s, err := x.start()
+	if err != nil {
+		return fmt.Errorf("record %d: %w", r.Claim.Records, err)
+	}
+	if r.New != nil {
+		r.node = r.New(s.Terms, x.Now)
+	} else {
+		r.node = balance.New(s.Terms, x.Now)
+	}
+	r.lost, r.batch = false, nil
+	r.ops, r.numbers = map[uint64]*balance.Op{}, map[*balance.Op]uint64{}
+	r.backends, r.refs = map[uint64]*balance.Backend{}, map[*balance.Backend]uint64{}
+	r.Claim.Epochs++
+	return nil
+}
+
+// input tells the module what it was told then.
+func (r *Replayer) input(x Record) error {
+	op := r.ops[x.Op]
+	var push *balance.Push
+	switch x.Kind {
+	case Left, Shortened, Begun, Ended:
+		if op == nil {
+			return fmt.Errorf("record %d at %.3f: op %d never came", r.Claim.Records, x.Now, x.Op)
+		}
+		if x.Kind == Begun || x.Kind == Ended {
+			if x.Push >= len(op.Pushes) {
+				return r.differs(x, fmt.Sprintf("op %d has push %d", x.Op, x.Push), fmt.Sprintf("it has %d pushes", len(op.Pushes)))
+			}
+			push = op.Pushes[x.Push]
+		}
+	}
+	switch x.Kind {
+	case Listed:
+		lines := make([]balance.Listing, 0, len(x.Lines))
+		for _, l := range x.Lines {
+			b := r.backends[l.Backend]
+			if b == nil {
+				b = &balance.Backend{Ref: l.Ref}
+				r.backends[l.Backend], r.refs[b] = b, l.Backend
+			}
+			lines = append(lines, balance.Listing{Backend: b, State: l.State, Zone: l.Zone, Cell: l.Cell, Kind: l.Kind, Weight: l.Weight,
+				Started: l.Started})
+		}
+		r.node.Listed(x.Now, lines, x.Flags&flagFull != 0, x.Flags&flagCached != 0)
+	case ListFailed:
+		r.node.ListFailed(x.Now)
+	case Arrived:
+		op = &balance.Op{Ref: x.Ref, Category: x.Category, Tenant: x.Tenant, Key: x.Key, Hint: x.Hint, HasHint: x.Flags&flagHint != 0,
+			Repeat: x.Flags&flagRepeat != 0, GiveUp: x.GiveUp}
+		r.ops[x.Op], r.numbers[op] = op, x.Op
+		r.node.Arrived(x.Now, op)
+	case Left:
+		r.node.Left(x.Now, op)
+	case Shortened:
+		op.GiveUp = x.Value
+	case Begun:
+		r.node.Begun(x.Now, push)
+	case Ended:
+		r.node.Ended(x.Now, push, x.Ending, x.Value, x.Flags&flagFinished != 0)
+	case Reported:
+		b := r.backends[x.Backend]
+		if b == nil {
+			return fmt.Errorf("record %d at %.3f: backend %d was never listed", r.Claim.Records, x.Now, x.Backend)
+		}
+		r.node.Reported(x.Now, b, x.Value)
+	case Due:
+		r.node.Due(x.Now)
+	default: // of a later build: what it told the module is not known here
+		r.Claim.Gaps++
+		r.lost = true
+	}
+	r.forget(op)
+	return nil
+}
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -31,7 +31,9 @@
 // Options are what a run may do beside its figures.
 type Options struct {
 	Watch func(rules.Event) // is told every event that the auditor is
-	Trace func(Trace)       // is told every op's pushes with what the model knew
+	Trace func(Trace)       // is told every op's pushes
+	// Wrap, where given, stands between a node and what decides for it; life counts the node's processes from 0.
+	Wrap func(node, life int, d policy.Decider, t *balance.Terms, now float64) policy.Decider
 }
 
 // Trace is one push as a trace shows it.
@@ -372,10 +374,14 @@
 	n.ops = map[uint64]*op{}
 	n.version = version
 	seed := rand.New(rand.NewPCG(h.seed, uint64(n.number)<<20+uint64(n.life)+5)).Uint64()
-	n.module, h.err = policy.New(h.e.Policy, h.e.Terms(n.zone, seed), h.now, h.sight(n))
+	terms := h.e.Terms(n.zone, seed)
+	n.module, h.err = policy.New(h.e.Policy, terms, h.now, h.sight(n))
 	if h.err != nil {
 		return
 	}
+	if h.o.Wrap != nil {
+		n.module = h.o.Wrap(n.number, n.life, n.module, terms, h.now)
+	}
 	h.listed(n, known, true, true)
 	if !h.e.List.MustAsk {
 		h.ask(n)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -180,6 +180,11 @@
 		n.until = until
 		for _, op := range n.ops {
 			op.GiveUp = min(op.GiveUp, until)
+			if m, ok := n.module.(interface {
+				Shortened(now float64, op *balance.Op)
+			}); ok { // a capture has to know what the module will see
+				m.Shortened(n.now, &op.Op)
+			}
 			for _, c := range op.calls {
 				c.Shorten(n.clock.At(until))
 			}
@@ -291,6 +296,9 @@
 		if b.peer == nil && !b.Known() {
 			delete(n.backends, name)
 			delete(n.behind, b.Backend)
+			if m, ok := n.module.(interface{ Dropped(b *balance.Backend) }); ok {
+				m.Dropped(b.Backend)
+			}
 		}
 	}
 	n.version = list.Version
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"pearknot/internal/capture"
 	"pearknot/internal/clock"
 	"pearknot/internal/front"
 	"pearknot/internal/members"
@@ -40,10 +41,11 @@
 type Options struct {
 	Decide  node.Decide // makes its decision module
 	Version string
-	Control string // path of its control socket; none is served where empty
-	Held    bool   // out of service until the control socket says otherwise
-	Token   string // that the control socket answers with
-	Epoch   uint64 // the agent's count of its restarts
+	Control string        // path of its control socket; none is served where empty
+	Held    bool          // out of service until the control socket says otherwise
+	Token   string        // that the control socket answers with
+	Epoch   uint64        // the agent's count of its restarts
+	Capture *capture.Ring // where all that the module is told goes; nil is nowhere
 }
 
 // Run runs a node until SIGTERM has ended it.
@@ -70,6 +72,13 @@
 	if p.known != nil {
 		watch.Version, watch.Held = p.known.Version, true
 	}
+	if o.Capture != nil {
+		end, err := captured(p, &o, now, log)
+		if err != nil {
+			return err
+		}
+		defer end()
+	}
 	n := node.New(p.told, o.Decide, now, &upstream.Terms{
 		ConnectTimeout: clock.Span(p.told.ConnectTimeout),
 		IdleFor:        clock.Span(idleShare * p.told.ConnectionIdle),
