--- a/cmd/pearknot/capture.go
+++ b/cmd/pearknot/capture.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"os/exec"
 	"text/tabwriter"
 	"time"
 
@@ -36,7 +37,7 @@
 }
 
 func replayCommand() *cobra.Command {
-	times := 1
+	times, against := 1, ""
 	c := &cobra.Command{Use: "replay FILE|DIR", Short: "Play a capture to the module and hold each decision against it", Args: cobra.ExactArgs(1),
 		Long: `replay tells the module what it was told then, and holds every decision against the captured one, bit for bit.
 
@@ -45,6 +46,9 @@
 			if times < 1 {
 				return &statusError{status: unread, err: fmt.Errorf("--times %d is below 1", times)}
 			}
+			if against != "" {
+				return replayAgainst(c, against, args[0])
+			}
 			for range times {
 				p := &capture.Replayer{}
 				begun := time.Now()
@@ -66,9 +70,25 @@
 			return nil
 		}}
 	c.Flags().IntVar(&times, "times", 1, "so many times")
+	c.Flags().StringVar(&against, "against", "", "another build's program, whose module is to decide")
 	return c
 }
 
+// replayAgainst has another build's module decide on the same capture: it says where it first does otherwise.
+func replayAgainst(c *cobra.Command, program, path string) error {
+	other := exec.CommandContext(c.Context(), program, "replay", path)
+	other.Stdout, other.Stderr = c.OutOrStdout(), c.ErrOrStderr()
+	err := other.Run()
+	var exit *exec.ExitError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &exit) && exit.ExitCode() == no:
+		return &statusError{status: no, err: errors.New("decisions differ"), silent: true}
+	}
+	return fmt.Errorf("%s replay: %w", program, err)
+}
+
 func captureCommand() *cobra.Command {
 	root := &cobra.Command{Use: "capture", Short: "Look into captures"}
 	root.AddCommand(&cobra.Command{Use: "ls FILE|DIR", Short: "The segments: sizes, times, records", Args: cobra.ExactArgs(1),
--- a/cmd/pearknot/capture_test.go
+++ b/cmd/pearknot/capture_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -87,3 +89,36 @@
 		assert.Contains(t, stdout.String()+stderr.String(), c.says, c.args)
 	}
 }
+
+// A build of the program whose module has one comparison flipped is caught by a replay of what the right one decided.
+func TestFlippedComparisonIsCaught(t *testing.T) {
+	dir := t.TempDir()
+	captures := filepath.Join(dir, "captures")
+	lab := exec.Command("go", "run", "pearknot/cmd/pearknot-lab", "run", "../../experiments/burst.toml", "--virtual", "--seeds", "1", "--capture", captures)
+	text, err := lab.CombinedOutput()
+	require.NoError(t, err, string(text))
+	var out, errs bytes.Buffer
+	require.Equal(t, 0, run([]string{"replay", captures}, &out, &errs), out.String()+errs.String())
+	require.Equal(t, 0, run([]string{"replay", captures, "--against", program}, &out, &errs), errs.String())
+	source, err := filepath.Abs("../../balance/balance.go")
+	require.NoError(t, err)
+	data, err := os.ReadFile(source)
+	require.NoError(t, err)
+	for k, flip := range [][2]string{
+		{"best == nil || r > rank", "best == nil || r < rank"}, {"slow < turnSlow", "slow > turnSlow"}, {"if patience < n.left(op) {", "if patience > n.left(op) {"},
+		{"op.long = op.Hint > n.cutoff", "op.long = op.Hint < n.cutoff"},
+	} {
+		require.Equal(t, 1, strings.Count(string(data), flip[0]), flip[0])
+		mutant := filepath.Join(dir, fmt.Sprint(k, ".go"))
+		require.NoError(t, os.WriteFile(mutant, []byte(strings.Replace(string(data), flip[0], flip[1], 1)), 0o600))
+		overlay, err := json.Marshal(map[string]any{"Replace": map[string]string{source: mutant}})
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(filepath.Join(dir, "overlay.json"), overlay, 0o600))
+		build := filepath.Join(dir, fmt.Sprint("mutant", k))
+		text, err := exec.Command("go", "build", "-overlay", filepath.Join(dir, "overlay.json"), "-o", build, ".").CombinedOutput()
+		require.NoError(t, err, string(text))
+		var out, errs bytes.Buffer
+		assert.Equal(t, 3, run([]string{"replay", captures, "--against", build}, &out, &errs), flip[1])
+		assert.Contains(t, out.String(), "captured", flip[1])
+	}
+}
