Lab: backends' busy share counts their work up to the look; plots leave room for their legends

The page showed backends busy above one: their work stood as of their latest event, not the look's. Seen in a plot, now a test.

--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -133,7 +133,10 @@
 			}
 		}
 		p.Legend.Top = true
-		p.Y.Max = top
+		p.Y.Max, p.X.Min = top, 0
+		if n := len(run.Windows); n > 0 {
+			p.X.Max = 1.18 * (run.Windows[n-1].At + 0.5) // room for the legend
+		}
 		all = append(all, titled{title, p})
 	}
 	series := func(name string, of func(measure.Window) float64) line {
@@ -159,7 +162,7 @@
 			return w.Category[k]
 		}))
 	}
-	add("Service by category", "benefit earned of asked", service, 1.05)
+	add("Service by category", "service", service, 1.05)
 	times := []line{series("50 of 100", func(w measure.Window) float64 { return w.Times[0] }),
 		series("99 of 100", func(w measure.Window) float64 { return w.Times[1] })}
 	add("Answer times, from the intended sending", "ms", times, highest(times))
@@ -193,6 +196,7 @@
 			}
 		}
 		p.Y.Min, p.Y.Max, p.Legend.Top = 0, 1.05, true
+		p.X.Max += 0.3 * (p.X.Max - p.X.Min) // room for the legend
 		all = append(all, titled{fmt.Sprintf("Service against offered load, both ways: area %.3f", l.Area), p})
 	}
 	return all
@@ -226,7 +230,7 @@
 }
 
 func drawn(p *plot.Plot) (template.HTML, error) {
-	c := vgsvg.New(18*vg.Centimeter, 6.5*vg.Centimeter)
+	c := vgsvg.New(18*vg.Centimeter, 7*vg.Centimeter)
 	p.Draw(draw.New(c))
 	var out bytes.Buffer
 	if _, err := c.WriteTo(&out); err != nil {
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -239,7 +239,7 @@
 func (h *host) look() {
 	busy := make([]float64, len(h.backends))
 	for k, b := range h.backends {
-		b.Report(h.now) // brings it no further; its work stands as of its latest event
+		h.turnOf(b) // its work stands as of its latest event, which may be long ago
 		all, _ := b.Worked()
 		busy[k] = math.Round((all-h.worked[k])/(b.Standing()*measure.Look)*1e3) / 1e3
 		h.worked[k] = all
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -201,3 +201,17 @@
 func BenchmarkDecision10(b *testing.B)  { decision(b, 10, 3) }
 func BenchmarkDecision30(b *testing.B)  { decision(b, 30, 100) }
 func BenchmarkDecision200(b *testing.B) { decision(b, 200, 1250) }
+
+// What the backends are seen to do in a window is what they can do in it at most.
+func TestBusyShares(t *testing.T) {
+	r, err := Run(shipped(t, "burst"), 1, Options{})
+	require.NoError(t, err)
+	busy := 0.0
+	for _, w := range r.Windows {
+		for _, b := range w.Load {
+			assert.LessOrEqual(t, b, 1.001)
+			busy += b
+		}
+	}
+	assert.Greater(t, busy/float64(len(r.Windows)*10), 0.3)
+}
