--- a/balance/types.go
+++ b/balance/types.go
@@ -245,6 +245,19 @@
 // overtaken tells that its backend has answered a push sent later: what is wrong is not the backend's.
 func (p *Push) overtaken() bool { return p.Backend.heard > p.SentAt }
 
+// Decider is what a host asks: a Node, or what stands round one or in its place.
+type Decider interface {
+	Listed(now float64, lines []Listing, full, cached bool)
+	ListFailed(now float64)
+	Arrived(now float64, op *Op)
+	Left(now float64, op *Op)
+	Begun(now float64, p *Push)
+	Ended(now float64, p *Push, how Ending, elapsed float64, finished bool)
+	Reported(now float64, b *Backend, service float64)
+	Due(now float64)
+	Next() (Decision, bool)
+}
+
 // Kind is what a decision asks the host to do.
 type Kind uint8
 
--- a/cmd/pearknot-lab/play.go
+++ b/cmd/pearknot-lab/play.go
@@ -29,7 +29,6 @@
 	"pearknot/internal/lab/report"
 	"pearknot/internal/lab/search"
 	"pearknot/internal/lab/virtual"
-	"pearknot/internal/node"
 	"pearknot/internal/rules"
 	"pearknot/internal/serve"
 )
@@ -129,8 +128,8 @@
 }
 
 // wrap captures node 0.
-func wrap(w *capture.Writer) func(int, int, policy.Decider, *balance.Terms, float64) policy.Decider {
-	return func(node, life int, d policy.Decider, t *balance.Terms, now float64) policy.Decider {
+func wrap(w *capture.Writer) func(int, int, balance.Decider, *balance.Terms, float64) balance.Decider {
+	return func(node, life int, d balance.Decider, t *balance.Terms, now float64) balance.Decider {
 		if node != 0 {
 			return d
 		}
@@ -396,7 +395,7 @@
 		if _, err := policy.New(name, &balance.Terms{}, 0, nil); err != nil {
 			return &statusError{unread, err}
 		}
-		return serve.Run(p, serve.Options{Version: version(), Decide: func(t *balance.Terms, now float64) node.Decider {
+		return serve.Run(p, serve.Options{Version: version(), Decide: func(t *balance.Terms, now float64) balance.Decider {
 			d, _ := policy.New(name, t, now, nil) // the name was tried above
 			return d
 		}}, log)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"log/slog"
 	"net"
@@ -59,10 +60,11 @@
 	states    string
 	witnessed time.Time
 	broken    error // the state can't be written: nothing is done until it can
-	snapped   uint64
 	looks     sync.WaitGroup
 }
 
+const mostList = 4 << 20 // bytes of a list
+
 // mostLooks is how many instances are looked at side by side.
 const mostLooks = 64
 
@@ -221,11 +223,9 @@
 			s := a.fleet.Look(a.now(), r.Name)
 			busy = busy || s.Phase == fleet.Starting || s.Phase == fleet.Ending
 		}
-		if a.snapped != a.fleet.Revision+1 {
+		if a.store.fresh {
 			if err := a.store.snapshot(); err != nil {
 				a.log.Error("snapshot not written", "error", err)
-			} else {
-				a.snapped = a.fleet.Revision + 1
 			}
 			a.o.Point("snapshot")
 		}
@@ -307,14 +307,9 @@
 	if answer.StatusCode != http.StatusOK {
 		return w, errors.New(answer.Status)
 	}
-	data := make([]byte, 0, 64<<10)
-	buf := make([]byte, 32<<10)
-	for len(data) < 4<<20 {
-		n, err := answer.Body.Read(buf)
-		data = append(data, buf[:n]...)
-		if err != nil {
-			break
-		}
+	data, err := io.ReadAll(io.LimitReader(answer.Body, mostList))
+	if err != nil {
+		return w, err
 	}
 	w.Version, w.Sum, err = members.Sum(data)
 	return w, err
--- a/internal/agent/store.go
+++ b/internal/agent/store.go
@@ -18,6 +18,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/renameio/v2"
 	"go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
 
 	"pearknot/internal/fleet"
 )
@@ -35,15 +36,19 @@
 // store is the agent's durable state, with one writer. Every value carries its checksum, and one key the checksum of
 // all, so that whatever was cut short or flipped is found when it is read.
 type store struct {
-	dir  string
-	db   *bbolt.DB
-	held map[string]string // as it is on disk
-	log  *slog.Logger
+	dir   string
+	db    *bbolt.DB
+	held  map[string]string // as it is on disk
+	fresh bool              // there is something that no snapshot has
+	log   *slog.Logger
 }
 
 // errDamaged is a state file that can't be trusted.
 var errDamaged = errors.New("damaged")
 
+// errBusy is a state that another agent has.
+var errBusy = errors.New("another agent has it")
+
 // errSchema is a state of another version of the agent: nothing is set aside for that.
 var errSchema = errors.New("another schema")
 
@@ -59,7 +64,7 @@
 		if _, e := os.Stat(filepath.Join(dir, snapshotFile)); e == nil { // the state is gone, its snapshot not
 			recovered = true
 		}
-	case errors.Is(err, errSchema), errors.Is(err, os.ErrPermission):
+	case errors.Is(err, errSchema), errors.Is(err, errBusy), errors.Is(err, os.ErrPermission):
 		return nil, state, false, err
 	case err != nil:
 		aside := fmt.Sprintf("%s.damaged-%d", path, time.Now().UnixNano())
@@ -157,7 +162,7 @@
 		return b.Put([]byte("sum"), total(next))
 	})
 	if err == nil {
-		s.held = next
+		s.held, s.fresh = next, true
 	}
 	return err
 }
@@ -168,7 +173,11 @@
 	if err != nil {
 		return err
 	}
-	return renameio.WriteFile(filepath.Join(s.dir, snapshotFile), sealed(string(data)), 0o600)
+	if err := renameio.WriteFile(filepath.Join(s.dir, snapshotFile), sealed(string(data)), 0o600); err != nil {
+		return err
+	}
+	s.fresh = false
+	return nil
 }
 
 // sealed puts a value behind its checksum.
@@ -211,10 +220,13 @@
 			kept, err = nil, fmt.Errorf("%s: %w: %v", path, errDamaged, fault)
 		}
 	}()
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{ReadOnly: true, Timeout: 2 * time.Second})
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{ReadOnly: true, Timeout: time.Second})
 	if err != nil {
-		if errors.Is(err, bbolt.ErrTimeout) || errors.Is(err, os.ErrPermission) { //nolint:staticcheck // the name that the library exports
-			return nil, fmt.Errorf("%s: %w: another agent has it: %v", path, os.ErrPermission, err)
+		switch {
+		case errors.Is(err, berrors.ErrTimeout):
+			return nil, fmt.Errorf("%s: %w", path, errBusy)
+		case errors.Is(err, os.ErrPermission):
+			return nil, err
 		}
 		return nil, fmt.Errorf("%s: %w: %v", path, errDamaged, err)
 	}
--- a/internal/agent/store_test.go
+++ b/internal/agent/store_test.go
@@ -97,6 +97,17 @@
 	assert.Positive(t, same, "pages that hold nothing")
 }
 
+// One directory has one agent: a second one is told so, and sets nothing aside.
+func TestSecondAgent(t *testing.T) {
+	dir := t.TempDir()
+	s, _, _, err := openStore(dir, discard)
+	require.NoError(t, err)
+	_, _, _, err = openStore(dir, discard)
+	assert.ErrorIs(t, err, errBusy)
+	require.NoError(t, s.save(sample()), "the first goes on")
+	require.NoError(t, s.close())
+}
+
 func TestAnotherSchema(t *testing.T) {
 	dir := t.TempDir()
 	s, _, _, err := openStore(dir, discard)
--- a/internal/capture/bench_test.go
+++ b/internal/capture/bench_test.go
@@ -7,7 +7,7 @@
 )
 
 // decide drives a module as a host does: an op comes, is placed, and its answer is heard.
-func decide(b *testing.B, wrap func(Decider, *balance.Terms) Decider) {
+func decide(b *testing.B, wrap func(balance.Decider, *balance.Terms) balance.Decider) {
 	t := &balance.Terms{Seed: 1, Nodes: 3, MaxPushes: 3, SecondCopies: true, Cancel: true, ColdFrom: 0.3, WarmWithin: 8000, FallMultiple: 4,
 		OverloadFor: 2000, Categories: []balance.Category{{TargetLatency: 600, Benefit: 1}}}
 	n := wrap(balance.New(t, 1), t)
@@ -37,13 +37,13 @@
 }
 
 func BenchmarkOff(b *testing.B) {
-	decide(b, func(d Decider, _ *balance.Terms) Decider { return d })
+	decide(b, func(d balance.Decider, _ *balance.Terms) balance.Decider { return d })
 }
 
 // On, with what is written counted and let go of.
 func BenchmarkOn(b *testing.B) {
 	bytes := 0
-	decide(b, func(d Decider, t *balance.Terms) Decider {
+	decide(b, func(d balance.Decider, t *balance.Terms) balance.Decider {
 		r, err := NewRecorder(d, 1, Start{Name: "n", Terms: t}, func(_ int, data []byte) { bytes += len(data) })
 		if err != nil {
 			b.Fatal(err)
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -20,7 +20,6 @@
 
 	"pearknot/balance"
 	"pearknot/internal/lab/experiment"
-	"pearknot/internal/lab/policy"
 	"pearknot/internal/lab/virtual"
 )
 
@@ -29,7 +28,7 @@
 	e, err := experiment.Read("../../experiments/" + name + ".toml")
 	require.NoError(t, err)
 	e.Seconds = seconds
-	run, err := virtual.Run(e, 1, virtual.Options{Wrap: func(n, life int, d policy.Decider, terms *balance.Terms, now float64) policy.Decider {
+	run, err := virtual.Run(e, 1, virtual.Options{Wrap: func(n, life int, d balance.Decider, terms *balance.Terms, now float64) balance.Decider {
 		if n != node {
 			return d
 		}
@@ -115,7 +114,7 @@
 	}
 	assert.Positive(t, found)
 	// Other terms are another module: it can't pass for the one captured.
-	p := &Replayer{New: func(terms *balance.Terms, now float64) Decider {
+	p := &Replayer{New: func(terms *balance.Terms, now float64) balance.Decider {
 		terms.Seed ^= 0xff00 // the lowest bit is not the chance's
 		return balance.New(terms, now)
 	}}
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -6,23 +6,10 @@
 	"pearknot/balance"
 )
 
-// Decider is what is captured: the module, by the calls of its host.
-type Decider interface {
-	Listed(now float64, lines []balance.Listing, full, cached bool)
-	ListFailed(now float64)
-	Arrived(now float64, op *balance.Op)
-	Left(now float64, op *balance.Op)
-	Begun(now float64, p *balance.Push)
-	Ended(now float64, p *balance.Push, how balance.Ending, elapsed float64, finished bool)
-	Reported(now float64, b *balance.Backend, service float64)
-	Due(now float64)
-	Next() (balance.Decision, bool)
-}
-
 // Recorder stands between a host and its module: it passes everything on, and tells a sink of it. A batch's records go
 // to the sink together, when the host finds no decision left.
 type Recorder struct {
-	inner    Decider
+	inner    balance.Decider
 	sink     func(records int, encoded []byte) // must not block; the bytes are its own
 	now      float64
 	ops      map[*balance.Op]uint64
@@ -35,7 +22,7 @@
 }
 
 // NewRecorder begins a capture of a module that has just been made at now.
-func NewRecorder(inner Decider, now float64, s Start, sink func(int, []byte)) (*Recorder, error) {
+func NewRecorder(inner balance.Decider, now float64, s Start, sink func(int, []byte)) (*Recorder, error) {
 	data, err := json.Marshal(s)
 	if err != nil {
 		return nil, err
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -38,10 +38,10 @@
 
 // Replayer plays records to a module of its own.
 type Replayer struct {
-	New func(t *balance.Terms, now float64) Decider // the module, where nil
+	New func(t *balance.Terms, now float64) balance.Decider // the module, where nil
 
 	Claim    Claim
-	node     Decider
+	node     balance.Decider
 	ops      map[uint64]*balance.Op
 	numbers  map[*balance.Op]uint64
 	backends map[uint64]*balance.Backend
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -152,7 +152,6 @@
 type Refused struct {
 	Status int
 	What   string
-	Body   []byte
 }
 
 func (r *Refused) Error() string { return r.What }
@@ -201,7 +200,7 @@
 		if told.Error == "" {
 			told.Error = answer.Status
 		}
-		return &Refused{answer.StatusCode, told.Error, data}
+		return &Refused{answer.StatusCode, told.Error}
 	}
 	if out == nil {
 		return nil
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -322,7 +322,7 @@
 // for what can't be known.
 func (f *Fleet) Plan(now float64) []Action {
 	f.advance(now)
-	names := f.names()
+	names := f.Names()
 	actions := make([]Action, 0, 16)
 	for _, name := range names {
 		if a, due := f.next(now, name); due {
@@ -332,8 +332,8 @@
 	return actions
 }
 
-// names are of all that is declared, was, or has a record.
-func (f *Fleet) names() []string {
+// Names are of all that is declared, was, or has a record, in order.
+func (f *Fleet) Names() []string {
 	all := make([]string, 0, len(f.Records)+len(f.Current().Set))
 	for name := range f.Current().Set {
 		all = append(all, name)
@@ -611,9 +611,6 @@
 	r.NextAt = now + math.Min(f.timing.BackoffMs*math.Exp2(float64(len(r.Tries)-1)), f.timing.BackoffMost)*spread
 }
 
-// Names are of all that is declared, was, or has a record, in order.
-func (f *Fleet) Names() []string { return f.names() }
-
 // Recover declares what was found to run, where the state was lost. It is no change that rolls.
 func (f *Fleet) Recover(now float64, set Set, why string) {
 	number := f.Current().Number + 1
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -75,7 +75,7 @@
 
 func (w *world) look() {
 	names := map[string]bool{}
-	for _, n := range w.f.names() {
+	for _, n := range w.f.Names() {
 		names[n] = true
 	}
 	for n := range w.procs {
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -60,7 +60,6 @@
 	Phase     Phase   `json:"phase"`
 	At        float64 `json:"at"` // when
 	Pid       int     `json:"pid,omitempty"`
-	Token     string  `json:"-"`
 	Digest    string  `json:"digest,omitempty"` // of the configuration that it runs
 	Epoch     uint64  `json:"epoch,omitempty"`
 	List      string  `json:"list,omitempty"` // where it asks for the list
--- a/internal/lab/clients/clients.go
+++ b/internal/lab/clients/clients.go
@@ -58,9 +58,6 @@
 // TryID names a try.
 func TryID(op uint64, number int) uint64 { return op*mostTries + uint64(number) }
 
-// OpOf gives the op of a try.
-func OpOf(try uint64) uint64 { return try / mostTries }
-
 // New makes a source; state tells of bursts and costly ops.
 func New(e *experiment.Experiment, state *trouble.State, seed uint64) *Source {
 	s := &Source{e: e, state: state, rng: rand.New(rand.NewPCG(seed, 1)), seed: seed, rate: e.Rate() / 1e3}
--- a/internal/lab/clients/clients_test.go
+++ b/internal/lab/clients/clients_test.go
@@ -158,5 +158,5 @@
 	}
 	c := &balance.Category{TargetLatency: 500, LateBenefit: 0.5}
 	assert.Equal(t, []float64{1, 0.5, 0}, []float64{Earned(c, 500, 1000), Earned(c, 501, 1000), Earned(c, 1001, 1000)})
-	assert.Equal(t, uint64(77), OpOf(TryID(77, 31)))
+	assert.Equal(t, TryID(78, 0), TryID(77, 31)+1, "tries of two ops never meet")
 }
--- a/internal/lab/policy/policy.go
+++ b/internal/lab/policy/policy.go
@@ -11,25 +11,12 @@
 	"pearknot/balance"
 )
 
-// Decider is what a host asks: the module itself, or a baseline in its place.
-type Decider interface {
-	Listed(now float64, lines []balance.Listing, full, cached bool)
-	ListFailed(now float64)
-	Arrived(now float64, op *balance.Op)
-	Left(now float64, op *balance.Op)
-	Begun(now float64, p *balance.Push)
-	Ended(now float64, p *balance.Push, how balance.Ending, elapsed float64, finished bool)
-	Reported(now float64, b *balance.Backend, service float64)
-	Due(now float64)
-	Next() (balance.Decision, bool)
-}
-
 // Sight tells what only an all-seeing policy knows: in what time a backend would be done with an op of this work, +Inf
 // where it never would.
 type Sight func(now float64, b *balance.Backend, op *balance.Op) float64
 
 // New makes a policy by its name; sight may be nil for all but all-seeing.
-func New(name string, t *balance.Terms, now float64, sight Sight) (Decider, error) {
+func New(name string, t *balance.Terms, now float64, sight Sight) (balance.Decider, error) {
 	if name == "cda" {
 		return balance.New(t, now), nil
 	}
@@ -69,7 +56,6 @@
 		if sight == nil {
 			return nil, fmt.Errorf("policy %s: only in virtual time", name)
 		}
-		p.sees = true
 		p.pick = func(open []*balance.Backend, op *balance.Op) *balance.Backend {
 			from := p.rng.IntN(len(open))
 			var best *balance.Backend
@@ -103,7 +89,6 @@
 	out      map[*balance.Backend]int // own pushes
 	ops      map[*balance.Op]*state
 	turn     int
-	sees     bool
 	pick     func(open []*balance.Backend, op *balance.Op) *balance.Backend
 	queue    []balance.Decision
 	tracked  bool
@@ -157,7 +142,7 @@
 
 func (p *plain) Left(now float64, op *balance.Op) {
 	p.now = now
-	p.close(op, true)
+	p.close(op)
 }
 
 func (p *plain) Begun(now float64, _ *balance.Push) { p.now = now }
@@ -183,7 +168,7 @@
 		}
 	}
 	if finished {
-		p.close(push.Op, true)
+		p.close(push.Op)
 	} else if len(s.out) == 0 {
 		p.place(push.Op)
 	}
@@ -277,17 +262,17 @@
 		d.Wait = math.Min(p.t.MaxComeBack, c.TargetLatency) * (0.5 + 0.5*p.rng.Float64())
 	}
 	p.queue = append(p.queue, d)
-	p.close(op, true)
+	p.close(op)
 }
 
 // close ends an op and calls off what is out.
-func (p *plain) close(op *balance.Op, revoke bool) {
+func (p *plain) close(op *balance.Op) {
 	s := p.ops[op]
 	if s == nil {
 		return
 	}
 	delete(p.ops, op)
-	if revoke && p.t.Cancel {
+	if p.t.Cancel {
 		for _, q := range op.Pushes {
 			if s.out[q] {
 				p.queue = append(p.queue, balance.Decision{Kind: balance.DoRevoke, Op: op, Push: q})
--- a/internal/lab/policy/policy_test.go
+++ b/internal/lab/policy/policy_test.go
@@ -16,7 +16,7 @@
 			{Effect: balance.Deduplicated, Group: balance.GroupZone, Remembered: 50, TargetLatency: 100}}}
 }
 
-func desk(t *testing.T, name string, sight Sight) (Decider, []*balance.Backend) {
+func desk(t *testing.T, name string, sight Sight) (balance.Decider, []*balance.Backend) {
 	d, err := New(name, terms(), 0, sight)
 	require.NoError(t, err)
 	all := []*balance.Backend{{Ref: 1}, {Ref: 2}, {Ref: 3}}
@@ -28,7 +28,7 @@
 	return d, all
 }
 
-func kinds(d Decider) (all []balance.Decision) {
+func kinds(d balance.Decider) (all []balance.Decision) {
 	for x, more := d.Next(); more; x, more = d.Next() {
 		all = append(all, x)
 	}
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -31,16 +31,8 @@
 // Options are what a run may do beside its figures.
 type Options struct {
 	Watch func(rules.Event) // is told every event that the auditor is
-	Trace func(Trace)       // is told every op's pushes
 	// Wrap, where given, stands between a node and what decides for it; life counts the node's processes from 0.
-	Wrap func(node, life int, d policy.Decider, t *balance.Terms, now float64) policy.Decider
-}
-
-// Trace is one push as a trace shows it.
-type Trace struct {
-	At           float64
-	Node, Target int
-	Op           uint64
+	Wrap func(node, life int, d balance.Decider, t *balance.Terms, now float64) balance.Decider
 }
 
 // Run plays one seed.
@@ -114,14 +106,13 @@
 	alive    bool
 	life     int
 	deadAt   float64
-	module   policy.Decider
+	module   balance.Decider
 	known    []*balance.Backend // by number of the backend
 	view     []balance.State    // as the list told it
 	pools    [][]conn
 	ops      map[uint64]*op
 	watching bool
 	asking   bool
-	held     bool
 	version  int
 	timer    uint64
 	pushSeq  uint64
@@ -143,15 +134,14 @@
 }
 
 type push struct {
-	id      uint64
-	op      *op
-	p       *balance.Push
-	target  *backend
-	life    int // of the target, when its connection came up
-	fresh   bool
-	begun   bool
-	ended   bool
-	answers bool // an answer is on its way
+	id     uint64
+	op     *op
+	p      *balance.Push
+	target *backend
+	life   int // of the target, when its connection came up
+	fresh  bool
+	begun  bool
+	ended  bool
 }
 
 type try struct {
@@ -369,7 +359,7 @@
 
 func (h *host) start(n *node, known []roll.Entry, version int) {
 	size := len(h.backends)
-	n.alive, n.watching, n.asking, n.held = true, false, false, true
+	n.alive, n.watching, n.asking = true, false, false
 	n.known, n.view, n.pools = make([]*balance.Backend, size), make([]balance.State, size), make([][]conn, size)
 	n.ops = map[uint64]*op{}
 	n.version = version
@@ -504,6 +494,9 @@
 	}
 }
 
+// outcomes are what the final answers mean to a client.
+var outcomes = [...]clients.Outcome{rules.Acked: clients.Acked, rules.Nacked: clients.Nacked, rules.DeadLettered: clients.Lost}
+
 func (h *host) final(o *op, f rules.Final, comeBack float64) {
 	if o == nil || o.answered {
 		return
@@ -511,8 +504,7 @@
 	o.answered = true
 	h.rec.Final(h.now, f)
 	h.tell(rules.Event{Kind: rules.OpAnswered, Node: o.node.number, Op: o.Ref, Final: f, Push: rules.AnyPush})
-	outcome := map[rules.Final]clients.Outcome{rules.Acked: clients.Acked, rules.Nacked: clients.Nacked, rules.DeadLettered: clients.Lost}[f]
-	h.at(h.now+h.e.Fleet.NearMs, func() { h.result(o.try, outcome, comeBack) })
+	h.at(h.now+h.e.Fleet.NearMs, func() { h.result(o.try, outcomes[f], comeBack) })
 	h.forget(o)
 }
 
@@ -531,9 +523,6 @@
 	c := &push{id: uint64(n.number)<<40 | uint64(n.life)<<32 | n.pushSeq, op: o, p: d.Push, target: t}
 	o.calls = append(o.calls, c)
 	o.out++
-	if h.o.Trace != nil {
-		h.o.Trace(Trace{h.now, n.number, t.number, o.Ref})
-	}
 	if n.view[t.number] == balance.Gone {
 		h.endSoon(c, balance.NotSent)
 		return
@@ -719,20 +708,13 @@
 		}
 	}
 	if how == balance.Answered {
-		h.final2(o)
+		h.final(o, rules.Acked, 0) // the first one; what comes later changes nothing
 	}
 	n.module.Ended(h.now, c.p, how, h.now-c.p.SentAt, o.answered)
 	h.forget(o)
 	h.pull(n)
 }
 
-// final2 acks an op, unless it has its answer.
-func (h *host) final2(o *op) {
-	if !o.answered {
-		h.final(o, rules.Acked, 0)
-	}
-}
-
 // The list.
 
 func (h *host) ask(n *node) {
@@ -745,11 +727,7 @@
 		if n.life != life || !n.alive {
 			return
 		}
-		lines := len(h.backends)
-		if n.held {
-			lines = max(1, len(h.roll.Since(n.version)))
-		}
-		done, ok := h.roll.Call(h.now, lines)
+		done, ok := h.roll.Call(h.now, max(1, len(h.roll.Since(n.version))))
 		if h.state.ListDown() {
 			done, ok = h.now+failMs, false
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,23 +24,17 @@
 // pushes time out and it answers them; what it holds for a later moment has none.
 const abandonAfter = 50.0
 
-// Decider is what decides for a node: the module, or what is measured against it in its place.
-type Decider interface {
-	Listed(now float64, lines []balance.Listing, full, cached bool)
-	ListFailed(now float64)
-	Arrived(now float64, op *balance.Op)
-	Left(now float64, op *balance.Op)
-	Ended(now float64, p *balance.Push, how balance.Ending, elapsed float64, finished bool)
-	Reported(now float64, b *balance.Backend, service float64)
-	Due(now float64)
-	Next() (balance.Decision, bool)
-}
-
 // Decide makes a decider; now is the node's clock.
-type Decide func(t *balance.Terms, now float64) Decider
+type Decide func(t *balance.Terms, now float64) balance.Decider
 
 // Module makes the decision module.
-func Module(t *balance.Terms, now float64) Decider { return balance.New(t, now) }
+func Module(t *balance.Terms, now float64) balance.Decider { return balance.New(t, now) }
+
+// follower is a decider that keeps account of what a host does beside the module's inputs, as a capture has to.
+type follower interface {
+	Shortened(now float64, op *balance.Op) // the op's give-up time was moved
+	Dropped(b *balance.Backend)            // the backend was let go of
+}
 
 // Node is the module's actor. Its fields below box are its own.
 type Node struct {
@@ -53,7 +47,7 @@
 	ready chan struct{} // closed once a list is held
 
 	decide   Decide
-	module   Decider
+	module   balance.Decider
 	now      float64 // the batch's
 	ops      map[uint64]*Op
 	seq      uint64
@@ -180,10 +174,8 @@
 		n.until = until
 		for _, op := range n.ops {
 			op.GiveUp = min(op.GiveUp, until)
-			if m, ok := n.module.(interface {
-				Shortened(now float64, op *balance.Op)
-			}); ok { // a capture has to know what the module will see
-				m.Shortened(n.now, &op.Op)
+			if f, ok := n.module.(follower); ok {
+				f.Shortened(n.now, &op.Op)
 			}
 			for _, c := range op.calls {
 				c.Shorten(n.clock.At(until))
@@ -296,8 +288,8 @@
 		if b.peer == nil && !b.Known() {
 			delete(n.backends, name)
 			delete(n.behind, b.Backend)
-			if m, ok := n.module.(interface{ Dropped(b *balance.Backend) }); ok {
-				m.Dropped(b.Backend)
+			if f, ok := n.module.(follower); ok {
+				f.Dropped(b.Backend)
 			}
 		}
 	}
--- a/internal/serve/capture.go
+++ b/internal/serve/capture.go
@@ -8,7 +8,6 @@
 	"pearknot/balance"
 	"pearknot/internal/capture"
 	"pearknot/internal/clock"
-	"pearknot/internal/node"
 	"pearknot/internal/strict"
 )
 
@@ -21,13 +20,9 @@
 		return nil, fmt.Errorf("capture: %w", err)
 	}
 	inner, epoch := o.Decide, uint64(now.Now()) // a process begins where the one before can't have been
-	o.Decide = func(t *balance.Terms, at float64) node.Decider {
+	o.Decide = func(t *balance.Terms, at float64) balance.Decider {
 		d := inner(t, at)
-		whole, ok := d.(capture.Decider)
-		if !ok {
-			return d
-		}
-		r, err := capture.NewRecorder(whole, at, capture.Start{Name: p.name, Epoch: epoch, Build: o.Version, Terms: t}, w.Put)
+		r, err := capture.NewRecorder(d, at, capture.Start{Name: p.name, Epoch: epoch, Build: o.Version, Terms: t}, w.Put)
 		if err != nil {
 			log.Error("no capture", "error", err)
 			return d
