Both command lines share their exit statuses, errors and version in internal/command

The two mains carried the same error type, the same reading of the library's complaints and the same version twice.

--- a/cmd/pearknot-lab/fleet.go
+++ b/cmd/pearknot-lab/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"pearknot/internal/agent"
+	"pearknot/internal/command"
 	"pearknot/internal/control"
 	"pearknot/internal/fleet"
 	"pearknot/internal/lab/experiment"
@@ -30,15 +31,15 @@
 		RunE: func(c *cobra.Command, _ []string) error {
 			e, err := experiment.Read(file)
 			if err != nil {
-				return err
+				return command.Missing(err)
 			}
 			e.Fleet.Nodes, e.Seconds, e.Seeds, e.Trouble = instances, seconds, e.Seeds[:1], nil
-			command, clean, err := p.command(c.Context(), "cda")
+			start, clean, err := p.command(c.Context(), "cda")
 			if err != nil {
 				return err
 			}
 			defer clean()
-			r, took, err := roll(c.Context(), e, command[0], atOnce)
+			r, took, err := roll(c.Context(), e, start[0], atOnce)
 			if err != nil {
 				return err
 			}
--- a/cmd/pearknot-lab/main.go
+++ b/cmd/pearknot-lab/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -13,26 +12,9 @@
 
 	"github.com/spf13/cobra"
 
-	"pearknot/internal/strict"
+	"pearknot/internal/command"
 )
 
-// Exit statuses.
-const (
-	done     = 0
-	failed   = 1 // something of the lab's own, or the run was ended
-	unread   = 2 // the command line or a file can't be read
-	breached = 3 // a rule was broken, or compare found a difference
-)
-
-// statusError is an error with its exit status.
-type statusError struct {
-	status int
-	err    error
-}
-
-func (e *statusError) Error() string { return e.err.Error() }
-func (e *statusError) Unwrap() error { return e.err }
-
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -52,42 +34,10 @@
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errs)
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &statusError{unread, err} })
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return command.Usage(err) })
 	root.AddCommand(demoCommand(), runCommand(), sweepCommand(), compareCommand(), searchCommand(), reportCommand(), fleetCommand(), instancesCommand(), nodeCommand())
-	err := root.ExecuteContext(ctx)
-	var status *statusError
-	var odd *strict.Error
-	switch {
-	case err == nil:
-		return done
-	case errors.As(err, &status):
-		if status.err != errBroken {
-			fmt.Fprintln(errs, "pearknot-lab:", err)
-		}
-		return status.status
-	case errors.As(err, &odd):
-		fmt.Fprintln(errs, err) // begins with its place
-		return unread
-	case errors.Is(err, context.Canceled):
-		fmt.Fprintln(errs, "pearknot-lab: interrupted")
-		return failed
-	}
-	fmt.Fprintln(errs, "pearknot-lab:", err)
-	if isUsage(err) {
-		return unread
-	}
-	return failed
+	return command.Exit("pearknot-lab", root.ExecuteContext(ctx), errs)
 }
 
 // errBroken says nothing more than the report before it.
 var errBroken = errors.New("a rule was broken")
-
-// isUsage tells cobra's own complaints of a command line.
-func isUsage(err error) bool {
-	for _, start := range []string{"unknown command", "accepts ", "requires ", "required flag"} {
-		if len(err.Error()) >= len(start) && err.Error()[:len(start)] == start {
-			return true
-		}
-	}
-	return errors.Is(err, os.ErrNotExist)
-}
--- a/cmd/pearknot-lab/play.go
+++ b/cmd/pearknot-lab/play.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -21,6 +20,7 @@
 
 	"pearknot/balance"
 	"pearknot/internal/capture"
+	"pearknot/internal/command"
 	"pearknot/internal/lab/experiment"
 	"pearknot/internal/lab/loopback"
 	"pearknot/internal/lab/measure"
@@ -58,7 +58,7 @@
 func (p *plan) apply(e *experiment.Experiment) error {
 	if p.policy != "" {
 		if !slices.Contains(experiment.Policies, p.policy) {
-			return &statusError{unread, fmt.Errorf("--policy %q is none of %s", p.policy, strings.Join(experiment.Policies, ", "))}
+			return command.Usage(fmt.Errorf("--policy %q is none of %s", p.policy, strings.Join(experiment.Policies, ", ")))
 		}
 		e.Policy = p.policy
 	}
@@ -69,10 +69,10 @@
 		}
 	}
 	if p.capture != "" && (!p.virtual || len(e.Seeds) > 1 || e.Policy != "cda") {
-		return &statusError{unread, fmt.Errorf("--capture needs --virtual, one seed and the module itself")}
+		return command.Usage(fmt.Errorf("--capture needs --virtual, one seed and the module itself"))
 	}
 	if p.events && p.out == "" {
-		return &statusError{unread, fmt.Errorf("--events needs --out")}
+		return command.Usage(fmt.Errorf("--events needs --out"))
 	}
 	return nil
 }
@@ -133,7 +133,7 @@
 		if node != 0 {
 			return d
 		}
-		r, err := capture.NewRecorder(d, now, capture.Start{Name: "n0", Epoch: uint64(life), Build: version(), Terms: t}, w.Put)
+		r, err := capture.NewRecorder(d, now, capture.Start{Name: "n0", Epoch: uint64(life), Build: command.Version(), Terms: t}, w.Put)
 		if err != nil {
 			panic(err) // plain values
 		}
@@ -144,12 +144,12 @@
 // sockets plays the seeds one after the other with real processes.
 func (p *plan) sockets(ctx context.Context, e *experiment.Experiment, o loopback.Options, out io.Writer) (measure.Result, error) {
 	r := play.Empty(e, "loopback")
-	command, clean, err := p.command(ctx, e.Policy)
+	start, clean, err := p.command(ctx, e.Policy)
 	if err != nil {
 		return r, err
 	}
 	defer clean()
-	o.Command = command
+	o.Command = start
 	for _, seed := range e.Seeds {
 		run, err := loopback.Run(ctx, e, seed, o)
 		if err != nil {
@@ -162,7 +162,7 @@
 }
 
 // command is what starts a node: the real program, or for a baseline this program in its place.
-func (p *plan) command(ctx context.Context, policy string) (command []string, clean func(), err error) {
+func (p *plan) command(ctx context.Context, policy string) (start []string, clean func(), err error) {
 	clean = func() {}
 	self, err := os.Executable()
 	if err != nil {
@@ -170,7 +170,7 @@
 	}
 	switch beside := filepath.Join(filepath.Dir(self), "pearknot"); {
 	case policy == "all-seeing":
-		return nil, clean, &statusError{unread, fmt.Errorf("policy all-seeing: only with --virtual")}
+		return nil, clean, command.Usage(fmt.Errorf("policy all-seeing: only with --virtual"))
 	case policy != "cda":
 		return []string{self, "node", "--policy", policy}, clean, nil
 	case p.pearknot != "":
@@ -218,7 +218,7 @@
 		fmt.Fprintln(out, "   ", run.Rules.Text)
 	}
 	if !play.Kept(r) {
-		return &statusError{breached, errBroken}
+		return &command.Error{Status: command.No, Err: errBroken, Silent: true}
 	}
 	return nil
 }
@@ -229,7 +229,7 @@
 		RunE: func(c *cobra.Command, args []string) error {
 			e, err := experiment.Read(args[0])
 			if err != nil {
-				return err
+				return command.Missing(err)
 			}
 			if err := p.apply(e); err != nil {
 				return err
@@ -252,22 +252,22 @@
 		RunE: func(c *cobra.Command, args []string) error {
 			key, list, ok := strings.Cut(over, "=")
 			if !ok || key == "" || list == "" {
-				return &statusError{unread, fmt.Errorf("--over %q is not KEY=a,b,c", over)}
+				return command.Usage(fmt.Errorf("--over %q is not KEY=a,b,c", over))
 			}
 			data, err := os.ReadFile(args[0])
 			if err != nil {
-				return err
+				return command.Missing(err)
 			}
 			broken := false
 			out := p.out
 			for _, value := range strings.Split(list, ",") {
 				text, err := replaced(data, key, value)
 				if err != nil {
-					return &statusError{unread, fmt.Errorf("--over: %w", err)}
+					return command.Usage(fmt.Errorf("--over: %w", err))
 				}
 				e, err := experiment.Decode(args[0], text)
 				if err != nil {
-					return &statusError{unread, fmt.Errorf("with %s = %s: %w", key, value, err)}
+					return command.Usage(fmt.Errorf("with %s = %s: %w", key, value, err))
 				}
 				if err := p.apply(e); err != nil {
 					return err
@@ -285,7 +285,7 @@
 				}
 			}
 			if broken {
-				return &statusError{breached, errBroken}
+				return &command.Error{Status: command.No, Err: errBroken, Silent: true}
 			}
 			return nil
 		}}
@@ -303,12 +303,12 @@
 			for i, dir := range args {
 				var err error
 				if r[i], err = report.Read(dir); err != nil {
-					return &statusError{unread, err}
+					return command.Usage(err)
 				}
 			}
 			names, diffs, err := measure.Compare(r[0], r[1])
 			if err != nil {
-				return &statusError{unread, err}
+				return command.Usage(err)
 			}
 			out := c.OutOrStdout()
 			fmt.Fprintf(out, "A: %s, %s, %s: service %s\nB: %s, %s, %s: service %s\n", r[0].Experiment, r[0].Policy, r[0].Host, r[0].Service,
@@ -330,7 +330,7 @@
 		RunE: func(c *cobra.Command, args []string) error {
 			e, err := experiment.Read(args[0])
 			if err != nil {
-				return err
+				return command.Missing(err)
 			}
 			if err := (&plan{policy: policy}).apply(e); err != nil {
 				return err
@@ -356,7 +356,7 @@
 			}
 			if f.Broken {
 				fmt.Fprintln(c.OutOrStdout(), "a rule was broken: run the file that --out writes")
-				return &statusError{breached, errBroken}
+				return &command.Error{Status: command.No, Err: errBroken, Silent: true}
 			}
 			return nil
 		}}
@@ -373,7 +373,7 @@
 		RunE: func(c *cobra.Command, args []string) error {
 			r, err := report.Read(args[0])
 			if err != nil {
-				return &statusError{unread, err}
+				return command.Usage(err)
 			}
 			if err := report.Page(args[0], r); err != nil {
 				return err
@@ -390,12 +390,12 @@
 		log := slog.New(slog.NewTextHandler(c.ErrOrStderr(), nil))
 		p, err := serve.Read(file, log)
 		if err != nil {
-			return &statusError{unread, err}
+			return command.Usage(err)
 		}
 		if _, err := policy.New(name, &balance.Terms{}, 0, nil); err != nil {
-			return &statusError{unread, err}
+			return command.Usage(err)
 		}
-		return serve.Run(p, serve.Options{Version: version(), Decide: func(t *balance.Terms, now float64) balance.Decider {
+		return serve.Run(p, serve.Options{Version: command.Version(), Decide: func(t *balance.Terms, now float64) balance.Decider {
 			d, _ := policy.New(name, t, now, nil) // the name was tried above
 			return d
 		}}, log)
@@ -405,13 +405,6 @@
 	return c
 }
 
-func version() string {
-	if info, ok := debug.ReadBuildInfo(); ok {
-		return info.Main.Version
-	}
-	return "unknown"
-}
-
 // replaced puts a value in the place of a key's, or adds the key to its table.
 func replaced(data []byte, key, value string) ([]byte, error) {
 	if _, err := strconv.ParseFloat(value, 64); err != nil && value != "true" && value != "false" {
--- a/cmd/pearknot/capture.go
+++ b/cmd/pearknot/capture.go
@@ -12,13 +12,14 @@
 	"github.com/spf13/cobra"
 
 	"pearknot/internal/capture"
+	"pearknot/internal/command"
 )
 
 // eachRecord hands on all records of a capture. A segment that was cut short is told of and is no error.
 func eachRecord(c *cobra.Command, path string, f func(capture.Record) error) error {
 	files, err := capture.Segments(path)
 	if err != nil {
-		return &statusError{status: unread, err: err}
+		return command.Usage(err)
 	}
 	for _, file := range files {
 		err := capture.Read(file, f)
@@ -28,7 +29,7 @@
 		case errors.As(err, &cut):
 			fmt.Fprintln(c.ErrOrStderr(), cut)
 		case errors.As(err, &damaged):
-			return &statusError{status: unread, err: damaged}
+			return command.Usage(damaged)
 		case err != nil:
 			return err
 		}
@@ -44,7 +45,7 @@
 Exit status: 0 all match, 2 the capture can't be read, 3 the first difference is printed, with its batch.`,
 		RunE: func(c *cobra.Command, args []string) error {
 			if times < 1 {
-				return &statusError{status: unread, err: fmt.Errorf("--times %d is below 1", times)}
+				return command.Usage(fmt.Errorf("--times %d is below 1", times))
 			}
 			if against != "" {
 				return replayAgainst(c, against, args[0])
@@ -56,7 +57,7 @@
 					var d *capture.Difference
 					if errors.As(err, &d) {
 						fmt.Fprintln(c.OutOrStdout(), d)
-						return &statusError{status: no, err: errors.New("decisions differ"), silent: true}
+						return &command.Error{Status: command.No, Err: errors.New("decisions differ"), Silent: true}
 					}
 					return err
 				}
@@ -64,7 +65,7 @@
 				fmt.Fprintf(c.OutOrStdout(), "%d decisions match in %d records of %d starts, %.1f s of time in %.2f s; %d records missing in %d gaps, of %d nothing is claimed\n",
 					x.Decisions, x.Records, x.Epochs, (x.To-x.From)/1e3, time.Since(begun).Seconds(), x.Missing, x.Gaps, x.Unclaimed)
 				if x.Decisions == 0 {
-					return &statusError{status: no, err: errors.New("nothing could be claimed: no start stands in the capture")}
+					return &command.Error{Status: command.No, Err: errors.New("nothing could be claimed: no start stands in the capture")}
 				}
 			}
 			return nil
@@ -83,8 +84,8 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.As(err, &exit) && exit.ExitCode() == no:
-		return &statusError{status: no, err: errors.New("decisions differ"), silent: true}
+	case errors.As(err, &exit) && exit.ExitCode() == command.No:
+		return &command.Error{Status: command.No, Err: errors.New("decisions differ"), Silent: true}
 	}
 	return fmt.Errorf("%s replay: %w", program, err)
 }
@@ -95,7 +96,7 @@
 		RunE: func(c *cobra.Command, args []string) error {
 			files, err := capture.Segments(args[0])
 			if err != nil {
-				return &statusError{status: unread, err: err}
+				return command.Usage(err)
 			}
 			w := tabwriter.NewWriter(c.OutOrStdout(), 2, 8, 2, ' ', 0)
 			fmt.Fprintln(w, "segment\tbytes\trecords\tops\tstarts\tmissing\tfrom\tto\tends")
@@ -141,7 +142,7 @@
 		RunE: func(c *cobra.Command, args []string) error {
 			files, err := capture.Segments(args[0])
 			if err != nil {
-				return &statusError{status: unread, err: err}
+				return command.Usage(err)
 			}
 			bad, n := 0, 0
 			for _, file := range files {
@@ -152,7 +153,7 @@
 			}
 			fmt.Fprintf(c.OutOrStdout(), "%d segments, %d records whole, %d segments that are not\n", len(files), n, bad)
 			if bad > 0 {
-				return &statusError{status: no, err: errors.New("not whole"), silent: true}
+				return &command.Error{Status: command.No, Err: errors.New("not whole"), Silent: true}
 			}
 			return nil
 		}})
--- a/cmd/pearknot/fleet.go
+++ b/cmd/pearknot/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/spf13/cobra"
 
 	"pearknot/internal/agent"
+	"pearknot/internal/command"
 	"pearknot/internal/control"
 	"pearknot/internal/fleet"
 )
@@ -58,7 +59,7 @@
 	root.PersistentFlags().BoolVar(&t.json, "json", false, "JSON for programs")
 	root.PersistentPreRunE = func(*cobra.Command, []string) error {
 		if t.socket == "" {
-			return &statusError{status: unread, err: errors.New("no agent: give --socket or set PEARKNOT_AGENT")}
+			return command.Usage(errors.New("no agent: give --socket or set PEARKNOT_AGENT"))
 		}
 		return nil
 	}
@@ -106,7 +107,7 @@
 	if errors.As(err, &refused) {
 		switch refused.Status {
 		case http.StatusConflict:
-			return &statusError{status: no, err: err}
+			return &command.Error{Status: command.No, Err: err}
 		case agent.NothingToChange:
 			fmt.Fprintln(c.OutOrStdout(), "nothing to change")
 			return nil
@@ -129,7 +130,7 @@
 		return err
 	}
 	if t.wait && out.Change.Status != fleet.Succeeded && !(w.What == "rollback" && out.Change.Status == fleet.RolledBack) {
-		return &statusError{status: failed, err: fmt.Errorf("change %d: %s: %s", out.Change.ID, out.Change.Status, out.Change.Failure)}
+		return &command.Error{Status: command.Failed, Err: fmt.Errorf("change %d: %s: %s", out.Change.ID, out.Change.Status, out.Change.Failure)}
 	}
 	return nil
 }
@@ -183,7 +184,7 @@
 		RunE: func(c *cobra.Command, args []string) error {
 			instances, configs, err := agent.ReadFleet(args[0])
 			if err != nil {
-				return &statusError{status: unread, err: err}
+				return command.Usage(err)
 			}
 			return t.write(c, agent.Write{What: "apply", Instances: instances, Configs: configs})
 		}})
@@ -194,7 +195,7 @@
 		RunE: func(c *cobra.Command, args []string) error {
 			instances, configs, err := agent.ReadFleet(args[0])
 			if err != nil {
-				return &statusError{status: unread, err: err}
+				return command.Usage(err)
 			}
 			v, err := t.view(c.Context())
 			if err != nil {
@@ -239,7 +240,7 @@
 				return err
 			}
 			if len(all) > 0 {
-				return &statusError{status: no, err: errors.New("differs"), silent: true}
+				return &command.Error{Status: command.No, Err: errors.New("differs"), Silent: true}
 			}
 			return nil
 		}}
@@ -285,7 +286,7 @@
 			}
 			for _, i := range v.Instances {
 				if i.Verdict != fleet.AsWanted {
-					return &statusError{status: no, err: errors.New("not all as wanted"), silent: true}
+					return &command.Error{Status: command.No, Err: errors.New("not all as wanted"), Silent: true}
 				}
 			}
 			return nil
@@ -304,13 +305,13 @@
 		Args: cobra.MinimumNArgs(2), RunE: func(c *cobra.Command, args []string) error {
 			instances, configs, err := agent.ReadFleet(args[0])
 			if err != nil {
-				return &statusError{status: unread, err: err}
+				return command.Usage(err)
 			}
 			w := agent.Write{What: "reconfigure", Configs: map[string]string{}}
 			for _, name := range args[1:] {
 				k := slices.IndexFunc(instances, func(i fleet.Instance) bool { return i.Name == name })
 				if k < 0 {
-					return &statusError{status: unread, err: fmt.Errorf("%s: no instance %s", args[0], name)}
+					return command.Usage(fmt.Errorf("%s: no instance %s", args[0], name))
 				}
 				w.Instances = append(w.Instances, instances[k])
 				w.Configs[name] = configs[name]
--- a/cmd/pearknot/main.go
+++ b/cmd/pearknot/main.go
@@ -3,13 +3,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"strconv"
 	"strings"
 	"syscall"
@@ -17,17 +15,9 @@
 	"github.com/spf13/cobra"
 	"gopkg.in/natefinch/lumberjack.v2"
 
+	"pearknot/internal/command"
 	"pearknot/internal/node"
 	"pearknot/internal/serve"
-	"pearknot/internal/strict"
-)
-
-// Exit statuses.
-const (
-	done   = 0
-	failed = 1
-	unread = 2 // the command line can't be read, or a file of the agent's or the fleet's
-	no     = 3 // a check says no; a conflicting command came first
 )
 
 // A node's own log is kept to so much.
@@ -38,16 +28,6 @@
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-// statusError is an error with the exit status that it means; silent ones have been told already.
-type statusError struct {
-	status int
-	err    error
-	silent bool
-}
-
-func (e *statusError) Error() string { return e.err.Error() }
-func (e *statusError) Unwrap() error { return e.err }
-
 // run gives the exit status.
 func run(args []string, out, errs io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -60,38 +40,17 @@
 operator's command came first.`
 	root.Args = nil // an unknown word is an unknown command, whatever follows it
 	root.SilenceUsage, root.SilenceErrors = true, true
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &statusError{status: unread, err: err} })
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return command.Usage(err) })
 	serveCommand, check := nodeCommand("serve", "serve"), nodeCommand("check", "check")
 	serveCommand.Short = "Serve clients in the foreground until SIGTERM"
 	check.Short = "Read the configuration, tell what it says, and end"
 	root.AddCommand(serveCommand, check, &cobra.Command{Use: "version", Short: "Tell the version", Args: cobra.NoArgs,
-		Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "pearknot", version()) }},
+		Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "pearknot", command.Version()) }},
 		agentCommand(), fleetCommand(), replayCommand(), captureCommand())
 	root.SetArgs(longFlags(args))
 	root.SetOut(out)
 	root.SetErr(errs)
-	err := root.ExecuteContext(ctx)
-	var status *statusError
-	var odd *strict.Error
-	switch {
-	case err == nil:
-		return done
-	case errors.As(err, &status):
-		if !status.silent {
-			fmt.Fprintln(errs, "pearknot:", err)
-		}
-		return status.status
-	case errors.As(err, &odd):
-		fmt.Fprintln(errs, err) // begins with its place
-		return unread
-	}
-	fmt.Fprintln(errs, "pearknot:", strings.SplitN(err.Error(), "\n", 2)[0])
-	for _, start := range []string{"unknown command", "accepts ", "requires ", "required flag"} {
-		if strings.HasPrefix(err.Error(), start) {
-			return unread
-		}
-	}
-	return failed
+	return command.Exit("pearknot", root.ExecuteContext(ctx), errs)
 }
 
 // longFlags takes the node's flags with one dash too, as they always were.
@@ -140,10 +99,10 @@
 		}
 		if captureFile != "" {
 			if o.Capture, err = serve.ReadCapture(captureFile); err != nil {
-				return &statusError{status: unread, err: err}
+				return command.Usage(err)
 			}
 		}
-		o.Decide, o.Version, o.Token = node.Module, version(), os.Getenv(serve.TokenVariable)
+		o.Decide, o.Version, o.Token = node.Module, command.Version(), os.Getenv(serve.TokenVariable)
 		if e := os.Getenv(serve.EpochVariable); e != "" {
 			if o.Epoch, err = strconv.ParseUint(e, 10, 64); err != nil {
 				return fmt.Errorf("%s: %w", serve.EpochVariable, err)
@@ -161,10 +120,3 @@
 	}
 	return c
 }
-
-func version() string {
-	if info, ok := debug.ReadBuildInfo(); ok {
-		return info.Main.Version
-	}
-	return "unknown"
-}
