--- a/cmd/pearknot-lab/demo.go
+++ b/cmd/pearknot-lab/demo.go
@@ -43,13 +43,13 @@
 			}
 			out := c.OutOrStdout()
 			row := func(l loopback.Live) {
-				fmt.Fprintf(out, "%4d %7d %7d %7d %6d %6d %7d  %-6s %-12s %s\n", l.Second, l.Ops, l.Acked, l.InTime, l.Nacked, l.Dead, l.Pushes,
-					l.Nodes, l.Backends, strings.Join(l.Troubles, ", "))
+				fmt.Fprintf(out, "%4d %7d %7d %7d %6d %6d %7d %7d  %-6s %-12s %s\n", l.Second, l.Ops, l.Acked, l.InTime, l.Nacked, l.Dead, l.Pushes,
+					l.Breaches, l.Nodes, l.Backends, strings.Join(l.Troubles, ", "))
 			}
 			r, err := p.sockets(c.Context(), e, loopback.Options{Live: row, Started: func() {
 				fmt.Fprintf(out, "%d nodes, %d backends in %s, %.0f ops a second\n", e.Fleet.Nodes, e.Fleet.Backends,
 					strings.Join(e.Fleet.Zones, ", "), e.Rate())
-				fmt.Fprintf(out, "%4s %7s %7s %7s %6s %6s %7s  %-6s %-12s %s\n", "s", "ops", "acked", "in time", "nacked", "dead", "pushes", "nodes",
+				fmt.Fprintf(out, "%4s %7s %7s %7s %6s %6s %7s %7s  %-6s %-12s %s\n", "s", "ops", "acked", "in time", "nacked", "dead", "pushes", "broken", "nodes",
 					"backends", "troubles")
 			}}, out)
 			if err != nil {
--- a/cmd/pearknot-lab/main_test.go
+++ b/cmd/pearknot-lab/main_test.go
@@ -33,7 +33,7 @@
 		{"run " + bad + " --virtual", 2, bad + ":3:1: unknown key fleet.nodez"},
 		{"run ../../experiments/calm.toml --virtual --policy best", 2, `--policy "best"`},
 		{"run ../../experiments/calm.toml --policy all-seeing", 2, "only with --virtual"},
-		{"run ../../experiments/calm.toml --virtual --events", 2, "--events needs --out"},
+		{"run ../../experiments/calm.toml --virtual --events", 2, "it needs --out and one seed"},
 		{"sweep ../../experiments/calm.toml --virtual --over x", 2, "is not KEY=a,b,c"},
 		{"sweep ../../experiments/calm.toml --virtual --over fleet.zone=3", 2, "unknown key fleet.zone"},
 		{"sweep ../../experiments/calm.toml --virtual --over fleet.nodes=0", 2, "fleet.nodes: 0 is not 1 to 5000"},
--- a/cmd/pearknot-lab/play.go
+++ b/cmd/pearknot-lab/play.go
@@ -71,8 +71,8 @@
 	if p.capture != "" && (!p.virtual || len(e.Seeds) > 1 || e.Policy != "cda") {
 		return command.Usage(fmt.Errorf("--capture needs --virtual, one seed and the module itself"))
 	}
-	if p.events && p.out == "" {
-		return command.Usage(fmt.Errorf("--events needs --out"))
+	if p.events && (p.out == "" || len(e.Seeds) > 1) {
+		return command.Usage(fmt.Errorf("--events writes one history: it needs --out and one seed"))
 	}
 	return nil
 }
@@ -96,9 +96,6 @@
 		watch = w.write
 	}
 	if p.virtual {
-		if watch != nil && len(e.Seeds) > 1 {
-			e.Seeds = e.Seeds[:1] // one file, one history
-		}
 		o := virtual.Options{Watch: watch}
 		if p.capture != "" {
 			w, e := capture.NewWriter(capture.Ring{Dir: p.capture, Node: "n0", SegmentMB: 16, MostMB: 1 << 10, Every: time.Second, BlockKB: 64,
--- a/cmd/pearknot/fleet.go
+++ b/cmd/pearknot/fleet.go
@@ -86,23 +86,26 @@
 // write sends a change and, where asked, waits for its end.
 func (t *tool) write(c *cobra.Command, w agent.Write) error {
 	ctx := c.Context()
+	v, err := t.view(ctx)
+	if err != nil {
+		return err
+	}
+	w.Revision, w.Reason, w.DryRun, w.Options = v.Revision, t.reason, t.dryRun, &v.Rolling
 	if t.revision >= 0 {
 		w.Revision = uint64(t.revision)
-	} else {
-		v, err := t.view(ctx)
-		if err != nil {
-			return err
-		}
-		w.Revision = v.Revision
 	}
-	w.Reason, w.DryRun = t.reason, t.dryRun
-	if o := t.options; o.AtOnce > 0 || o.Canary >= 0 || o.HealthMs >= 0 || o.NoRevert {
-		o.AtOnce, o.Canary = max(o.AtOnce, 1), max(o.Canary, 0)
-		o.HealthMs = max(o.HealthMs, 0)
-		w.Options = &o
+	if t.options.AtOnce > 0 { // what is not given stays as the agent has it
+		w.Options.AtOnce = t.options.AtOnce
+	}
+	if t.options.Canary >= 0 {
+		w.Options.Canary = t.options.Canary
+	}
+	if t.options.HealthMs >= 0 {
+		w.Options.HealthMs = t.options.HealthMs
 	}
+	w.Options.NoRevert = w.Options.NoRevert || t.options.NoRevert
 	var out agent.Written
-	err := t.client().Call(ctx, http.MethodPost, agent.WritePath, w, &out)
+	err = t.client().Call(ctx, http.MethodPost, agent.WritePath, w, &out)
 	var refused *control.Refused
 	if errors.As(err, &refused) {
 		switch refused.Status {
--- a/internal/agent/api.go
+++ b/internal/agent/api.go
@@ -31,6 +31,7 @@
 	Instances  []InstanceView `json:"instances"`
 	Broken     string         `json:"broken,omitempty"` // why the state can't be written
 	Seq        uint64         `json:"seq"`              // for watching
+	Rolling    fleet.Options  `json:"rolling"`          // how a change goes where the command does not say
 }
 
 // InstanceView is one instance's.
@@ -77,7 +78,7 @@
 func (a *Agent) view(declared bool) View {
 	now := a.now()
 	g := a.fleet.Current()
-	v := View{Revision: a.fleet.Revision, Generation: g.Number, Now: now, Seq: a.seq}
+	v := View{Revision: a.fleet.Revision, Generation: g.Number, Now: now, Seq: a.seq, Rolling: a.o.Rolling}
 	if c := a.fleet.Latest(); c != nil {
 		copied := c.Clone() // what is answered is written while the actor goes on
 		v.Change = &copied
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -107,6 +107,7 @@
 	Asked     float64    `json:"asked"`
 	Earned    float64    `json:"earned"`
 	Category  []float64  `json:"service_by_category"` // NaN-free: -1 where none was asked for
+	Ops       int        `json:"ops"`
 	Pushes    int        `json:"pushes"`
 	Crossings int        `json:"crossings"`
 	Nacks     int        `json:"nacks"`
@@ -175,6 +176,7 @@
 // Asked tells of an op that a client wants.
 func (r *Recorder) Asked(op *clients.Op) {
 	w, b := r.at(op.At), r.benefit(op)
+	w.Ops++
 	w.asked[op.Category] += b
 	r.asked[op.Category] += b
 	r.counts[op.Category]++
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -166,10 +166,18 @@
 	times := []line{series("50 of 100", func(w measure.Window) float64 { return w.Times[0] }),
 		series("99 of 100", func(w measure.Window) float64 { return w.Times[1] })}
 	add("Answer times, from the intended sending", "ms", times, highest(times))
-	pushes := []line{series("pushes", func(w measure.Window) float64 { return float64(w.Pushes) * 2 }),
-		series("crossings", func(w measure.Window) float64 { return float64(w.Crossings) * 2 }),
-		series("nacks", func(w measure.Window) float64 { return float64(w.Nacks) * 2 })}
-	add("Pushes, crossings and nacks a second", "a second", pushes, highest(pushes))
+	perOp := func(of func(measure.Window) int) func(measure.Window) float64 {
+		return func(w measure.Window) float64 {
+			if w.Ops == 0 {
+				return -1
+			}
+			return float64(of(w)) / float64(w.Ops)
+		}
+	}
+	pushes := []line{series("pushes", perOp(func(w measure.Window) int { return w.Pushes })),
+		series("crossings", perOp(func(w measure.Window) int { return w.Crossings })),
+		series("nacks", perOp(func(w measure.Window) int { return w.Nacks }))}
+	add("Pushes, crossings and nacks an op", "an op", pushes, highest(pushes))
 	load := func(share float64) func(measure.Window) float64 {
 		return func(w measure.Window) float64 {
 			if len(w.Load) == 0 {
