--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"pearknot/internal/clock"
 	"pearknot/internal/fleet"
@@ -28,7 +29,7 @@
 	r := newRig(t, program, "")
 	r.start("")
 	all := names(20)
-	base := realNodes(t, all)
+	base := r.realNodes(all)
 	w := base
 	w.Options = &fleet.Options{AtOnce: 20}
 	_, err := r.write(w)
@@ -139,7 +140,7 @@
 func TestPortTaken(t *testing.T) {
 	r := newRig(t, program, "backoff_ms = 50\n")
 	r.start("")
-	w := realNodes(t, names(2))
+	w := r.realNodes(names(2))
 	l, err := net.Listen("tcp", w.Instances[0].Listen)
 	require.NoError(t, err)
 	defer l.Close()
@@ -372,6 +373,49 @@
 	assert.Empty(t, f.Records)
 }
 
+// The disk of a running agent takes nothing any more: what is asked for is refused, what runs goes on, and with room again
+// so does the agent.
+func TestDiskFullOfARunningAgent(t *testing.T) {
+	r := newRig(t, self(t), "")
+	r.start("")
+	_, err := r.write(declared(names(3), normal, "a"))
+	require.NoError(t, err)
+	v := r.until(10*time.Second, "three run", settled)
+	limit := unix.Rlimit{Cur: 1, Max: unix.RLIM_INFINITY} // bytes in a file: every write beyond fails
+	require.NoError(t, unix.Prlimit(r.agent.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil))
+	_, err = r.write(Write{What: "restart"})
+	assert.Equal(t, http.StatusInsufficientStorage, refusedStatus(err), "%v", err)
+	full := r.until(5*time.Second, "told", func(v View) bool { return v.Broken != "" })
+	for k, i := range full.Instances {
+		assert.Equal(t, []int{v.Instances[k].Seen.Pid}, r.pids(i.Name))
+	}
+	assert.Equal(t, v.Revision, full.Revision)
+	limit.Cur = unix.RLIM_INFINITY
+	require.NoError(t, unix.Prlimit(r.agent.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil))
+	_, err = r.write(Write{What: "restart"})
+	require.NoError(t, err)
+	r.until(10*time.Second, "restarted", func(v View) bool { return settled(v) && v.Broken == "" })
+}
+
+// A real node whose list is another than the one that the agent reads at the same source and version is out of service,
+// with both digests told.
+func TestWitness(t *testing.T) {
+	r := newRig(t, program, "witness_ms = 50\n")
+	data, err := os.ReadFile(r.file)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(r.file, append([]byte("witness = true\n"), data...), 0o600))
+	r.start("")
+	w := r.realNodes(names(1))
+	_, err = r.write(w)
+	require.NoError(t, err)
+	r.until(10*time.Second, "in service: both have the same list", settled)
+	r.other.Store(true)
+	v := r.until(10*time.Second, "wrong list", func(v View) bool { return v.Instances[0].Verdict == fleet.WrongList && !v.Instances[0].Seen.InService })
+	assert.Regexp(t, `declared [0-9a-f]{12}, holds [0-9a-f]{12} at version 41 of 127`, v.Instances[0].Why)
+	r.other.Store(false)
+	r.until(10*time.Second, "back in service once the lists agree", settled)
+}
+
 func TestStopAndHistory(t *testing.T) {
 	r := newRig(t, self(t), "")
 	r.start("")
--- a/internal/agent/rig_test.go
+++ b/internal/agent/rig_test.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -38,6 +39,7 @@
 		if err == nil {
 			o.Point, err = KillAt(os.Getenv(KillVariable))
 		}
+		signal.Ignore(syscall.SIGXFSZ) // a file's bound is to be an error of the write, as a full disk is
 		var a *Agent
 		if err == nil {
 			a, err = New(o, slog.New(slog.NewTextHandler(os.Stderr, nil)))
@@ -140,7 +142,8 @@
 	dir    string
 	file   string
 	agent  *exec.Cmd
-	ended  chan error // of the agent
+	ended  chan error  // of the agent
+	other  atomic.Bool // the list tells the agent something else than the nodes
 	client *control.Client
 }
 
@@ -310,17 +313,22 @@
 }
 
 // realNodes declares instances that run the real program, each at an address of its own, and a list for them.
-func realNodes(t *testing.T, names []string) Write {
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Query().Get("from") != "" {
+func (r *rig) realNodes(names []string) Write {
+	t := r.t
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Query().Get("from") != "" {
 			select {
-			case <-r.Context().Done():
+			case <-q.Context().Done():
 			case <-time.After(3 * time.Second):
 			}
 			fmt.Fprint(w, `{"rev":41,"all":false,"targets":[]}`)
 			return
 		}
-		fmt.Fprint(w, `{"rev":41,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:1","az":"a","model":"m","pod_group":0,"state":"up","capacity_hint":1,"boot_ms":0}]}`)
+		uid := "s-1"
+		if r.other.Load() && q.UserAgent() != "" { // an agent's call: nodes have no such header
+			uid = "s-2"
+		}
+		fmt.Fprintf(w, `{"rev":41,"all":true,"targets":[{"uid":%q,"endpoint":"127.0.0.1:1","az":"a","model":"m","pod_group":0,"state":"up","capacity_hint":1,"boot_ms":0}]}`, uid)
 	}))
 	t.Cleanup(s.Close)
 	w := Write{What: "apply", Configs: map[string]string{}}
