Tests share the build of the node, the running agent and one benchmark of a decision

Read through: three tests and the lab built the node each in their own words, ten agent tests began alike, and two benchmarks drove the module by the same loop.

--- a/cmd/pearknot-lab/fleet_test.go
+++ b/cmd/pearknot-lab/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 
@@ -10,13 +9,13 @@
 	"github.com/stretchr/testify/require"
 
 	"pearknot/internal/lab/experiment"
+	"pearknot/internal/lab/program"
 )
 
 // Under steady load, a rolling change of all twenty nodes: no op lost, no effect twice, and service hardly the worse.
 func TestRollUnderLoad(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "pearknot")
-	out, err := exec.Command("go", "build", "-o", program, "pearknot/cmd/pearknot").CombinedOutput()
-	require.NoError(t, err, string(out))
+	bin, err := program.Build(t.Context(), t.TempDir())
+	require.NoError(t, err)
 	tmp, err := os.MkdirTemp("", "pk") // short: a socket's path is bounded
 	require.NoError(t, err)
 	defer os.RemoveAll(tmp)
@@ -24,7 +23,7 @@
 	e, err := experiment.Read("../../experiments/calm.toml")
 	require.NoError(t, err)
 	e.Fleet.Nodes, e.Seconds = 20, 12
-	r, took, err := roll(t.Context(), e, program, 5)
+	r, took, err := roll(t.Context(), e, bin, 5)
 	require.NoError(t, err)
 	assert.True(t, r.run.Rules.Kept, r.run.Rules.Breaches)
 	assert.Greater(t, r.run.Service, 0.97)
--- a/cmd/pearknot-lab/play.go
+++ b/cmd/pearknot-lab/play.go
@@ -8,7 +8,6 @@
 	"io"
 	"log/slog"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -26,6 +25,7 @@
 	"pearknot/internal/lab/measure"
 	"pearknot/internal/lab/play"
 	"pearknot/internal/lab/policy"
+	"pearknot/internal/lab/program"
 	"pearknot/internal/lab/report"
 	"pearknot/internal/lab/search"
 	"pearknot/internal/lab/virtual"
@@ -180,10 +180,10 @@
 		return nil, clean, err
 	}
 	clean = func() { _ = os.RemoveAll(dir) }
-	bin := filepath.Join(dir, "pearknot")
-	if text, err := exec.CommandContext(ctx, "go", "build", "-o", bin, "pearknot/cmd/pearknot").CombinedOutput(); err != nil {
+	bin, err := program.Build(ctx, dir)
+	if err != nil {
 		clean()
-		return nil, func() {}, fmt.Errorf("no pearknot beside this program, and it can't be built here (give --pearknot FILE): %v %s", err, strings.TrimSpace(string(text)))
+		return nil, func() {}, fmt.Errorf("no pearknot beside this program, and it can't be built here (give --pearknot FILE): %w", err)
 	}
 	return []string{bin, "serve"}, clean, nil
 }
--- a/cmd/pearknot/capture_test.go
+++ b/cmd/pearknot/capture_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"pearknot/internal/capture"
+	"pearknot/internal/lab/program"
 )
 
 // A node on sockets captures what its module is told; after a SIGKILL, and a second life that ends by SIGTERM, both replay
@@ -99,7 +100,7 @@
 	require.NoError(t, err, string(text))
 	var out, errs bytes.Buffer
 	require.Equal(t, 0, run([]string{"replay", captures}, &out, &errs), out.String()+errs.String())
-	require.Equal(t, 0, run([]string{"replay", captures, "--against", program}, &out, &errs), errs.String())
+	require.Equal(t, 0, run([]string{"replay", captures, "--against", nodeProgram}, &out, &errs), errs.String())
 	source, err := filepath.Abs("../../balance/balance.go")
 	require.NoError(t, err)
 	data, err := os.ReadFile(source)
@@ -114,9 +115,8 @@
 		overlay, err := json.Marshal(map[string]any{"Replace": map[string]string{source: mutant}})
 		require.NoError(t, err)
 		require.NoError(t, os.WriteFile(filepath.Join(dir, "overlay.json"), overlay, 0o600))
-		build := filepath.Join(dir, fmt.Sprint("mutant", k))
-		text, err := exec.Command("go", "build", "-overlay", filepath.Join(dir, "overlay.json"), "-o", build, ".").CombinedOutput()
-		require.NoError(t, err, string(text))
+		build, err := program.Build(t.Context(), t.TempDir(), "-overlay", filepath.Join(dir, "overlay.json"))
+		require.NoError(t, err)
 		var out, errs bytes.Buffer
 		assert.Equal(t, 3, run([]string{"replay", captures, "--against", build}, &out, &errs), flip[1])
 		assert.Contains(t, out.String(), "captured", flip[1])
--- a/cmd/pearknot/pearknot_test.go
+++ b/cmd/pearknot/pearknot_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -22,9 +23,11 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"pearknot/internal/lab/program"
 )
 
-var program string
+var nodeProgram string
 
 // TestMain builds the program that the tests start.
 func TestMain(m *testing.M) {
@@ -32,9 +35,8 @@
 	if err != nil {
 		panic(err)
 	}
-	program = filepath.Join(dir, "pearknot")
-	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
-		fmt.Fprintln(os.Stderr, string(out))
+	if nodeProgram, err = program.Build(context.Background(), dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	status := m.Run()
@@ -91,7 +93,7 @@
 	require.NoError(t, os.WriteFile(w.file, fmt.Appendf(nil, `{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f",
 "limits":{"cores":1,"memory_mb":192,"sockets":%d},"known":{"rev":41,"all":true,"targets":[%s]},"settings":%s}`,
 		discovery.Listener.Addr(), sockets, entry(address, "up"), settings), 0o600))
-	w.process = exec.Command(program, append([]string{"serve", "-config", w.file}, more...)...)
+	w.process = exec.Command(nodeProgram, append([]string{"serve", "-config", w.file}, more...)...)
 	stderr, err := w.process.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, w.process.Start())
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -26,7 +26,7 @@
 // Twenty real instances; the agent is killed at every named point of a change over ten of them. After its return all are in
 // one generation, each runs once, and none is lost.
 func TestKilledAtEveryPoint(t *testing.T) {
-	r := newRig(t, program, "")
+	r := newRig(t, nodeProgram, "")
 	r.start("")
 	all := names(20)
 	base := r.realNodes(all)
@@ -138,7 +138,7 @@
 
 // An instance whose port somebody else has is told as it is, and the others go on.
 func TestPortTaken(t *testing.T) {
-	r := newRig(t, program, "backoff_ms = 50\n")
+	r := newRig(t, nodeProgram, "backoff_ms = 50\n")
 	r.start("")
 	w := r.realNodes(names(2))
 	l, err := net.Listen("tcp", w.Instances[0].Listen)
@@ -175,11 +175,7 @@
 // What dies while the agent is away is started again, what lives is adopted as it is, and what was told to stop meanwhile
 // is not started.
 func TestAgentAway(t *testing.T) {
-	r := newRig(t, self(t), "")
-	r.start("")
-	_, err := r.write(declared(names(4), normal, "a"))
-	require.NoError(t, err)
-	v := r.until(10*time.Second, "four run", settled)
+	r, v := running(t, 4, "")
 	pids := map[string]int{}
 	for _, i := range v.Instances {
 		pids[i.Name] = i.Seen.Pid
@@ -201,11 +197,7 @@
 
 // A process that has got an instance's old id is never signalled: ids are reused, locks are not.
 func TestReusedID(t *testing.T) {
-	r := newRig(t, self(t), "")
-	r.start("")
-	_, err := r.write(declared(names(1), normal, "a"))
-	require.NoError(t, err)
-	v := r.until(10*time.Second, "runs", settled)
+	r, v := running(t, 1, "")
 	r.stop()
 	require.NoError(t, syscall.Kill(v.Instances[0].Seen.Pid, syscall.SIGKILL))
 	other := exec.Command("sleep", "60")
@@ -235,11 +227,7 @@
 
 // A frozen instance is unknown, never its last good state; nothing is started beside it, and it can be stopped.
 func TestFrozen(t *testing.T) {
-	r := newRig(t, self(t), "call_within_ms = 100\n")
-	r.start("")
-	_, err := r.write(declared(names(2), normal, "a"))
-	require.NoError(t, err)
-	v := r.until(10*time.Second, "run", settled)
+	r, v := running(t, 2, "call_within_ms = 100\n")
 	pid := v.Instances[0].Seen.Pid
 	require.NoError(t, syscall.Kill(pid, syscall.SIGSTOP))
 	v = r.until(10*time.Second, "unknown", func(v View) bool { return v.Instances[0].Verdict == fleet.NotKnown })
@@ -247,7 +235,7 @@
 	assert.False(t, v.Instances[0].Seen.InService)
 	assert.Equal(t, fleet.AsWanted, v.Instances[1].Verdict)
 	assert.Equal(t, []int{pid}, r.pids("n00"))
-	_, err = r.write(Write{What: "stop", Names: []string{"n00"}})
+	_, err := r.write(Write{What: "stop", Names: []string{"n00"}})
 	require.NoError(t, err)
 	r.until(10*time.Second, "stopped", settled)
 	assert.Empty(t, r.pids("n00"))
@@ -255,11 +243,7 @@
 
 // Somebody else's process that holds an instance's lock is told of, and left alone.
 func TestAlien(t *testing.T) {
-	r := newRig(t, self(t), "")
-	r.start("")
-	_, err := r.write(declared(names(1), normal, "a"))
-	require.NoError(t, err)
-	r.until(10*time.Second, "runs", settled)
+	r, _ := running(t, 1, "")
 	pid := r.pids("n00")[0]
 	r.stop()
 	s, state, _, err := openStore(r.dir, discard)
@@ -280,11 +264,7 @@
 
 // The state file cut short or flipped at any place, or gone: nothing that runs is stopped for it.
 func TestDamagedState(t *testing.T) {
-	r := newRig(t, self(t), "")
-	r.start("")
-	_, err := r.write(declared(names(3), normal, "a"))
-	require.NoError(t, err)
-	v := r.until(10*time.Second, "three run", settled)
+	r, v := running(t, 3, "")
 	var pids []int
 	for _, i := range v.Instances {
 		pids = append(pids, i.Seen.Pid)
@@ -327,11 +307,7 @@
 
 // Of two operators' conflicting commands exactly one wins, and the other is told what changed under it.
 func TestTwoOperators(t *testing.T) {
-	r := newRig(t, self(t), "")
-	r.start("")
-	_, err := r.write(declared(names(1), normal, "a"))
-	require.NoError(t, err)
-	v := r.until(10*time.Second, "runs", settled)
+	r, v := running(t, 1, "")
 	errs := make(chan error, 2)
 	for _, reason := range []string{"ann wants it so", "bob wants it so"} {
 		go func() {
@@ -376,14 +352,10 @@
 // The disk of a running agent takes nothing any more: what is asked for is refused, what runs goes on, and with room again
 // so does the agent.
 func TestDiskFullOfARunningAgent(t *testing.T) {
-	r := newRig(t, self(t), "")
-	r.start("")
-	_, err := r.write(declared(names(3), normal, "a"))
-	require.NoError(t, err)
-	v := r.until(10*time.Second, "three run", settled)
+	r, v := running(t, 3, "")
 	limit := unix.Rlimit{Cur: 1, Max: unix.RLIM_INFINITY} // bytes in a file: every write beyond fails
 	require.NoError(t, unix.Prlimit(r.agent.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil))
-	_, err = r.write(Write{What: "restart"})
+	_, err := r.write(Write{What: "restart"})
 	assert.Equal(t, http.StatusInsufficientStorage, refusedStatus(err), "%v", err)
 	full := r.until(5*time.Second, "told", func(v View) bool { return v.Broken != "" })
 	for k, i := range full.Instances {
@@ -400,7 +372,7 @@
 // A real node whose list is another than the one that the agent reads at the same source and version is out of service,
 // with both digests told.
 func TestWitness(t *testing.T) {
-	r := newRig(t, program, "witness_ms = 50\n")
+	r := newRig(t, nodeProgram, "witness_ms = 50\n")
 	data, err := os.ReadFile(r.file)
 	require.NoError(t, err)
 	require.NoError(t, os.WriteFile(r.file, append([]byte("witness = true\n"), data...), 0o600))
@@ -417,11 +389,7 @@
 }
 
 func TestStopAndHistory(t *testing.T) {
-	r := newRig(t, self(t), "")
-	r.start("")
-	_, err := r.write(declared(names(2), normal, "a"))
-	require.NoError(t, err)
-	r.until(10*time.Second, "run", settled)
+	r, _ := running(t, 2, "")
 	for _, w := range []Write{{What: "stop", Names: []string{"n01"}}, {What: "start"}, {What: "restart", Names: []string{"n00"}}, {What: "rollback", To: 1}} {
 		_, err := r.write(w)
 		require.NoError(t, err, w.What)
--- a/internal/agent/rig_test.go
+++ b/internal/agent/rig_test.go
@@ -25,6 +25,7 @@
 
 	"pearknot/internal/control"
 	"pearknot/internal/fleet"
+	"pearknot/internal/lab/program"
 	"pearknot/internal/serve"
 )
 
@@ -59,9 +60,8 @@
 	if err != nil {
 		panic(err)
 	}
-	program = filepath.Join(dir, "pearknot")
-	if out, err := exec.Command("go", "build", "-o", program, "pearknot/cmd/pearknot").CombinedOutput(); err != nil {
-		fmt.Fprintln(os.Stderr, string(out))
+	if nodeProgram, err = program.Build(context.Background(), dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	status := m.Run()
@@ -70,7 +70,7 @@
 }
 
 // program is the real node.
-var program string
+var nodeProgram string
 
 // standIn is an instance without clients: its lock, its control socket, and its behaviour.
 func standIn(args []string) int {
@@ -303,6 +303,15 @@
 	return w
 }
 
+// running is an agent with so many instances as wanted.
+func running(t *testing.T, n int, extra string) (*rig, View) {
+	r := newRig(t, self(t), extra)
+	r.start("")
+	_, err := r.write(declared(names(n), normal, "a"))
+	require.NoError(t, err)
+	return r, r.until(10*time.Second, "all run", settled)
+}
+
 func normal(string) string { return "" }
 
 func names(n int) (all []string) {
@@ -312,7 +321,7 @@
 	return all
 }
 
-// realNodes declares instances that run the real program, each at an address of its own, and a list for them.
+// realNodes declares instances that run the real nodeProgram, each at an address of its own, and a list for them.
 func (r *rig) realNodes(names []string) Write {
 	t := r.t
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
--- a/internal/capture/bench_test.go
+++ b/internal/capture/bench_test.go
@@ -1,19 +1,35 @@
 package capture
 
 import (
+	"fmt"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"pearknot/balance"
 )
 
-// decide drives a module as a host does: an op comes, is placed, and its answer is heard.
-func decide(b *testing.B, wrap func(balance.Decider, *balance.Terms) balance.Decider) {
-	t := &balance.Terms{Seed: 1, Nodes: 3, MaxPushes: 3, SecondCopies: true, Cancel: true, ColdFrom: 0.3, WarmWithin: 8000, FallMultiple: 4,
-		OverloadFor: 2000, Categories: []balance.Category{{TargetLatency: 600, Benefit: 1}}}
-	n := wrap(balance.New(t, 1), t)
+// A decision: an op comes, is placed, and its answer is heard, among so many backends; off, and with all of it captured,
+// counted and let go of.
+func BenchmarkDecision(b *testing.B) {
+	for _, size := range []struct{ backends, nodes int }{{10, 3}, {30, 100}, {200, 1250}} {
+		t := &balance.Terms{Seed: 1, Nodes: size.nodes, MaxPushes: 3, SecondCopies: true, Cancel: true, ColdFrom: 0.3, WarmWithin: 8000,
+			FallMultiple: 4, OverloadFor: 2000, Categories: []balance.Category{{TargetLatency: 600, Benefit: 1}}}
+		b.Run(fmt.Sprintf("%d/off", size.backends), func(b *testing.B) { decide(b, balance.New(t, 1), size.backends) })
+		b.Run(fmt.Sprintf("%d/on", size.backends), func(b *testing.B) {
+			bytes := 0
+			r, err := NewRecorder(balance.New(t, 1), 1, Start{Name: "n", Terms: t}, func(_ int, data []byte) { bytes += len(data) })
+			require.NoError(b, err)
+			decide(b, r, size.backends)
+			b.ReportMetric(float64(bytes)/float64(b.N), "bytes/op-unpacked")
+		})
+	}
+}
+
+func decide(b *testing.B, n balance.Decider, backends int) {
 	var lines []balance.Listing
-	for k := range 10 {
-		lines = append(lines, balance.Listing{Backend: &balance.Backend{Ref: uint64(k)}, State: balance.Ready, Zone: k % 3, Weight: 1})
+	for k := range backends {
+		lines = append(lines, balance.Listing{Backend: &balance.Backend{Ref: uint64(k)}, State: balance.Ready, Zone: k % 3, Kind: k % 3, Weight: 1})
 	}
 	n.Listed(1, lines, true, false)
 	b.ReportAllocs()
@@ -35,20 +51,3 @@
 		}
 	}
 }
-
-func BenchmarkOff(b *testing.B) {
-	decide(b, func(d balance.Decider, _ *balance.Terms) balance.Decider { return d })
-}
-
-// On, with what is written counted and let go of.
-func BenchmarkOn(b *testing.B) {
-	bytes := 0
-	decide(b, func(d balance.Decider, t *balance.Terms) balance.Decider {
-		r, err := NewRecorder(d, 1, Start{Name: "n", Terms: t}, func(_ int, data []byte) { bytes += len(data) })
-		if err != nil {
-			b.Fatal(err)
-		}
-		return r
-	})
-	b.ReportMetric(float64(bytes)/float64(b.N), "bytes/op-unpacked")
-}
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -266,6 +266,18 @@
 func (d *disk) Sync() error  { return nil }
 func (d *disk) Close() error { return d.file.Close() }
 
+// tally counts the records that are there, and those that are said to be missing.
+func tally(all []Record) (kept int, missing uint64) {
+	for _, x := range all {
+		if x.Kind == Gap {
+			missing += x.Count
+		} else {
+			kept++
+		}
+	}
+	return kept, missing
+}
+
 // A disk that is full for a while costs what came meanwhile, which stands as a gap; nobody waits.
 func TestDiskFull(t *testing.T) {
 	var mu sync.Mutex
@@ -303,14 +315,7 @@
 	for _, f := range files {
 		_ = Read(f, func(r Record) error { all = append(all, r); return nil }) // the torn ones
 	}
-	missing, kept := uint64(0), 0
-	for _, x := range all {
-		if x.Kind == Gap {
-			missing += x.Count
-		} else {
-			kept++
-		}
-	}
+	kept, missing := tally(all)
 	assert.Equal(t, w.Dropped(), missing)
 	assert.GreaterOrEqual(t, kept+int(missing), 1010)
 }
@@ -336,14 +341,7 @@
 	w.Close()
 	all, err := read(t, r.Dir)
 	require.NoError(t, err)
-	missing, kept := uint64(0), 0
-	for _, x := range all {
-		if x.Kind == Gap {
-			missing += x.Count
-		} else {
-			kept++
-		}
-	}
+	kept, missing := tally(all)
 	assert.Equal(t, uint64(20_000), uint64(kept)+missing, "all are there, or counted")
 }
 
--- a/internal/lab/loopback/loopback_test.go
+++ b/internal/lab/loopback/loopback_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -19,10 +18,11 @@
 	"go.uber.org/goleak"
 
 	"pearknot/internal/lab/experiment"
+	"pearknot/internal/lab/program"
 	"pearknot/internal/rules"
 )
 
-var program string
+var nodeProgram string
 
 // TestMain builds the node that the tests start.
 func TestMain(m *testing.M) {
@@ -30,9 +30,8 @@
 	if err != nil {
 		panic(err)
 	}
-	program = filepath.Join(dir, "pearknot")
-	if out, err := exec.Command("go", "build", "-o", program, "pearknot/cmd/pearknot").CombinedOutput(); err != nil {
-		fmt.Fprintln(os.Stderr, string(out))
+	if nodeProgram, err = program.Build(context.Background(), dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	status := m.Run()
@@ -92,7 +91,7 @@
 		experiment.Trouble{Kind: experiment.Errors, At: 3, For: 1, Count: 1, Chance: 0.8})
 	dir := t.TempDir()
 	kinds := map[rules.Kind]int{}
-	run, err := Run(t.Context(), e, 1, Options{Command: []string{program, "serve"}, Dir: dir,
+	run, err := Run(t.Context(), e, 1, Options{Command: []string{nodeProgram, "serve"}, Dir: dir,
 		Watch: func(e rules.Event) { kinds[e.Kind]++ }})
 	require.NoError(t, err)
 	assert.True(t, run.Rules.Kept, run.Rules.Breaches)
@@ -126,7 +125,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			dir := t.TempDir()
-			run, err := Run(ctx, small(t, 60), 1, Options{Command: []string{program, "serve"}, Dir: dir, Live: func(l Live) {
+			run, err := Run(ctx, small(t, 60), 1, Options{Command: []string{nodeProgram, "serve"}, Dir: dir, Live: func(l Live) {
 				if l.Second == 1 {
 					c.end(cancel, dir)
 				}
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -10,7 +10,6 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"pearknot/balance"
 	"pearknot/internal/lab/clients"
 	"pearknot/internal/lab/experiment"
 	"pearknot/internal/rules"
@@ -169,39 +168,6 @@
 func BenchmarkLoop100x30(b *testing.B)   { benchmark(b, 100, 30, 10) }
 func BenchmarkLoop1250x200(b *testing.B) { benchmark(b, 1250, 200, 4) }
 
-// A decision: an op comes, is placed, and its answer is heard, among so many backends.
-func decision(b *testing.B, backends, nodes int) {
-	t := shipped(b, "calm").Terms(0, 1)
-	t.Nodes = nodes
-	n := balance.New(t, 1)
-	var lines []balance.Listing
-	for k := range backends {
-		lines = append(lines, balance.Listing{Backend: &balance.Backend{Ref: uint64(k)}, State: balance.Ready, Zone: k % 3, Kind: k % 3, Weight: 1})
-	}
-	n.Listed(1, lines, true, false)
-	b.ReportAllocs()
-	b.ResetTimer()
-	now := 1.0
-	for range b.N {
-		now += 5
-		op := &balance.Op{GiveUp: now + 2000, Hint: 30, HasHint: true}
-		n.Arrived(now, op)
-		var p *balance.Push
-		for d, more := n.Next(); more; d, more = n.Next() {
-			if d.Kind == balance.DoPush {
-				p = d.Push
-			}
-		}
-		n.Ended(now+3, p, balance.Answered, 3, true)
-		for _, more := n.Next(); more; _, more = n.Next() {
-		}
-	}
-}
-
-func BenchmarkDecision10(b *testing.B)  { decision(b, 10, 3) }
-func BenchmarkDecision30(b *testing.B)  { decision(b, 30, 100) }
-func BenchmarkDecision200(b *testing.B) { decision(b, 200, 1250) }
-
 // What the backends are seen to do in a window is what they can do in it at most.
 func TestBusyShares(t *testing.T) {
 	r, err := Run(shipped(t, "burst"), 1, Options{})
