Fleet: the way back keeps the pace of the way there; a stopped change stays where it stopped

Read through: a roll-back turned all that had been reached at once, and a change that stops on failure went on with the rest as soon as it counted as over: both took more out of service than at_once allows. A failing start was counted twice, a Terminate knew by its words whether to count, and watchers were woken each round.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -20,6 +19,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/renameio/v2"
 
 	"pearknot/internal/clock"
@@ -57,7 +57,7 @@
 	wake      *time.Timer
 	seq       uint64 // counts what watchers may want to see
 	changed   chan struct{}
-	states    string
+	states    uint64 // a digest of them
 	witnessed time.Time
 	broken    error // the state can't be written: nothing is done until it can
 	looks     sync.WaitGroup
@@ -392,18 +392,19 @@
 	return 0, nil
 }
 
-// publish tells watchers when anything that they see is another.
+// publish tells watchers when what they look for is another: counts that go up and down all the time are not.
 func (a *Agent) publish() {
-	view := a.view(false)
-	view.Now = 0
-	for i := range view.Instances {
-		view.Instances[i].Seen.At, view.Instances[i].Seen.Open, view.Instances[i].Seen.MemoryMB = 0, 0, 0
+	h, now := xxhash.New(), a.now()
+	fmt.Fprintln(h, a.fleet.Revision, a.broken)
+	if c := a.fleet.Latest(); c != nil {
+		fmt.Fprintln(h, c.Status, c.Reached, len(c.Done))
 	}
-	data, err := json.Marshal(view)
-	if err != nil {
-		panic(err) // plain values
+	for _, name := range a.fleet.Names() {
+		verdict, why := a.fleet.Judge(now, name)
+		s := a.fleet.Look(now, name)
+		fmt.Fprintln(h, name, verdict, why, s.Phase, s.InService, s.Pid, s.Digest)
 	}
-	if s := string(data); s != a.states {
+	if s := h.Sum64(); s != a.states {
 		a.states = s
 		a.seq++
 		close(a.changed)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -349,6 +349,21 @@
 	assert.Empty(t, f.Records)
 }
 
+// Who watches is woken by what is new, and by nothing else.
+func TestWatch(t *testing.T) {
+	r, v := running(t, 2, "")
+	v = r.until(5*time.Second, "all that the start brought was told", func(x View) bool { quiet := x.Seq == v.Seq; v = x; return quiet && settled(x) })
+	begun := time.Now()
+	var same View
+	require.NoError(t, r.client.Call(t.Context(), http.MethodGet, fmt.Sprintf("%s?since=%d&wait_ms=400", FleetPath, v.Seq), nil, &same))
+	assert.Equal(t, v.Seq, same.Seq)
+	assert.GreaterOrEqual(t, time.Since(begun), 400*time.Millisecond)
+	go func() { _ = syscall.Kill(v.Instances[0].Seen.Pid, syscall.SIGKILL) }()
+	require.NoError(t, r.client.Call(t.Context(), http.MethodGet, fmt.Sprintf("%s?since=%d&wait_ms=10000", FleetPath, v.Seq), nil, &same))
+	assert.Greater(t, same.Seq, v.Seq)
+	r.until(10*time.Second, "started again", settled)
+}
+
 // The disk of a running agent takes nothing any more: what is asked for is refused, what runs goes on, and with room again
 // so does the agent.
 func TestDiskFullOfARunningAgent(t *testing.T) {
--- a/internal/agent/api.go
+++ b/internal/agent/api.go
@@ -75,7 +75,7 @@
 }
 
 // view is the actor's.
-func (a *Agent) view(declared bool) View {
+func (a *Agent) view() View {
 	now := a.now()
 	g := a.fleet.Current()
 	v := View{Revision: a.fleet.Revision, Generation: g.Number, Now: now, Seq: a.seq, Rolling: a.o.Rolling}
@@ -90,7 +90,7 @@
 		verdict, why := a.fleet.Judge(now, name)
 		r := a.fleet.Records[name]
 		i := InstanceView{Name: name, Seen: a.fleet.Look(now, name), Verdict: verdict, Why: why, Tries: len(r.Tries), Fault: r.Fault}
-		if d, ok := g.Set[name]; ok && declared {
+		if d, ok := g.Set[name]; ok {
 			i.Declared = &d
 		}
 		v.Instances = append(v.Instances, i)
@@ -108,7 +108,7 @@
 	for {
 		var v View
 		var next chan struct{}
-		if err := a.do(r.Context(), func() { v, next = a.view(true), a.changed }); err != nil {
+		if err := a.do(r.Context(), func() { v, next = a.view(), a.changed }); err != nil {
 			control.Fail(w, http.StatusServiceUnavailable, err.Error())
 			return
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -89,13 +89,22 @@
 		return Change{}, err
 	}
 	from := f.Current()
+	if l := f.Latest(); l != nil && l.Status == Stuck { // what stands is neither of its generations
+		from = Generation{from.Number + 1, f.effective()}
+	}
 	order := Differences(from.Set, to)
-	if l := f.Latest(); len(order) == 0 && l != nil && l.Status == Stuck { // once more what got stuck
-		order = slices.Clone(l.Order)
+	for name := range to { // what has failed for good is given another chance, though nothing in it changes
+		if f.Records[name].Halted && !slices.Contains(order, name) {
+			order = append(order, name)
+		}
 	}
 	if len(order) == 0 {
 		return Change{}, ErrNothing
 	}
+	slices.Sort(order)
+	if from.Number > f.Current().Number {
+		f.Generations = append(f.Generations, from)
+	}
 	c.ID, c.At, c.From, c.To = f.nextID(), now, from.Number, from.Number+1
 	c.Order, c.Status, c.Well, c.Done = order, Rolling, map[string]float64{}, map[string]bool{}
 	c.Options.AtOnce = max(c.Options.AtOnce, 1)
@@ -212,11 +221,11 @@
 	return s
 }
 
-// target is what an instance is to be now, within the change that is on its way. None is false.
+// target is what an instance is to be now, within the change that is on its way, or got stuck there. None is false.
 func (f *Fleet) target(name string) (Instance, bool) {
 	now := f.Current()
-	if c := f.Latest(); c != nil && !c.Status.Over() {
-		if k, in := f.place(c, name); in && (c.Status == Reverting || k >= c.Reached) {
+	if c := f.Latest(); c != nil && (!c.Status.Over() || c.Status == Stuck) {
+		if k, in := f.place(c, name); in && k >= c.Reached {
 			if from, ok := f.Generation(c.From); ok {
 				i, has := from.Set[name]
 				return i, has
@@ -227,6 +236,17 @@
 	return i, has
 }
 
+// effective is what all instances are to be now.
+func (f *Fleet) effective() Set {
+	set := Set{}
+	for _, name := range f.Names() {
+		if i, declared := f.target(name); declared {
+			set[name] = i
+		}
+	}
+	return set
+}
+
 // place finds a name in a change's order.
 func (f *Fleet) place(c *Change, name string) (int, bool) {
 	if f.placed != c.ID || f.places == nil {
@@ -316,6 +336,7 @@
 	Name     string
 	Instance Instance // for Start
 	Why      string
+	Vain     bool // a Terminate of what never came up
 }
 
 // Plan gives the steps that are due, in the order of names, and advances the change that is on its way. Nothing is due
@@ -359,7 +380,9 @@
 	t, declared := f.target(name)
 	s, r := f.Look(now, name), f.Records[name]
 	want := declared && t.Wanted == Running
-	do := func(step Step, why string) (Action, bool) { return Action{step, name, t, why}, true }
+	do := func(step Step, why string) (Action, bool) {
+		return Action{Step: step, Name: name, Instance: t, Why: why}, true
+	}
 	switch s.Phase {
 	case Unknown, Alien:
 		if !s.Proven || want && r.TermAt == 0 {
@@ -393,7 +416,9 @@
 	}
 	if s.Phase == Starting {
 		if now-r.StartedAt >= f.timing.StartWithin {
-			return do(Terminate, strings.TrimSuffix(fmt.Sprintf("not ready within %.1f s: %s", f.timing.StartWithin/1e3, s.Why), ": "))
+			a, due := do(Terminate, strings.TrimSuffix(fmt.Sprintf("not ready within %.1f s: %s", f.timing.StartWithin/1e3, s.Why), ": "))
+			a.Vain = true
+			return a, due
 		}
 		return Action{}, false
 	}
@@ -430,26 +455,11 @@
 	if c == nil || c.Status.Over() {
 		return
 	}
-	reached := c.Order[:c.Reached]
 	if c.Status == Reverting {
-		well := 0
-		for _, name := range reached {
-			if f.well(now, name) {
-				well++
-			} else if v, why := f.Judge(now, name); v == CrashLoop || v == WrongList || v == CantProve {
-				c.Status, c.Ended = Stuck, now
-				c.Failure += fmt.Sprintf("; and back: %s: %s: %s", name, v, why)
-				f.settle(c)
-				return
-			}
-		}
-		if well == len(reached) {
-			c.Status, c.Ended = RolledBack, now
-			f.settle(c)
-		}
+		f.back(now, c)
 		return
 	}
-	for _, name := range reached {
+	for _, name := range c.Order[:c.Reached] {
 		if c.Done[name] { // one that was well and did not stay so stops the change too
 			if fault := f.failed(now, name); fault != "" {
 				f.fail(now, name+": "+fault)
@@ -485,6 +495,33 @@
 	}
 }
 
+// back lets the change go back, no more at once than it went forward.
+func (f *Fleet) back(now float64, c *Change) {
+	out := 0
+	for _, name := range c.Order[c.Reached:c.Most] {
+		if f.well(now, name) {
+			continue
+		}
+		out++
+		if v, why := f.Judge(now, name); v == CrashLoop || v == WrongList || v == CantProve {
+			c.Status, c.Ended = Stuck, now
+			c.Failure += fmt.Sprintf("; and back: %s: %s: %s", name, v, why)
+			return
+		}
+	}
+	for c.Reached > 0 && out < c.Options.AtOnce {
+		c.Reached--
+		out++
+	}
+	if out == 0 {
+		c.Status, c.Ended = RolledBack, now
+		if from, ok := f.Generation(c.From); ok { // declared anew: numbers only grow
+			f.Generations = append(f.Generations, Generation{Number: f.Current().Number + 1, Set: from.Set.Clone()})
+			f.trim()
+		}
+	}
+}
+
 // well tells whether an instance is what it is to be.
 func (f *Fleet) well(now float64, name string) bool {
 	v, _ := f.Judge(now, name)
@@ -514,28 +551,27 @@
 	f.turn(now, why)
 }
 
-// turn has all that was reached go back.
+// turn has all that was reached go back: at once what is not well, since nobody is served by it; the others in their turn.
 func (f *Fleet) turn(now float64, why string) {
 	c := f.Latest()
-	c.Status, c.Failure = Reverting, why
+	c.Status, c.Failure, c.Most = Reverting, why, c.Reached
+	var well, not []string
 	for _, name := range c.Order[:c.Reached] {
-		r, ok := f.Records[name]
-		if ok {
+		if f.well(now, name) {
+			well = append(well, name)
+		} else {
+			not = append(not, name)
+		}
+		if r, ok := f.Records[name]; ok {
 			r.Halted, r.Tries, r.NextAt = false, nil, 0
 			f.Records[name] = r
 		}
 	}
+	copy(c.Order, append(well, not...))
+	c.Reached, f.places = len(well), nil
 	f.advance(now)
 }
 
-// settle declares the old set anew after a way back: numbers only grow.
-func (f *Fleet) settle(c *Change) {
-	if from, ok := f.Generation(c.From); ok {
-		f.Generations = append(f.Generations, Generation{Number: f.Current().Number + 1, Set: from.Set.Clone()})
-		f.trim()
-	}
-}
-
 // Begin notes a step before it is taken; what it changes must be durable first. Token is for a Start.
 func (f *Fleet) Begin(now float64, a Action, token string) {
 	r := f.Records[a.Name]
@@ -546,8 +582,7 @@
 		r.WasReady = false
 	case Terminate:
 		r.TermAt = now
-		r.Fault = a.Why
-		if strings.HasPrefix(a.Why, "not ready") {
+		if r.Fault = a.Why; a.Vain {
 			f.count(now, &r, a.Why)
 		}
 	}
@@ -567,6 +602,7 @@
 		r.Pid = pid
 		if err != nil {
 			f.count(now, &r, err.Error())
+			r.StartedAt = 0 // nothing was started that could be found gone
 		}
 	}
 	f.Records[a.Name] = r
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -274,6 +274,71 @@
 	}
 }
 
+// On the way back no more are out of service at once than on the way there.
+func TestRollBackKeepsItsPace(t *testing.T) {
+	for _, most := range []int{1, 2} {
+		w := newWorld(nil)
+		require.NoError(t, w.propose(set(8, "a"), Options{AtOnce: 8}))
+		w.run(20)
+		require.NoError(t, w.propose(set(8, "b"), Options{AtOnce: most}))
+		for len(w.f.Latest().Done) < 6 {
+			w.turn(-1)
+		}
+		w.dies["c"] = true
+		for _, name := range w.f.Latest().Order { // one of those that were well dies, and does so again
+			if w.f.Latest().Done[name] {
+				w.procs[name].digest, w.procs[name].since = "c", 0
+				break
+			}
+		}
+		for k := 0; !w.f.Latest().Status.Over() && k < 500; k++ {
+			w.turn(-1)
+			out := 0
+			for name := range w.f.Current().Set {
+				if p := w.procs[name]; p == nil || !p.in {
+					out++
+				}
+			}
+			require.LessOrEqual(t, out, 2*most+1, "the failed one, those on their way when it failed, and those that go back")
+		}
+		require.Equal(t, RolledBack, w.f.Latest().Status)
+		w.run(5)
+		require.Empty(t, w.settled())
+	}
+}
+
+// A change that stops on failure leaves what it has not reached as it is, and the next one begins from what stands.
+func TestStopOnFailure(t *testing.T) {
+	w := newWorld(nil)
+	require.NoError(t, w.propose(set(6, "a"), Options{AtOnce: 6}))
+	w.run(20)
+	w.bad["b"] = true
+	require.NoError(t, w.propose(set(6, "b"), Options{AtOnce: 1, NoRevert: true}))
+	w.run(300)
+	require.Equal(t, Stuck, w.f.Latest().Status)
+	for name, p := range w.procs {
+		require.Equal(t, map[bool]string{true: "b", false: "a"}[name == "n000"], p.digest, name)
+	}
+	delete(w.bad, "b")
+	require.NoError(t, w.propose(set(6, "b"), Options{AtOnce: 2}))
+	w.run(100)
+	require.Equal(t, Succeeded, w.f.Latest().Status)
+	require.Empty(t, w.settled())
+}
+
+// A start that fails is counted once.
+func TestStartThatFails(t *testing.T) {
+	w := newWorld(nil)
+	require.NoError(t, w.propose(set(1, "a"), Options{NoRevert: true}))
+	w.look()
+	a := w.f.Plan(w.now)[0]
+	w.f.Begin(w.now, a, "t")
+	w.f.End(w.now, a, 0, errors.New("no such file"))
+	w.look()
+	require.Len(t, w.f.Records["n000"].Tries, 1)
+	require.Equal(t, "no such file", w.f.Records["n000"].Fault)
+}
+
 func TestRevertByHand(t *testing.T) {
 	w := newWorld(nil)
 	require.NoError(t, w.propose(set(4, "a"), Options{AtOnce: 4}))
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -87,7 +87,7 @@
 	Reverting  Status = "rolling back"
 	Succeeded  Status = "done"
 	RolledBack Status = "rolled back"
-	Stuck      Status = "stuck" // neither forward nor back: told to the operator, and left as it is
+	Stuck      Status = "stuck" // neither forward nor back: told to the operator, and left as it is, part here, part there
 )
 
 // Over tells whether nothing more happens by it.
@@ -112,7 +112,8 @@
 	To      uint64             `json:"to"`
 	Options Options            `json:"options"`
 	Order   []string           `json:"order"`   // those that differ, in the order in which they go
-	Reached int                `json:"reached"` // so many of Order have been let go
+	Reached int                `json:"reached"` // so many of Order are to be as in To, the others as in From
+	Most    int                `json:"most"`    // and so many were, when it was turned
 	Well    map[string]float64 `json:"well"`    // of those reached: since when it is as wanted
 	Done    map[string]bool    `json:"done"`    // and those that stayed so
 	Status  Status             `json:"status"`
