Module: each reason why a backend is passed over has a name, told to whoever explains

explain must come from the module itself, not from a second copy of its rules. The conditions of the rotation, of longs and of the gate now give a Reason; with nobody listening that costs a nil check.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -65,6 +65,8 @@
 	tracked  bool           // changes of the list come by themselves
 	askAt    float64        // when the list is asked for where they don't
 	failures int
+
+	Asked func(op *Op, b *Backend, r Reason) // is told of each backend looked at for an op; nil but where it is explained
 }
 
 // New starts a node; now is the host's clock.
@@ -345,9 +347,7 @@
 	var best []*Backend
 	rank := 0
 	for _, b := range n.backends {
-		// A quick error makes a backend idle at once and a cold one is idle by nature: neither may draw longs.
-		if len(b.out) > 0 || b.lingers > n.now || n.distrust(b) >= shunAt/2 || n.warmth(b) < 1 || !n.may(op, b) ||
-			!n.isNear(b) && n.crossCost(op) >= 0.5 {
+		if n.tell(op, b, n.unfitForLong(op, b)) != Open {
 			continue
 		}
 		r := -2 * n.slowFor(b, op)
@@ -364,6 +364,26 @@
 	return len(best) > 0 && n.send(op, best[n.rng.below(len(best))])
 }
 
+// unfitForLong tells why a backend may draw no long. A quick error makes one idle at once and a cold one is idle by
+// nature: neither may.
+func (n *Node) unfitForLong(op *Op, b *Backend) Reason {
+	switch {
+	case len(b.out) > 0 || b.lingers > n.now:
+		return Busy
+	case n.distrust(b) >= shunAt/2:
+		return Shunned
+	case n.warmth(b) < 1:
+		return Cold
+	}
+	if r := n.gate(op, b); r != Open {
+		return r
+	}
+	if !n.isNear(b) && n.crossCost(op) >= 0.5 {
+		return Dear
+	}
+	return Open
+}
+
 // hold keeps a long without an idle backend and a short for which all have their most out. Where the wait is
 // foreseen to be too long the op is nacked at once: holding it would only delay that.
 func (n *Node) hold(op *Op) {
@@ -371,6 +391,7 @@
 		n.giveUp(op)
 		return
 	}
+	n.tell(op, nil, Held)
 	op.stage = held
 	n.held = append(n.held, op)
 	n.at(due{at: n.now + (1-lateShare)*n.leftToTarget(op), op: op})
@@ -500,8 +521,7 @@
 	turnSlow := 0
 	var leastLoad, warmest float64
 	for _, b := range n.backends {
-		if n.isNear(b) != near || op.tried(b) || n.distrust(b) >= shunAt || n.full(b) || !n.may(op, b) ||
-			n.hopeless(b, op, patience) {
+		if n.isNear(b) != near || n.tell(op, b, n.passed(op, b, patience)) != Open {
 			continue
 		}
 		load := float64(len(b.out)) / n.size(b, op)
@@ -527,6 +547,31 @@
 	return cmp.Or(warm, turn, least)
 }
 
+// passed tells why the rotation passes a backend.
+func (n *Node) passed(op *Op, b *Backend, patience float64) Reason {
+	if op.tried(b) {
+		return Tried
+	}
+	if r := n.unfit(op, b); r != Open {
+		return r
+	}
+	if n.hopeless(b, op, patience) {
+		return Hopeless
+	}
+	return Open
+}
+
+// unfit tells why a backend may be sent nothing now.
+func (n *Node) unfit(op *Op, b *Backend) Reason {
+	switch {
+	case n.distrust(b) >= shunAt:
+		return Shunned
+	case n.full(b):
+		return Full
+	}
+	return n.gate(op, b)
+}
+
 // slowFor is how many eighths of its time left an op takes alone at a backend, eight at most: heavy ops earn
 // the most, and a slow machine that any other work is at may not do one in time.
 func (n *Node) slowFor(b *Backend, op *Op) int {
@@ -543,7 +588,7 @@
 		}
 		// Equals by the rotation: by the list's order the late sends of all nodes would meet at one backend.
 		if (load < least || load == least && b.pass < best.pass) &&
-			n.may(op, b) && n.distrust(b) < shunAt && !n.full(b) {
+			n.tell(op, b, n.unfit(op, b)) == Open {
 			best, least = b, load
 		}
 	}
@@ -758,26 +803,31 @@
 }
 
 // may is the one gate that every push passes; it holds all four rules.
-func (n *Node) may(op *Op, b *Backend) bool {
-	if op.stage == ended || op.stage == streaming || op.GiveUp <= n.now || len(op.Pushes) >= n.t.MaxPushes {
-		return false
-	}
-	if b.State != Ready { // at once on being told: no grace is needed
-		return false
-	}
-	if op.out() > 0 && !n.t.SecondCopies {
-		return false
+func (n *Node) may(op *Op, b *Backend) bool { return n.gate(op, b) == Open }
+
+// gate tells by which rule a push may not go out.
+func (n *Node) gate(op *Op, b *Backend) Reason {
+	switch {
+	case op.stage == ended || op.stage == streaming || op.GiveUp <= n.now || len(op.Pushes) >= n.t.MaxPushes:
+		return OpOver
+	case b.State != Ready: // at once on being told: no grace is needed
+		return NotReady
+	case op.out() > 0 && !n.t.SecondCopies:
+		return OneCopy
 	}
 	if p := op.mayHaveRun(); p != nil {
 		switch first := p.Backend; {
 		case op.cat.Effect == AtMostOnce:
-			return false
+			return MayHaveRun
 		case op.cat.Effect == Deduplicated && (n.now-p.SentAt >= op.cat.Remembered ||
 			op.cat.Group == GroupZone && first.Zone != b.Zone || op.cat.Group == GroupCell && first.Cell != b.Cell):
-			return false
+			return MayHaveRun
 		}
 	}
-	return n.coldRoom(b, op.work)
+	if !n.coldRoom(b, op.work) {
+		return ColdBudget
+	}
+	return Open
 }
 
 // coldRoom tells whether this node's part of a cold backend's budget has room for the work, in the window
--- /dev/null
+++ b/balance/explain.go
@@ -0,0 +1,61 @@
+package balance
+
+// Reason is why a backend was passed over for an op.
+type Reason uint8
+
+const (
+	Open       Reason = iota // it was not
+	Tried                    // the op has been pushed there
+	Shunned                  // distrusted, against its fellows
+	Full                     // it has all the pushes that this node sends there at once, rests, or is not in the node's share
+	Busy                     // a long wants one with none of this node's work
+	Cold                     // a long wants a warm one
+	Dear                     // the way there costs more than the op earns
+	Hopeless                 // the answer would come too late, or the wait be longer than ops of its benefit may
+	OpOver                   // rule 1: the op is over, its time is, or its pushes are spent
+	OneCopy                  // no second copies here, and a push is out
+	MayHaveRun               // rule 2: an earlier push may have run, and the category does not allow another there
+	NotReady                 // rule 3: it drains or is gone
+	ColdBudget               // rule 4: this node's part of its cold budget is spent
+	Held                     // of no backend: the op waits for one
+)
+
+var reasons = [...]string{"open", "tried before", "shunned", "full", "busy", "cold", "too dear a way", "hopeless", "op over (rule 1)",
+	"one copy", "may have run (rule 2)", "not ready (rule 3)", "cold budget (rule 4)", "held"}
+
+func (r Reason) String() string { return reasons[r] }
+
+// tell passes a reason on, to whoever explains too.
+func (n *Node) tell(op *Op, b *Backend, r Reason) Reason {
+	if n.Asked != nil {
+		n.Asked(op, b, r)
+	}
+	return r
+}
+
+// Belief is what the node believes of a backend for an op. Times are in ms.
+type Belief struct {
+	Near     bool    // a crossing costs nothing
+	Predict  float64 // the answer time expected
+	Alone    float64 // and without anything else there
+	Out      int     // this node's pushes there
+	Most     float64 // that it sends there at once
+	Distrust float64 // shunned from 2 on
+	Warmth   float64 // share of its capacity that it is sure to have
+	Size     float64 // its share of the rotation
+	Heard    float64 // how long ago the latest push was sent that has been answered; below 0 none was
+	Pass     float64 // its place in the rotation: the lowest goes first
+}
+
+// Belief is what is believed at this moment.
+func (n *Node) Belief(op *Op, b *Backend) Belief {
+	heard := -1.0
+	if b.heard > 0 {
+		heard = n.now - b.heard
+	}
+	return Belief{Near: n.isNear(b), Predict: n.predict(b, op), Alone: op.work * n.paceOf(b), Out: len(b.out), Most: b.most,
+		Distrust: n.distrust(b), Warmth: n.warmth(b), Size: n.size(b, op), Heard: heard, Pass: b.pass - n.round}
+}
+
+// Long tells whether the op counts as long, and what work is expected of it.
+func (o *Op) Long() (long bool, work float64) { return o.long, o.work }
