--- /dev/null
+++ b/balance/snapshot.go
@@ -0,0 +1,282 @@
+package balance
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"sort"
+)
+
+// Snapshot is all that a node knows at a batch's end, as plain values: one restored from it goes on with the same
+// decisions. What the terms say is not in it, nor what follows from them. Backends and ops go by their places in the
+// lists that the host gave.
+type Snapshot struct {
+	Now, Armed, SweepAt, Round, Extra, Doubt, Weight, AskAt float64
+	Tracked, Stirred, Idle                                  bool
+	Failures                                                int
+	Seq                                                     uint64
+	Chance                                                  [2]uint64
+	Hints                                                   []float64 // the cutoff's window
+	HintNext                                                int
+	Stretch                                                 SnapQuantile
+	Value, Work, Target, Service                            SnapMean
+	PaceAll                                                 [2]float64
+	PaceKinds                                               [][2]float64
+	CrowdAll                                                [3]float64
+	CrowdZones                                              [][3]float64
+	Warm                                                    [][3]float64
+	Categories                                              []SnapMean   // works
+	Tenants                                                 [][2]float64 // rates
+	Backends                                                []SnapBackend
+	Order                                                   []int // the node's backends among them
+	Ops                                                     []SnapOp
+	Held                                                    []int
+	Due                                                     []SnapDue
+}
+
+// SnapQuantile, SnapMean and the others below are parts of a Snapshot.
+type SnapQuantile struct {
+	Value float64
+	Seen  int
+}
+
+type SnapMean struct{ Value, Seen float64 }
+
+type SnapBackend struct {
+	Ref                                             uint64
+	Zone, Cell, Kind                                int
+	State                                           State
+	Weight, Started                                 float64
+	Known                                           bool
+	Longs                                           int
+	WorkOut, Heard, Lingers, Best, Most, Rest, Pass float64
+	Pace                                            [2]float64
+	Tail                                            SnapQuantile
+	Flow                                            [3]float64
+	Distrust                                        [2]float64
+	SpentAt, Spent                                  []float64
+	Out                                             []int // pushes, as op and number in turn
+}
+
+type SnapOp struct {
+	Ref, Key                        uint64
+	Category, Tenant                int
+	Hint, Arrived, GiveUp, Work     float64
+	Estimate                        float64
+	HasHint, Repeat, Long, Overfull bool
+	Stage                           int
+	Pushes                          []SnapPush
+}
+
+type SnapPush struct {
+	Backend                      int
+	SentAt, Expect               float64
+	Out, Revoked, Overdue, Alone bool
+	Ending                       Ending
+}
+
+// SnapDue is something that falls due: of an op, of one of its pushes, or of neither, where what it was for is over.
+type SnapDue struct {
+	At   float64
+	Seq  uint64
+	Op   int // -1 is none
+	Push int // -1 is none
+}
+
+// Snapshot takes the node's state at a batch's end. The host names all ops that are not over, and all backends that it
+// may name again, in an order of its own.
+func (n *Node) Snapshot(ops []*Op, backends []*Backend) (*Snapshot, error) {
+	if len(n.waiting) > 0 || len(n.out) > 0 {
+		return nil, errors.New("snapshot in the middle of a batch")
+	}
+	opAt, backendAt := make(map[*Op]int, len(ops)), make(map[*Backend]int, len(backends))
+	for i, o := range ops {
+		opAt[o] = i
+	}
+	for i, b := range backends {
+		backendAt[b] = i
+	}
+	s := &Snapshot{Now: n.now, Armed: n.armed, SweepAt: n.sweepAt, Round: n.round, Extra: n.extra, Doubt: n.doubt, Weight: n.weight, AskAt: n.askAt,
+		Tracked: n.tracked, Stirred: n.stirred, Idle: n.idle, Failures: n.failures, Seq: n.seq, Chance: [2]uint64{n.rng.x, n.rng.carry},
+		Hints: slices.Clone(n.cutoff.ring), HintNext: n.cutoff.next, Stretch: snapQuantile(n.stretch),
+		Value: SnapMean{n.value.value, n.value.seen}, Work: SnapMean{n.work.value, n.work.seen}, Target: SnapMean{n.target.value, n.target.seen},
+		Service: SnapMean{n.service.value, n.service.seen}, PaceAll: [2]float64{n.paces.all.time, n.paces.all.work},
+		CrowdAll: [3]float64{n.crowd.all.sum, n.crowd.all.count, n.crowd.all.at}}
+	for _, p := range n.paces.kinds {
+		s.PaceKinds = append(s.PaceKinds, [2]float64{p.time, p.work})
+	}
+	for _, r := range n.crowd.zones {
+		s.CrowdZones = append(s.CrowdZones, [3]float64{r.sum, r.count, r.at})
+	}
+	for _, w := range n.warm {
+		s.Warm = append(s.Warm, [3]float64{w.ready, w.took, w.speed})
+	}
+	for _, c := range n.t.Categories {
+		s.Categories = append(s.Categories, SnapMean{c.work.value, c.work.seen})
+	}
+	for _, t := range n.t.Tenants {
+		s.Tenants = append(s.Tenants, [2]float64{t.rate.sum, t.rate.at})
+	}
+	for _, b := range backends {
+		x := SnapBackend{Ref: b.Ref, Zone: b.Zone, Cell: b.Cell, Kind: b.Kind, State: b.State, Weight: b.Weight, Started: b.Started, Known: b.known,
+			Longs: b.longs, WorkOut: b.workOut, Heard: b.heard, Lingers: b.lingers, Best: b.best, Most: b.most, Rest: b.restUntil, Pass: b.pass,
+			Pace: [2]float64{b.pace.time, b.pace.work}, Tail: snapQuantile(b.tail), Flow: [3]float64{b.flow.done, b.flow.busy, b.flow.at},
+			Distrust: [2]float64{b.distrust.sum, b.distrust.at}, SpentAt: slices.Clone(b.recent.at), Spent: slices.Clone(b.recent.amount)}
+		for _, p := range b.out {
+			at, named := opAt[p.Op]
+			if !named {
+				return nil, fmt.Errorf("snapshot: backend %x has a push of op %d, which the host did not name", b.Ref, p.Op.Ref)
+			}
+			x.Out = append(x.Out, at, p.Number)
+		}
+		s.Backends = append(s.Backends, x)
+	}
+	for _, b := range n.backends {
+		at, named := backendAt[b]
+		if !named {
+			return nil, fmt.Errorf("snapshot: backend %x was not named by the host", b.Ref)
+		}
+		s.Order = append(s.Order, at)
+	}
+	for _, o := range ops {
+		x := SnapOp{Ref: o.Ref, Key: o.Key, Category: o.Category, Tenant: o.Tenant, Hint: o.Hint, Arrived: o.Arrived, GiveUp: o.GiveUp, Work: o.work,
+			Estimate: o.estimate, HasHint: o.HasHint, Repeat: o.Repeat, Long: o.long, Overfull: o.overfull, Stage: int(o.stage)}
+		for _, p := range o.Pushes {
+			at, named := backendAt[p.Backend]
+			if !named {
+				return nil, fmt.Errorf("snapshot: op %d was pushed to backend %x, which the host did not name", o.Ref, p.Backend.Ref)
+			}
+			x.Pushes = append(x.Pushes, SnapPush{Backend: at, SentAt: p.SentAt, Expect: p.expect, Out: p.out, Revoked: p.revoked, Overdue: p.overdue,
+				Alone: p.alone, Ending: p.ending})
+		}
+		s.Ops = append(s.Ops, x)
+	}
+	for _, o := range n.held {
+		at, named := opAt[o]
+		if !named {
+			return nil, fmt.Errorf("snapshot: held op %d was not named by the host", o.Ref)
+		}
+		s.Held = append(s.Held, at)
+	}
+	for _, d := range n.due {
+		x := SnapDue{At: d.at, Seq: d.seq, Op: -1, Push: -1}
+		switch {
+		case d.op != nil && !d.op.Over():
+			if at, named := opAt[d.op]; named {
+				x.Op = at
+			}
+		case d.push != nil && !d.push.Op.Over():
+			if at, named := opAt[d.push.Op]; named {
+				x.Op, x.Push = at, d.push.Number
+			}
+		}
+		s.Due = append(s.Due, x)
+	}
+	return s, nil
+}
+
+func snapQuantile(q quantile) SnapQuantile { return SnapQuantile{q.value, q.seen} }
+
+// Restore makes a node that goes on where a snapshot was taken, with the ops and backends in the snapshot's order. The
+// terms are those of the node then. A snapshot that can't be one of such a node's is an error.
+func Restore(t *Terms, s *Snapshot) (n *Node, ops []*Op, backends []*Backend, err error) {
+	if len(s.Categories) != len(t.Categories) || len(s.Tenants) != len(t.Tenants) || len(s.Hints) > windowSize ||
+		s.HintNext < 0 || s.HintNext >= windowSize {
+		return nil, nil, nil, errors.New("snapshot of other terms")
+	}
+	n = New(t, s.Now)
+	n.armed, n.sweepAt, n.round, n.extra, n.doubt, n.weight, n.askAt = s.Armed, s.SweepAt, s.Round, s.Extra, s.Doubt, s.Weight, s.AskAt
+	n.tracked, n.stirred, n.idle, n.failures, n.seq = s.Tracked, s.Stirred, s.Idle, s.Failures, s.Seq
+	n.rng = mwc{s.Chance[0], s.Chance[1]}
+	n.cutoff = window{ring: slices.Clone(s.Hints), sorted: slices.Clone(s.Hints), next: s.HintNext}
+	sort.Float64s(n.cutoff.sorted)
+	n.stretch = quantile{s.Stretch.Value, s.Stretch.Seen}
+	n.value, n.work, n.target, n.service = mean{s.Value.Value, s.Value.Seen}, mean{s.Work.Value, s.Work.Seen}, mean{s.Target.Value, s.Target.Seen}, mean{s.Service.Value, s.Service.Seen}
+	n.paces.all = pace{s.PaceAll[0], s.PaceAll[1]}
+	for _, p := range s.PaceKinds {
+		n.paces.kinds = append(n.paces.kinds, pace{p[0], p[1]})
+	}
+	n.crowd.all = recent{s.CrowdAll[0], s.CrowdAll[1], s.CrowdAll[2]}
+	for _, r := range s.CrowdZones {
+		n.crowd.zones = append(n.crowd.zones, recent{r[0], r[1], r[2]})
+	}
+	for _, w := range s.Warm {
+		n.warm = append(n.warm, took{w[0], w[1], w[2]})
+	}
+	for i, c := range s.Categories {
+		t.Categories[i].work = mean{c.Value, c.Seen}
+	}
+	for i, r := range s.Tenants {
+		t.Tenants[i].rate = fader{r[0], r[1]}
+	}
+	for _, x := range s.Backends {
+		if len(x.SpentAt) != len(x.Spent) || len(x.Out)%2 != 0 || x.Zone < 0 || x.Kind < 0 || x.Zone > mostPlaces || x.Kind > mostPlaces {
+			return nil, nil, nil, errors.New("snapshot of an odd backend")
+		}
+		backends = append(backends, &Backend{Ref: x.Ref, Zone: x.Zone, Cell: x.Cell, Kind: x.Kind, State: x.State, Weight: x.Weight, Started: x.Started,
+			known: x.Known, longs: x.Longs, workOut: x.WorkOut, heard: x.Heard, lingers: x.Lingers, best: x.Best, most: x.Most, restUntil: x.Rest,
+			pass: x.Pass, pace: pace{x.Pace[0], x.Pace[1]}, tail: quantile{x.Tail.Value, x.Tail.Seen}, flow: flow{x.Flow[0], x.Flow[1], x.Flow[2]},
+			distrust: fader{x.Distrust[0], x.Distrust[1]}, recent: spend{slices.Clone(x.SpentAt), slices.Clone(x.Spent)}})
+	}
+	for _, x := range s.Ops {
+		if x.Category < 0 || x.Category >= len(t.Categories) || x.Stage < 0 || x.Stage > int(ended) {
+			return nil, nil, nil, errors.New("snapshot of an odd op")
+		}
+		o := &Op{Ref: x.Ref, Key: x.Key, Category: x.Category, Tenant: x.Tenant, Hint: x.Hint, HasHint: x.HasHint, Repeat: x.Repeat, Arrived: x.Arrived,
+			GiveUp: x.GiveUp, cat: &t.Categories[x.Category], work: x.Work, long: x.Long, estimate: x.Estimate, overfull: x.Overfull, stage: stage(x.Stage)}
+		for k, p := range x.Pushes {
+			if p.Backend < 0 || p.Backend >= len(backends) {
+				return nil, nil, nil, errors.New("snapshot of a push to nowhere")
+			}
+			o.Pushes = append(o.Pushes, &Push{Op: o, Backend: backends[p.Backend], Number: k, SentAt: p.SentAt, expect: p.Expect, out: p.Out,
+				revoked: p.Revoked, overdue: p.Overdue, alone: p.Alone, ending: p.Ending})
+		}
+		ops = append(ops, o)
+	}
+	push := func(op, number int) (*Push, error) {
+		if op < 0 || op >= len(ops) || number < 0 || number >= len(ops[op].Pushes) {
+			return nil, errors.New("snapshot names a push that it has not")
+		}
+		return ops[op].Pushes[number], nil
+	}
+	for i, x := range s.Backends {
+		for k := 0; k < len(x.Out); k += 2 {
+			p, err := push(x.Out[k], x.Out[k+1])
+			if err != nil {
+				return nil, nil, nil, err
+			}
+			backends[i].out = append(backends[i].out, p)
+		}
+	}
+	for _, at := range s.Order {
+		if at < 0 || at >= len(backends) {
+			return nil, nil, nil, errors.New("snapshot names a backend that it has not")
+		}
+		n.backends = append(n.backends, backends[at])
+	}
+	for _, at := range s.Held {
+		if at < 0 || at >= len(ops) {
+			return nil, nil, nil, errors.New("snapshot names an op that it has not")
+		}
+		n.held = append(n.held, ops[at])
+	}
+	for _, x := range s.Due {
+		d := due{at: x.At, seq: x.Seq}
+		switch {
+		case math.IsNaN(x.At) || x.Op >= len(ops):
+			return nil, nil, nil, errors.New("snapshot of an odd due time")
+		case x.Op >= 0 && x.Push >= 0:
+			if d.push, err = push(x.Op, x.Push); err != nil {
+				return nil, nil, nil, err
+			}
+		case x.Op >= 0:
+			d.op = ops[x.Op]
+		}
+		n.due = append(n.due, d)
+	}
+	return n, ops, backends, nil
+}
+
+// mostPlaces bounds zones and kinds, by which lists are kept.
+const mostPlaces = 1 << 16
