--- a/cmd/pearknot-lab/play.go
+++ b/cmd/pearknot-lab/play.go
@@ -130,7 +130,7 @@
 		if node != 0 {
 			return d
 		}
-		r, err := capture.NewRecorder(d, now, capture.Start{Name: "n0", Epoch: uint64(life), Build: command.Version(), Terms: t}, w.Put)
+		r, err := capture.NewRecorder(d, now, capture.Start{Name: "n0", Epoch: uint64(life), Build: command.Version(), Terms: t}, capture.Options{Every: 10e3, Sink: w.Put})
 		if err != nil {
 			panic(err) // plain values
 		}
--- a/internal/capture/bench_test.go
+++ b/internal/capture/bench_test.go
@@ -18,7 +18,7 @@
 		b.Run(fmt.Sprintf("%d/off", size.backends), func(b *testing.B) { decide(b, balance.New(t, 1), size.backends) })
 		b.Run(fmt.Sprintf("%d/on", size.backends), func(b *testing.B) {
 			bytes := 0
-			r, err := NewRecorder(balance.New(t, 1), 1, Start{Name: "n", Terms: t}, func(_ int, data []byte) { bytes += len(data) })
+			r, err := NewRecorder(balance.New(t, 1), 1, Start{Name: "n", Terms: t}, Options{Every: 10e3, Sink: func(b Batch) { bytes += len(b.Data) }})
 			require.NoError(b, err)
 			decide(b, r, size.backends)
 			b.ReportMetric(float64(bytes)/float64(b.N), "bytes/op-unpacked")
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -24,7 +24,7 @@
 )
 
 // played captures one node of an experiment, through all its lives.
-func played(t testing.TB, name string, seconds float64, node int, sink func(int, []byte)) {
+func played(t testing.TB, name string, seconds float64, node int, o Options) {
 	e, err := experiment.Read("../../experiments/" + name + ".toml")
 	require.NoError(t, err)
 	e.Seconds = seconds
@@ -32,7 +32,7 @@
 		if n != node {
 			return d
 		}
-		r, err := NewRecorder(d, now, Start{Name: fmt.Sprint("n", n), Epoch: uint64(life), Build: "test", Terms: terms}, sink)
+		r, err := NewRecorder(d, now, Start{Name: fmt.Sprint("n", n), Epoch: uint64(life), Build: "test", Terms: terms}, o)
 		require.NoError(t, err)
 		return r
 	}})
@@ -42,7 +42,8 @@
 
 // captured is a capture in memory, as records.
 func captured(t testing.TB, name string, seconds float64, node int) (all []Record) {
-	played(t, name, seconds, node, func(_ int, data []byte) {
+	played(t, name, seconds, node, Options{Every: 3000, Sink: func(b Batch) {
+		data := b.Data
 		for len(data) > 0 {
 			size := int(data[0]) | int(data[1])<<8 | int(data[2])<<16
 			r, err := Decode(data[recordHead : recordHead+size])
@@ -50,12 +51,12 @@
 			all = append(all, r)
 			data = data[recordHead+size:]
 		}
-	})
+	}})
 	return all
 }
 
 func replay(all []Record) (Claim, error) {
-	p := &Replayer{}
+	p := &Replayer{Strict: true}
 	for _, r := range all {
 		if err := p.Feed(r); err != nil {
 			return p.Claim, err
@@ -168,7 +169,7 @@
 func TestRing(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	w, r := ring(t, nil)
-	played(t, "hung", 25, 0, w.Put)
+	played(t, "hung", 25, 0, Options{Sink: w.Put})
 	w.Close()
 	assert.Zero(t, w.Dropped())
 	files, err := Segments(r.Dir)
@@ -185,7 +186,7 @@
 // Beyond its size the ring drops the oldest; what is left says nothing until a start stands in it.
 func TestRingIsBounded(t *testing.T) {
 	w, r := ring(t, func(r *Ring) { r.MostMB = 0.15 })
-	played(t, "hung", 30, 0, w.Put)
+	played(t, "hung", 30, 0, Options{Sink: w.Put})
 	w.Close()
 	files, err := Segments(r.Dir)
 	require.NoError(t, err)
@@ -206,7 +207,7 @@
 // Cut at every byte, a segment is read up to its last whole record, and what was read replays.
 func TestCutAtEveryByte(t *testing.T) {
 	w, r := ring(t, func(r *Ring) { r.SegmentMB, r.BlockKB = 100, 4 })
-	played(t, "hung", 2, 0, w.Put)
+	played(t, "hung", 2, 0, Options{Sink: w.Put})
 	w.Close()
 	files, err := Segments(r.Dir)
 	require.NoError(t, err)
@@ -299,7 +300,7 @@
 	put := func(n int) {
 		for range n {
 			x := Record{Kind: Due, Now: 1}
-			w.Put(1, appendFramed(nil, x.Append(nil)))
+			w.Put(Batch{Records: 1, Data: Frame(x)})
 		}
 	}
 	set(true) // from the first segment on
@@ -333,7 +334,7 @@
 	begun := time.Now()
 	for range 20_000 {
 		x := Record{Kind: Due, Now: 1}
-		w.Put(1, appendFramed(nil, x.Append(nil)))
+		w.Put(Batch{Records: 1, Data: Frame(x)})
 	}
 	assert.Less(t, time.Since(begun), 5*time.Second)
 	assert.Greater(t, w.Dropped(), uint64(15_000))
@@ -347,7 +348,7 @@
 
 func TestRecordsRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r := Record{Kind: Kind(rapid.IntRange(1, 13).Draw(t, "kind")), Now: rapid.Float64Range(0, 1e13).Draw(t, "now"), Op: rapid.Uint64().Draw(t, "op"),
+		r := Record{Kind: Kind(rapid.IntRange(1, 15).Draw(t, "kind")), Now: rapid.Float64Range(0, 1e13).Draw(t, "now"), Op: rapid.Uint64().Draw(t, "op"),
 			Ref: rapid.Uint64().Draw(t, "ref"), Push: rapid.IntRange(0, 200).Draw(t, "push"), Value: rapid.Float64().Draw(t, "value"),
 			Hint: rapid.Float64().Draw(t, "hint"), GiveUp: rapid.Float64().Draw(t, "give up"), Flags: rapid.Uint64().Draw(t, "flags"),
 			Category: rapid.IntRange(0, 300).Draw(t, "category"), Key: rapid.Uint64().Draw(t, "key")}
--- /dev/null
+++ b/internal/capture/explain.go
@@ -0,0 +1,142 @@
+package capture
+
+import (
+	"fmt"
+	"io"
+
+	"pearknot/balance"
+)
+
+// Explainer tells why one op went where it went: as the module itself looks at its backends, by its own reasons. It is a
+// replay that listens.
+type Explainer struct {
+	Replayer
+	Op  uint64 // its number in the capture
+	Out io.Writer
+
+	told     float64            // when the list was last told
+	reported map[uint64]float64 // when a backend last reported, by its number
+	looked   []string           // what the module has looked at since its latest decision
+	seen     bool
+}
+
+// Feed takes the next record.
+func (e *Explainer) Feed(x Record) error {
+	if e.reported == nil {
+		e.reported = map[uint64]float64{}
+	}
+	switch x.Kind {
+	case Listed:
+		if x.Flags&flagCached == 0 {
+			e.told = x.Now
+		}
+	case Reported:
+		e.reported[x.Backend] = x.Now
+	}
+	mine := x.Op == e.Op && x.Kind != Snapshot
+	if mine && x.Kind != Pulled {
+		fmt.Fprintln(e.Out, x)
+	}
+	e.looked = e.looked[:0]
+	if err := e.Replayer.Feed(x); err != nil {
+		return err
+	}
+	if n, ok := e.node.(*balance.Node); ok && n.Asked == nil {
+		n.Asked = func(op *balance.Op, b *balance.Backend, r balance.Reason) { e.asked(n, op, b, r) }
+	}
+	// What the module looked at in this step belongs to the decisions that follow, of this op or of others.
+	for _, line := range e.looked {
+		fmt.Fprintln(e.Out, line)
+	}
+	if mine && x.Kind == Pulled {
+		e.seen = true
+		fmt.Fprintf(e.Out, "%.3f decided: %s\n", x.Now, decision(x))
+	}
+	return nil
+}
+
+// asked is told by the module of one backend that it looked at.
+func (e *Explainer) asked(n *balance.Node, op *balance.Op, b *balance.Backend, r balance.Reason) {
+	if e.numbers[op] != e.Op {
+		return
+	}
+	if b == nil {
+		e.looked = append(e.looked, "    waits: no backend may have it now")
+		return
+	}
+	x, number := n.Belief(op, b), e.refs[b]
+	line := fmt.Sprintf("    backend %d (%x): %s; answer in %.1f ms foreseen (%.1f alone), %d of %.1f pushes out, distrust %.2f, warmth %.2f, turn in %.2f",
+		number, b.Ref, r, x.Predict, x.Alone, x.Out, x.Most, x.Distrust, x.Warmth, x.Pass)
+	if !x.Near {
+		line += ", another zone"
+	}
+	if x.Heard >= 0 {
+		line += fmt.Sprintf(", answered what was sent %.0f ms ago", x.Heard)
+	} else {
+		line += ", never heard of"
+	}
+	if at, ok := e.reported[number]; ok {
+		line += fmt.Sprintf(", reported %.0f ms ago", e.now()-at)
+	}
+	if e.told > 0 {
+		line += fmt.Sprintf(", list told %.0f ms ago", e.now()-e.told)
+	}
+	e.looked = append(e.looked, line)
+}
+
+func (e *Explainer) now() float64 { return e.Claim.To }
+
+// Found tells whether the op was among what was played.
+func (e *Explainer) Found() bool { return e.seen }
+
+// Notes marks, in a capture's order, what came late: a list older than the one held, an answer that later ones had
+// overtaken, an ending after the op's final answer.
+type Notes struct {
+	started map[uint64]float64    // of backends, by the newest list
+	over    map[uint64]bool       // ops with their final answer
+	sent    map[[2]uint64]float64 // pushes: when, and to which backend
+	target  map[[2]uint64]uint64
+	heard   map[uint64]float64 // of backends: when the latest answered push was sent
+}
+
+// Note gives what is to be said of a record, or nothing.
+func (n *Notes) Note(x Record) string {
+	if n.started == nil || x.Kind == Begin {
+		*n = Notes{map[uint64]float64{}, map[uint64]bool{}, map[[2]uint64]float64{}, map[[2]uint64]uint64{}, map[uint64]float64{}}
+	}
+	push := [2]uint64{x.Op, uint64(x.Push)}
+	switch x.Kind {
+	case Listed:
+		for _, l := range x.Lines {
+			if l.Started < n.started[l.Backend] {
+				return fmt.Sprintf("older than what is held of backend %d", l.Backend)
+			}
+			n.started[l.Backend] = l.Started
+		}
+	case Pulled:
+		switch x.Decision {
+		case balance.DoPush:
+			n.sent[push], n.target[push] = x.Now, x.Backend
+		case balance.DoNack, balance.DoDeadLetter:
+			n.over[x.Op] = true
+		}
+	case Ended:
+		at, b := n.sent[push], n.target[push]
+		delete(n.sent, push)
+		delete(n.target, push)
+		late := n.heard[b] > at
+		if x.Ending == balance.Answered {
+			n.heard[b] = max(n.heard[b], at)
+		}
+		switch {
+		case n.over[x.Op]:
+			return "after the op's final answer"
+		case late && x.Ending == balance.Answered:
+			return "overtaken: an answer to what was sent later came before"
+		}
+		if x.Flags&flagFinished != 0 {
+			n.over[x.Op] = true
+		}
+	}
+	return ""
+}
--- a/internal/capture/file.go
+++ b/internal/capture/file.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/renameio/v2"
 	"github.com/klauspost/compress/zstd"
 )
 
@@ -34,6 +36,48 @@
 	return append(b, record...)
 }
 
+// header begins a segment.
+var header = append([]byte(magic), version)
+
+// newZip packs blocks within little memory.
+func newZip() (*zstd.Encoder, error) {
+	return zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithWindowSize(256<<10),
+		zstd.WithLowerEncoderMem(true))
+}
+
+// appendBlock puts framed records as a block.
+func appendBlock(b []byte, zip *zstd.Encoder, records []byte) []byte {
+	from := len(b)
+	b = zip.EncodeAll(records, append(b, make([]byte, blockHead)...))
+	body := b[from+blockHead:]
+	binary.LittleEndian.PutUint32(b[from:], uint32(len(body)))
+	binary.LittleEndian.PutUint64(b[from+4:], xxhash.Sum64(body))
+	return b
+}
+
+// Write writes framed records as one segment, whole or not at all.
+func Write(name string, records [][]byte) error {
+	zip, err := newZip()
+	if err != nil {
+		return err
+	}
+	defer zip.Close()
+	out := bytes.Clone(header)
+	var block []byte
+	for i, r := range records {
+		block = append(block, r...)
+		if len(block) >= wholeBlock || i == len(records)-1 {
+			out, block = appendBlock(out, zip, block), block[:0]
+		}
+	}
+	return renameio.WriteFile(name, out, 0o600)
+}
+
+const wholeBlock = 64 << 10 // bytes
+
+// Frame is a record as Write wants it.
+func Frame(r Record) []byte { return appendFramed(nil, r.Append(nil)) }
+
 // Cut tells that a segment ends in the middle of something: what is whole before it was read.
 type Cut struct {
 	File string
@@ -91,7 +135,7 @@
 // ReadFrom reads a segment from anywhere.
 func ReadFrom(name string, from io.Reader, f func(Record) error) error {
 	in := bufio.NewReaderSize(from, 64<<10)
-	head := make([]byte, len(magic)+1)
+	head := make([]byte, len(header))
 	if n, err := io.ReadFull(in, head); err != nil {
 		return &Cut{name, int64(n), "no whole header"}
 	}
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -33,10 +33,12 @@
 	Pulled    // a decision
 	Idle      // there was none left: the batch's end
 	Gap       // records are missing here: Count of them
+	Snapshot  // the module's state at a batch's end, from which a replay may begin
+	Dropped   // the host let go of a backend
 )
 
 var kinds = [...]string{"", "begin", "listed", "list failed", "arrived", "left", "begun", "ended", "reported", "due", "shortened", "pulled",
-	"idle", "gap"}
+	"idle", "gap", "snapshot", "dropped"}
 
 func (k Kind) String() string {
 	if int(k) < len(kinds) && k > 0 {
@@ -64,7 +66,10 @@
 	GiveUp   float64
 	Count    uint64
 	Lines    []Line
-	Data     []byte // of Begin; a log line of Pulled
+	Data     []byte   // of Begin and Snapshot, a Start as JSON; a log line of Pulled
+	State    []byte   // of Snapshot, as internal/snapshot has it
+	Ops      []uint64 // of Snapshot: the numbers of its ops and backends, in their order there
+	Backends []uint64
 }
 
 // Line is one of a list's.
@@ -108,6 +113,9 @@
 	fieldCount
 	fieldLine
 	fieldData
+	fieldState
+	fieldOps
+	fieldBackends
 )
 
 // Append encodes a record. What is zero is left out.
@@ -141,12 +149,35 @@
 	for _, l := range r.Lines {
 		b = protowire.AppendBytes(protowire.AppendTag(b, fieldLine, protowire.BytesType), l.append(nil))
 	}
-	if len(r.Data) > 0 {
-		b = protowire.AppendBytes(protowire.AppendTag(b, fieldData, protowire.BytesType), r.Data)
+	for _, x := range []struct {
+		field protowire.Number
+		data  []byte
+	}{{fieldData, r.Data}, {fieldState, r.State}, {fieldOps, packed(r.Ops)}, {fieldBackends, packed(r.Backends)}} {
+		if len(x.data) > 0 {
+			b = protowire.AppendBytes(protowire.AppendTag(b, x.field, protowire.BytesType), x.data)
+		}
+	}
+	return b
+}
+
+func packed(numbers []uint64) (b []byte) {
+	for _, x := range numbers {
+		b = protowire.AppendVarint(b, x)
 	}
 	return b
 }
 
+func unpacked(b []byte) (numbers []uint64, err error) {
+	for len(b) > 0 {
+		x, size := protowire.ConsumeVarint(b)
+		if size < 0 {
+			return nil, errOdd
+		}
+		numbers, b = append(numbers, x), b[size:]
+	}
+	return numbers, nil
+}
+
 func (l Line) append(b []byte) []byte {
 	for field, x := range []uint64{l.Backend, l.Ref, uint64(l.State), uint64(l.Zone), uint64(l.Cell), uint64(l.Kind)} {
 		if x != 0 {
@@ -248,6 +279,12 @@
 			r.Lines = append(r.Lines, l)
 		case fieldData:
 			r.Data = append([]byte{}, data...)
+		case fieldState:
+			r.State = append([]byte{}, data...)
+		case fieldOps:
+			r.Ops, err = unpacked(data)
+		case fieldBackends:
+			r.Backends, err = unpacked(data)
 		}
 		return err
 	})
@@ -324,6 +361,10 @@
 		text += fmt.Sprintf(" op %d push %d", r.Op, r.Push)
 	case Ended:
 		text += fmt.Sprintf(" op %d push %d ending %d after %.3f, finished %t", r.Op, r.Push, r.Ending, r.Value, r.Flags&flagFinished != 0)
+	case Snapshot:
+		text += fmt.Sprintf(" of %d bytes, %d ops, %d backends", len(r.State), len(r.Ops), len(r.Backends))
+	case Dropped:
+		text += fmt.Sprintf(" backend %d", r.Backend)
 	case Reported:
 		text += fmt.Sprintf(" backend %d service %.3f", r.Backend, r.Value)
 	case Pulled:
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -1,16 +1,39 @@
 package capture
 
 import (
+	"encoding/binary"
 	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
 
 	"pearknot/balance"
+	"pearknot/internal/snapshot"
 )
 
+// Batch is what the host's batch brought, framed.
+type Batch struct {
+	Records int
+	Data    []byte
+	Restart bool // a replay may begin in it
+}
+
+// Options are how a module is captured.
+type Options struct {
+	Every  float64     // between snapshots, in ms; 0 is none after the first
+	Secret []byte      // with which names and keys of ops are hashed; none are where empty. All nodes of a fleet need the same
+	Sink   func(Batch) // must not block; the bytes are its own
+}
+
 // Recorder stands between a host and its module: it passes everything on, and tells a sink of it. A batch's records go
 // to the sink together, when the host finds no decision left.
 type Recorder struct {
 	inner    balance.Decider
-	sink     func(records int, encoded []byte) // must not block; the bytes are its own
+	o        Options
+	start    []byte  // a Start as JSON
+	next     float64 // when a snapshot is due
+	restart  bool    // the batch has one
 	now      float64
 	ops      map[*balance.Op]uint64
 	backends map[*balance.Backend]uint64
@@ -22,16 +45,62 @@
 }
 
 // NewRecorder begins a capture of a module that has just been made at now.
-func NewRecorder(inner balance.Decider, now float64, s Start, sink func(int, []byte)) (*Recorder, error) {
+func NewRecorder(inner balance.Decider, now float64, s Start, o Options) (*Recorder, error) {
 	data, err := json.Marshal(s)
 	if err != nil {
 		return nil, err
 	}
-	r := &Recorder{inner: inner, sink: sink, ops: map[*balance.Op]uint64{}, backends: map[*balance.Backend]uint64{}}
+	r := &Recorder{inner: inner, o: o, start: data, ops: map[*balance.Op]uint64{}, backends: map[*balance.Backend]uint64{}}
 	r.put(&Record{Kind: Begin, Now: now, Data: data})
+	r.snapshot() // what the terms have learned under a module before it is not in them
 	return r, nil
 }
 
+// snapshot puts the module's state, where it has one to give.
+func (r *Recorder) snapshot() {
+	module, ok := r.inner.(interface {
+		Snapshot(ops []*balance.Op, backends []*balance.Backend) (*balance.Snapshot, error)
+	})
+	if !ok {
+		return
+	}
+	ops, backends := ordered(r.ops), ordered(r.backends)
+	s, err := module.Snapshot(ops, backends)
+	if err != nil { // of a batch that goes on: the next will do
+		return
+	}
+	x := Record{Kind: Snapshot, Now: r.now, Data: r.start, State: snapshot.Encode(s)}
+	for _, op := range ops {
+		x.Ops = append(x.Ops, r.ops[op])
+	}
+	for _, b := range backends {
+		x.Backends = append(x.Backends, r.backends[b])
+	}
+	r.put(&x)
+	r.next, r.restart = r.now+r.o.Every, true
+}
+
+// ordered are the things of a map by their numbers.
+func ordered[T comparable](numbers map[T]uint64) []T {
+	return slices.SortedFunc(maps.Keys(numbers), func(a, b T) int {
+		if numbers[a] < numbers[b] {
+			return -1
+		}
+		return 1
+	})
+}
+
+// hashed stands for a name or key where they are secret.
+func (r *Recorder) hashed(x uint64) uint64 {
+	if len(r.o.Secret) == 0 || x == 0 {
+		return x
+	}
+	h := xxhash.New()
+	_, _ = h.Write(r.o.Secret)
+	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, x))
+	return max(h.Sum64(), 1)
+}
+
 func (r *Recorder) put(x *Record) {
 	r.now = x.Now
 	r.scratch = x.Append(r.scratch[:0])
@@ -41,8 +110,8 @@
 
 func (r *Recorder) flush() {
 	if r.count > 0 {
-		r.sink(r.count, r.batch)
-		r.batch, r.count = make([]byte, 0, len(r.batch)), 0
+		r.o.Sink(Batch{r.count, r.batch, r.restart})
+		r.batch, r.count, r.restart = make([]byte, 0, len(r.batch)), 0, false
 	}
 }
 
@@ -81,7 +150,8 @@
 func (r *Recorder) Arrived(now float64, op *balance.Op) {
 	r.lastOp++
 	r.ops[op] = r.lastOp
-	x := Record{Kind: Arrived, Now: now, Op: r.lastOp, Ref: op.Ref, Category: op.Category, Tenant: op.Tenant, Key: op.Key, Hint: op.Hint,
+	op.Key = r.hashed(op.Key) // the module goes by it: it has to see what the capture has
+	x := Record{Kind: Arrived, Now: now, Op: r.lastOp, Ref: r.hashed(op.Ref), Category: op.Category, Tenant: op.Tenant, Key: op.Key, Hint: op.Hint,
 		GiveUp: op.GiveUp}
 	if op.HasHint {
 		x.Flags |= flagHint
@@ -133,6 +203,9 @@
 	d, more := r.inner.Next()
 	if !more {
 		r.put(&Record{Kind: Idle, Now: r.now})
+		if r.o.Every > 0 && r.now >= r.next {
+			r.snapshot()
+		}
 		r.flush()
 		return d, more
 	}
@@ -146,7 +219,10 @@
 }
 
 // Dropped tells that the host has let go of a backend: should it come back, it is a new one to the module as well.
-func (r *Recorder) Dropped(b *balance.Backend) { delete(r.backends, b) }
+func (r *Recorder) Dropped(b *balance.Backend) {
+	r.put(&Record{Kind: Dropped, Now: r.now, Backend: r.backends[b]})
+	delete(r.backends, b)
+}
 
 // forget lets go of an op that is over; what of it comes later is not told to the module either.
 func (r *Recorder) forget(op *balance.Op) {
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"math"
 
 	"pearknot/balance"
+	"pearknot/internal/snapshot"
 )
 
 // Difference is the first place at which a replay did not do as the capture says.
@@ -29,7 +31,8 @@
 type Claim struct {
 	Records   int
 	Decisions int // that match, bit for bit
-	Epochs    int
+	Epochs    int // starts that were played
+	Restored  int // snapshots from which it began
 	Gaps      int
 	Missing   uint64 // records in them
 	Unclaimed int    // records after a gap, of which nothing can be said until the next start
@@ -40,6 +43,9 @@
 type Replayer struct {
 	New func(t *balance.Terms, now float64) balance.Decider // the module, where nil
 
+	Skip   int  // records before which nothing is played
+	Strict bool // the module's state is held against each snapshot too
+
 	Claim    Claim
 	node     balance.Decider
 	ops      map[uint64]*balance.Op
@@ -63,8 +69,12 @@
 		r.Claim.Missing += x.Count
 		r.lost = true
 		return nil
+	case r.Claim.Records <= r.Skip:
+		return nil
 	case x.Kind == Begin:
 		return r.begin(x)
+	case x.Kind == Snapshot:
+		return r.snapshot(x)
 	case r.lost || r.node == nil:
 		r.Claim.Unclaimed++
 		return nil
@@ -119,13 +129,94 @@
 	} else {
 		r.node = balance.New(s.Terms, x.Now)
 	}
+	r.clear()
+	r.Claim.Epochs++
+	return nil
+}
+
+func (r *Replayer) clear() {
 	r.lost, r.batch = false, nil
 	r.ops, r.numbers = map[uint64]*balance.Op{}, map[*balance.Op]uint64{}
 	r.backends, r.refs = map[uint64]*balance.Backend{}, map[*balance.Backend]uint64{}
-	r.Claim.Epochs++
+}
+
+// snapshot begins where nothing is played, and else holds the state against what was captured.
+func (r *Replayer) snapshot(x Record) error {
+	if r.node == nil || r.lost {
+		return r.restore(x)
+	}
+	if !r.Strict {
+		return nil
+	}
+	data, err := r.state()
+	if err == nil && data != nil && !bytes.Equal(data, x.State) {
+		return r.differs(x, fmt.Sprintf("a state of %d bytes", len(x.State)), fmt.Sprintf("another, of %d bytes", len(data)))
+	}
+	return err
+}
+
+// state is the module's own, as a snapshot has it; nil where it has none to give.
+func (r *Replayer) state() ([]byte, error) {
+	module, ok := r.node.(*balance.Node)
+	if !ok {
+		return nil, nil
+	}
+	s, err := module.Snapshot(ordered(r.numbers), ordered(r.refs))
+	if err != nil {
+		return nil, err
+	}
+	return snapshot.Encode(s), nil
+}
+
+func (r *Replayer) restore(x Record) error {
+	fail := func(err error) error { return fmt.Errorf("record %d at %.3f: %w", r.Claim.Records, x.Now, err) }
+	s, err := x.start()
+	if err != nil {
+		return fail(err)
+	}
+	state, err := snapshot.Decode(x.State)
+	if err != nil {
+		return fail(err)
+	}
+	n, ops, backends, err := balance.Restore(s.Terms, state)
+	if err != nil {
+		return fail(err)
+	}
+	if len(ops) != len(x.Ops) || len(backends) != len(x.Backends) {
+		return fail(errOdd)
+	}
+	r.clear()
+	r.node = n
+	for i, op := range ops {
+		r.ops[x.Ops[i]], r.numbers[op] = op, x.Ops[i]
+	}
+	for i, b := range backends {
+		r.backends[x.Backends[i]], r.refs[b] = b, x.Backends[i]
+	}
+	r.Claim.Restored++
 	return nil
 }
 
+// Renew puts the module's state through a snapshot, so that what follows is decided by one restored from it.
+func (r *Replayer) Renew(s Start) error {
+	data, err := r.state()
+	if err != nil {
+		return err
+	}
+	text, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	x := Record{Kind: Snapshot, Data: text, State: data}
+	for _, op := range ordered(r.numbers) {
+		x.Ops = append(x.Ops, r.numbers[op])
+	}
+	for _, b := range ordered(r.refs) {
+		x.Backends = append(x.Backends, r.refs[b])
+	}
+	return r.restore(x)
+}
+
 // input tells the module what it was told then.
 func (r *Replayer) input(x Record) error {
 	op := r.ops[x.Op]
@@ -178,6 +269,9 @@
 		r.node.Reported(x.Now, b, x.Value)
 	case Due:
 		r.node.Due(x.Now)
+	case Dropped:
+		delete(r.refs, r.backends[x.Backend])
+		delete(r.backends, x.Backend)
 	default: // of a later build: what it told the module is not known here
 		r.Claim.Gaps++
 		r.lost = true
--- a/internal/capture/writer.go
+++ b/internal/capture/writer.go
@@ -1,7 +1,6 @@
 package capture
 
 import (
-	"encoding/binary"
 	"errors"
 	"io"
 	"log/slog"
@@ -10,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/klauspost/compress/zstd"
 )
 
@@ -72,9 +70,8 @@
 }
 
 type batch struct {
-	gap     uint64 // records that are missing before it
-	records int
-	data    []byte
+	Batch
+	gap uint64 // records that are missing before it
 }
 
 // retryAfter is how long after a fault of the disk the next segment is begun.
@@ -85,8 +82,7 @@
 	if err := os.MkdirAll(r.Dir, 0o700); err != nil {
 		return nil, err
 	}
-	zip, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithWindowSize(256<<10),
-		zstd.WithLowerEncoderMem(true))
+	zip, err := newZip()
 	if err != nil {
 		return nil, err
 	}
@@ -101,17 +97,17 @@
 }
 
 // Put hands records on, framed, and never blocks.
-func (w *Writer) Put(records int, data []byte) {
+func (w *Writer) Put(b Batch) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.bytes+len(data) > int(w.r.MailboxMB*(1<<20)) {
-		w.dropped += uint64(records)
-		w.total += uint64(records)
+	if w.bytes+len(b.Data) > int(w.r.MailboxMB*(1<<20)) {
+		w.dropped += uint64(b.Records)
+		w.total += uint64(b.Records)
 		return
 	}
-	w.waiting = append(w.waiting, batch{w.dropped, records, data})
+	w.waiting = append(w.waiting, batch{b, w.dropped})
 	w.dropped = 0
-	w.bytes += len(data)
+	w.bytes += len(b.Data)
 	select {
 	case w.some <- struct{}{}:
 	default:
@@ -151,7 +147,7 @@
 		for _, b := range waiting {
 			w.add(b)
 			w.mu.Lock()
-			w.bytes -= len(b.data)
+			w.bytes -= len(b.Data)
 			w.mu.Unlock()
 		}
 		if ending {
@@ -183,8 +179,8 @@
 	if b.gap > 0 {
 		w.gap(b.gap)
 	}
-	w.block = append(w.block, b.data...)
-	w.inBlock += uint64(b.records)
+	w.block = append(w.block, b.Data...)
+	w.inBlock += uint64(b.Records)
 	if len(w.block) >= w.r.BlockKB<<10 {
 		w.flush()
 	}
@@ -238,15 +234,12 @@
 			return err
 		}
 		w.out, w.written = out, 0
-		if _, err := out.Write(append([]byte(magic), version)); err != nil {
+		if _, err := out.Write(header); err != nil {
 			return err
 		}
 		w.trim()
 	}
-	packed := w.zip.EncodeAll(w.block, make([]byte, blockHead))
-	binary.LittleEndian.PutUint32(packed, uint32(len(packed)-blockHead))
-	binary.LittleEndian.PutUint64(packed[4:], xxhash.Sum64(packed[blockHead:]))
-	n, err := w.out.Write(packed)
+	n, err := w.out.Write(appendBlock(nil, w.zip, w.block))
 	w.written += int64(n)
 	if err == nil && w.r.Sync == SyncBlock {
 		err = w.out.Sync()
--- a/internal/serve/capture.go
+++ b/internal/serve/capture.go
@@ -22,7 +22,7 @@
 	inner, epoch := o.Decide, uint64(now.Now()) // a process begins where the one before can't have been
 	o.Decide = func(t *balance.Terms, at float64) balance.Decider {
 		d := inner(t, at)
-		r, err := capture.NewRecorder(d, at, capture.Start{Name: p.name, Epoch: epoch, Build: o.Version, Terms: t}, w.Put)
+		r, err := capture.NewRecorder(d, at, capture.Start{Name: p.name, Epoch: epoch, Build: o.Version, Terms: t}, capture.Options{Every: 10e3, Sink: w.Put})
 		if err != nil {
 			log.Error("no capture", "error", err)
 			return d
