--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -3,16 +3,61 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"os"
 	"runtime/debug"
+	"strconv"
+	"strings"
+	"time"
 
+	"pearknot/balance"
+	"pearknot/internal/capture"
 	"pearknot/internal/simwire"
 )
 
 func main() {
 	debug.SetGCPercent(800) // a node has little CPU in each second, and its live heap is small
-	if err := simwire.NewHost().Serve(os.Stdin, os.Stdout); err != nil {
+	h := simwire.NewHost()
+	end, err := captured(h, os.Getenv(captureVariable))
+	if err == nil {
+		err = h.Serve(os.Stdin, os.Stdout)
+		end()
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "simhost:", err)
 		os.Exit(1)
 	}
 }
+
+// captureVariable switches a capture on: INSTANCE:DIR, one instance's into a directory.
+const captureVariable = "PEARKNOT_SIM_CAPTURE"
+
+func captured(h *simwire.Host, text string) (end func(), err error) {
+	if text == "" {
+		return func() {}, nil
+	}
+	number, dir, ok := strings.Cut(text, ":")
+	wanted, err := strconv.ParseUint(number, 10, 32)
+	if err != nil || !ok || dir == "" {
+		return nil, fmt.Errorf("%s=%s is not INSTANCE:DIR", captureVariable, text)
+	}
+	// The simulator's time is not the wall's: the mailbox holds whatever it brings.
+	w, err := capture.NewWriter(capture.Ring{Dir: dir, Node: number, SegmentMB: 16, MostMB: 1 << 10, Every: time.Second, BlockKB: 64, MailboxMB: 1 << 10,
+		Sync: capture.SyncSegment, Log: slog.New(slog.NewTextHandler(os.Stderr, nil)), Now: func() float64 { return float64(time.Now().UnixMilli()) }})
+	if err != nil {
+		return nil, err
+	}
+	epoch := uint64(0)
+	h.Wrap = func(instance uint32, d balance.Decider, t *balance.Terms, now float64) balance.Decider {
+		if uint64(instance) != wanted {
+			return d
+		}
+		r, err := capture.NewRecorder(d, now, capture.Start{Name: number, Epoch: epoch, Terms: t}, capture.Options{Every: 10e3, Sink: w.Put})
+		if err != nil {
+			panic(err) // plain values
+		}
+		epoch++
+		return r
+	}
+	return w.Close, nil
+}
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math"
 	"os"
@@ -43,18 +45,25 @@
 // captured is a capture in memory, as records.
 func captured(t testing.TB, name string, seconds float64, node int) (all []Record) {
 	played(t, name, seconds, node, Options{Every: 3000, Sink: func(b Batch) {
-		data := b.Data
-		for len(data) > 0 {
-			size := int(data[0]) | int(data[1])<<8 | int(data[2])<<16
-			r, err := Decode(data[recordHead : recordHead+size])
-			require.NoError(t, err)
-			all = append(all, r)
-			data = data[recordHead+size:]
-		}
+		all = append(all, unframed(b.Data)...)
 	}})
 	return all
 }
 
+// unframed takes a batch apart.
+func unframed(data []byte) (all []Record) {
+	for len(data) > 0 {
+		size := int(binary.LittleEndian.Uint32(data))
+		r, err := Decode(data[recordHead : recordHead+size])
+		if err != nil {
+			panic(err)
+		}
+		all = append(all, r)
+		data = data[recordHead+size:]
+	}
+	return all
+}
+
 func replay(all []Record) (Claim, error) {
 	p := &Replayer{Strict: true}
 	for _, r := range all {
@@ -129,6 +138,181 @@
 	assert.ErrorAs(t, err, &d)
 }
 
+// Snapshot, restore, go on is go on, at every batch of random days.
+func TestRestoredAtEveryBatch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e, err := experiment.Read("../../experiments/" + rapid.SampledFrom([]string{"hung", "zone-cut", "burst", "cold-rush", "costly", "shrink"}).Draw(t, "day") + ".toml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.Seconds = 3
+		for i := range e.Trouble {
+			e.Trouble[i].At, e.Trouble[i].For = rapid.Float64Range(0.1, 1).Draw(t, "at"), rapid.Float64Range(0.1, 2).Draw(t, "for")
+		}
+		e.Clients.Load = rapid.Float64Range(0.2, 1.2).Draw(t, "load")
+		e.Backend.CrowdQueue = 3
+		p := &Replayer{Strict: true}
+		var start Start
+		_, err = virtual.Run(e, rapid.Uint64().Draw(t, "seed"), virtual.Options{Wrap: func(n, life int, d balance.Decider, terms *balance.Terms, now float64) balance.Decider {
+			if n != 1 {
+				return d
+			}
+			start = Start{Name: "n1", Terms: terms}
+			r, err := NewRecorder(d, now, start, Options{Every: 500, Sink: func(b Batch) {
+				for _, x := range unframed(b.Data) {
+					if err := p.Feed(x); err != nil {
+						t.Fatal(err)
+					}
+					if x.Kind == Idle {
+						if err := p.Renew(start); err != nil {
+							t.Fatal(err)
+						}
+					}
+				}
+			}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return r
+		}})
+		if err != nil || p.Claim.Decisions == 0 {
+			t.Fatal(err, p.Claim)
+		}
+	})
+}
+
+// The ring in memory keeps within its size, and what is written out begins where a replay may.
+func TestMemory(t *testing.T) {
+	m := NewMemory(300_000)
+	played(t, "hung", 30, 0, Options{Every: 2000, Sink: m.Put})
+	held, dropped := m.Held()
+	assert.LessOrEqual(t, held, 300_000)
+	assert.Positive(t, dropped)
+	name := filepath.Join(t.TempDir(), "dump"+suffix)
+	require.NoError(t, m.Dump(name))
+	all, err := read(t, name)
+	require.NoError(t, err)
+	claim, err := replay(all)
+	require.NoError(t, err)
+	assert.Equal(t, 1, claim.Restored)
+	assert.Greater(t, claim.Decisions, 200)
+	assert.Less(t, claim.Unclaimed, 50, "what stood before the snapshot in its batch")
+}
+
+// A replay may begin at any snapshot, and a ring that has lost its start can be played from the first it has.
+func TestFromSnapshots(t *testing.T) {
+	all := captured(t, "cold-rush", 20, 0)
+	begun := 0
+	for k, x := range all {
+		if x.Kind != Snapshot {
+			continue
+		}
+		p := &Replayer{Skip: k, Strict: true}
+		for _, r := range all {
+			require.NoError(t, p.Feed(r))
+		}
+		assert.Equal(t, 1, p.Claim.Restored)
+		begun++
+	}
+	assert.Greater(t, begun, 4)
+	w, r := ring(t, func(r *Ring) { r.MostMB = 0.15 })
+	played(t, "hung", 30, 0, Options{Every: 1000, Sink: w.Put})
+	w.Close()
+	left, err := read(t, r.Dir)
+	require.NoError(t, err)
+	claim, err := replay(left)
+	require.NoError(t, err)
+	assert.Zero(t, claim.Epochs)
+	assert.Equal(t, 1, claim.Restored)
+	assert.Greater(t, claim.Decisions, 100)
+}
+
+// What is secret is hashed, the same way each time, and the replay matches all the same.
+func TestRedact(t *testing.T) {
+	refs := func(secret string) (all []uint64) {
+		var records []Record
+		played(t, "hung", 5, 0, Options{Secret: []byte(secret), Sink: func(b Batch) { records = append(records, unframed(b.Data)...) }})
+		_, err := replay(records)
+		require.NoError(t, err)
+		for _, r := range records {
+			if r.Kind == Arrived {
+				all = append(all, r.Ref)
+			}
+		}
+		return all
+	}
+	plain, a, b := refs(""), refs("one"), refs("two")
+	assert.Equal(t, a, refs("one"))
+	for i := range plain {
+		assert.NotEqual(t, plain[i], a[i])
+		assert.NotEqual(t, a[i], b[i])
+	}
+	r := &Recorder{o: Options{Secret: []byte("x")}}
+	assert.Zero(t, r.hashed(0), "no key stays none")
+	assert.NotEqual(t, uint64(5), r.hashed(5))
+}
+
+// Why an op went where it went: every backend that the module looked at, with its reason, before the decision.
+func TestExplain(t *testing.T) {
+	all := captured(t, "cold-rush", 25, 0)
+	reasons := map[string]int{}
+	for _, op := range []uint64{5, 200, 400, 500, 600, 700, 800} {
+		var out bytes.Buffer
+		e := &Explainer{Op: op, Out: &out}
+		for _, r := range all {
+			require.NoError(t, e.Feed(r), "listening changes nothing")
+		}
+		require.True(t, e.Found())
+		text := out.String()
+		arrived, decided := bytes.Index(out.Bytes(), []byte("arrived op")), bytes.Index(out.Bytes(), []byte("decided: "))
+		looked := bytes.Index(out.Bytes(), []byte("    "))
+		assert.True(t, arrived >= 0 && arrived < looked && looked < decided, text)
+		assert.Contains(t, text, "foreseen")
+		for r := balance.Open; r <= balance.Held; r++ {
+			reasons[r.String()] += bytes.Count(out.Bytes(), []byte(": "+r.String()+";"))
+		}
+	}
+	assert.Positive(t, reasons["open"])
+	assert.Greater(t, len(reasons), 1)
+	passed := 0
+	for name, n := range reasons {
+		if name != "open" {
+			passed += n
+		}
+	}
+	assert.Positive(t, passed, reasons)
+	e := &Explainer{Op: 1 << 40, Out: io.Discard}
+	for _, r := range all {
+		require.NoError(t, e.Feed(r))
+	}
+	assert.False(t, e.Found())
+}
+
+// What came late stands where it came, and is marked.
+func TestNotes(t *testing.T) {
+	push := func(op, backend uint64, at float64) Record {
+		return Record{Kind: Pulled, Decision: balance.DoPush, Now: at, Op: op, Backend: backend}
+	}
+	end := func(op uint64, at float64, flags uint64) Record {
+		return Record{Kind: Ended, Ending: balance.Answered, Now: at, Op: op, Flags: flags}
+	}
+	var n Notes
+	for _, c := range []struct {
+		r    Record
+		want string
+	}{
+		{Record{Kind: Listed, Lines: []Line{{Backend: 1, Started: 50}}}, ""},
+		{Record{Kind: Listed, Lines: []Line{{Backend: 1, Started: 40}}}, "older than what is held of backend 1"},
+		{push(1, 1, 10), ""}, {push(2, 1, 20), ""}, {end(2, 30, flagFinished), ""},
+		{end(1, 31, flagFinished), "overtaken: an answer to what was sent later came before"},
+		{push(3, 1, 40), ""}, {Record{Kind: Pulled, Decision: balance.DoNack, Op: 3, Now: 41}, ""}, {end(3, 45, 0), "after the op's final answer"},
+	} {
+		assert.Equal(t, c.want, n.Note(c.r), c.r)
+	}
+	assert.Empty(t, n.over)
+	assert.Empty(t, n.out)
+}
+
 // After a gap nothing is claimed until the next start.
 func TestGap(t *testing.T) {
 	all := captured(t, "nodes", 30, 0)
--- a/internal/capture/explain.go
+++ b/internal/capture/explain.go
@@ -93,7 +93,8 @@
 // overtaken, an ending after the op's final answer.
 type Notes struct {
 	started map[uint64]float64    // of backends, by the newest list
-	over    map[uint64]bool       // ops with their final answer
+	over    map[uint64]bool       // ops with their final answer and something out
+	out     map[uint64]int        // pushes out, of an op
 	sent    map[[2]uint64]float64 // pushes: when, and to which backend
 	target  map[[2]uint64]uint64
 	heard   map[uint64]float64 // of backends: when the latest answered push was sent
@@ -102,7 +103,8 @@
 // Note gives what is to be said of a record, or nothing.
 func (n *Notes) Note(x Record) string {
 	if n.started == nil || x.Kind == Begin {
-		*n = Notes{map[uint64]float64{}, map[uint64]bool{}, map[[2]uint64]float64{}, map[[2]uint64]uint64{}, map[uint64]float64{}}
+		*n = Notes{map[uint64]float64{}, map[uint64]bool{}, map[uint64]int{}, map[[2]uint64]float64{}, map[[2]uint64]uint64{},
+			map[uint64]float64{}}
 	}
 	push := [2]uint64{x.Op, uint64(x.Push)}
 	switch x.Kind {
@@ -117,13 +119,15 @@
 		switch x.Decision {
 		case balance.DoPush:
 			n.sent[push], n.target[push] = x.Now, x.Backend
+			n.out[x.Op]++
 		case balance.DoNack, balance.DoDeadLetter:
-			n.over[x.Op] = true
+			n.close(x.Op)
 		}
 	case Ended:
 		at, b := n.sent[push], n.target[push]
 		delete(n.sent, push)
 		delete(n.target, push)
+		defer n.end(x.Op)
 		late := n.heard[b] > at
 		if x.Ending == balance.Answered {
 			n.heard[b] = max(n.heard[b], at)
@@ -140,3 +144,17 @@
 	}
 	return ""
 }
+
+// close and end keep account only of ops of which something more will come.
+func (n *Notes) close(op uint64) {
+	if n.out[op] > 0 {
+		n.over[op] = true
+	}
+}
+
+func (n *Notes) end(op uint64) {
+	if n.out[op]--; n.out[op] <= 0 {
+		delete(n.out, op)
+		delete(n.over, op)
+	}
+}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -41,7 +41,7 @@
 			return refuse
 		}
 		return nil
-	}))
+	}, nil))
 	c := NewClient(path, time.Second)
 	var s Status
 	require.NoError(t, c.Call(t.Context(), "GET", StatusPath, nil, &s))
@@ -52,7 +52,7 @@
 		method, path string
 		body         any
 		status       int
-	}{{"POST", ServicePath, map[string]int{"on": 1}, 400}, {"GET", "/", nil, 404}, {"POST", ServicePath, Service{Why: "refuse"}, 409}} {
+	}{{"POST", ServicePath, map[string]int{"on": 1}, 400}, {"POST", CapturePath, nil, 404}, {"GET", "/", nil, 404}, {"POST", ServicePath, Service{Why: "refuse"}, 409}} {
 		err := c.Call(t.Context(), bad.method, bad.path, bad.body, nil)
 		var refused *Refused
 		require.ErrorAs(t, err, &refused)
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -9,6 +9,7 @@
 const (
 	StatusPath  = "/v1/status"
 	ServicePath = "/v1/service"
+	CapturePath = "/v1/capture"
 )
 
 // Status is a node's own word about itself.
@@ -39,9 +40,26 @@
 	Why string `json:"why"`
 }
 
-// Node serves a node's socket.
-func Node(status func(context.Context) (Status, error), service func(Service) error) http.Handler {
+// Written is where a node has put what it was asked to write.
+type Written struct {
+	File string `json:"file"`
+}
+
+// Node serves a node's socket. Dump writes its capture out; nil is a node without one to write.
+func Node(status func(context.Context) (Status, error), service func(Service) error, dump func() (string, error)) http.Handler {
 	m := http.NewServeMux()
+	m.HandleFunc("POST "+CapturePath, func(w http.ResponseWriter, _ *http.Request) {
+		if dump == nil {
+			Fail(w, http.StatusNotFound, "this node holds no capture in memory")
+			return
+		}
+		file, err := dump()
+		if err != nil {
+			Fail(w, http.StatusInsufficientStorage, err.Error())
+			return
+		}
+		Answer(w, http.StatusOK, Written{file})
+	})
 	m.HandleFunc("GET "+StatusPath, func(w http.ResponseWriter, r *http.Request) {
 		s, err := status(r.Context())
 		if err != nil {
--- a/internal/serve/capture.go
+++ b/internal/serve/capture.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"log/slog"
+	"os"
+	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"pearknot/balance"
@@ -11,18 +14,47 @@
 	"pearknot/internal/strict"
 )
 
-// captured puts a recorder round each module that the node makes. What end gives back is called when the node has ended.
-func captured(p *Place, o *Options, now *clock.Clock, log *slog.Logger) (end func(), err error) {
-	ring := *o.Capture
+// Capture is what an operator's file says of a capture.
+type Capture struct {
+	Ring     capture.Ring
+	MemoryMB float64 // a ring in memory in place of the one on disk, written into the ring's directory when asked for
+	Every    float64 // between snapshots, in ms
+	Secret   []byte
+}
+
+// captured puts a recorder round each module that the node makes. End is called when the node has ended; dump writes a
+// ring in memory out, and is nil where there is none.
+func captured(p *Place, o *Options, now *clock.Clock, log *slog.Logger) (end func(), dump func() (string, error), err error) {
+	ring := o.Capture.Ring
 	ring.Node, ring.Log, ring.Now = p.name, log, now.Now
-	w, err := capture.NewWriter(ring)
-	if err != nil {
-		return nil, fmt.Errorf("capture: %w", err)
+	var sink func(capture.Batch)
+	if o.Capture.MemoryMB > 0 {
+		m := capture.NewMemory(int(o.Capture.MemoryMB * (1 << 20)))
+		var dumps atomic.Int64
+		dump = func() (string, error) {
+			if err := os.MkdirAll(ring.Dir, 0o700); err != nil {
+				return "", err
+			}
+			name := filepath.Join(ring.Dir, capture.Name(p.name, now.Now(), int(dumps.Add(1))))
+			return name, m.Dump(name)
+		}
+		sink, end = m.Put, func() {}
+	} else {
+		w, err := capture.NewWriter(ring)
+		if err != nil {
+			return nil, nil, fmt.Errorf("capture: %w", err)
+		}
+		sink = w.Put
+		end = func() {
+			w.Close()
+			log.Info("capture ended", "records_dropped", w.Dropped())
+		}
 	}
 	inner, epoch := o.Decide, uint64(now.Now()) // a process begins where the one before can't have been
 	o.Decide = func(t *balance.Terms, at float64) balance.Decider {
 		d := inner(t, at)
-		r, err := capture.NewRecorder(d, at, capture.Start{Name: p.name, Epoch: epoch, Build: o.Version, Terms: t}, capture.Options{Every: 10e3, Sink: w.Put})
+		r, err := capture.NewRecorder(d, at, capture.Start{Name: p.name, Epoch: epoch, Build: o.Version, Terms: t},
+			capture.Options{Every: o.Capture.Every, Secret: o.Capture.Secret, Sink: sink})
 		if err != nil {
 			log.Error("no capture", "error", err)
 			return d
@@ -30,11 +62,8 @@
 		epoch++
 		return r
 	}
-	log.Info("capturing", "dir", ring.Dir)
-	return func() {
-		w.Close()
-		log.Info("capture ended", "records_dropped", w.Dropped())
-	}, nil
+	log.Info("capturing", "dir", ring.Dir, "memory_mb", o.Capture.MemoryMB)
+	return end, dump, nil
 }
 
 // captureFile is deploy/capture.toml.
@@ -47,11 +76,14 @@
 	BlockKB   int     `toml:"block_kb"`
 	MailboxMB float64 `toml:"mailbox_mb"`
 	Sync      string  `toml:"sync"`
+	MemoryMB  float64 `toml:"memory_mb"`
+	EveryS    float64 `toml:"snapshot_s"`
+	Redact    string  `toml:"redact_key_file"`
 }
 
 // ReadCapture reads the operator's file of a capture.
-func ReadCapture(name string) (*capture.Ring, error) {
-	f := captureFile{SegmentMB: 16, MostMB: 256, MostHours: 48, EveryMs: 1000, BlockKB: 64, MailboxMB: 4, Sync: string(capture.SyncSegment)}
+func ReadCapture(name string) (*Capture, error) {
+	f := captureFile{SegmentMB: 16, MostMB: 256, MostHours: 48, EveryMs: 1000, BlockKB: 64, MailboxMB: 4, EveryS: 10, Sync: string(capture.SyncSegment)}
 	at, err := strict.Read(name, &f)
 	if err != nil {
 		return nil, err
@@ -60,7 +92,7 @@
 		key         string
 		value, most float64
 	}{{"segment_mb", f.SegmentMB, 1 << 20}, {"most_mb", f.MostMB, 1 << 30}, {"most_hours", f.MostHours, 1e6}, {"every_ms", f.EveryMs, 1e6},
-		{"block_kb", float64(f.BlockKB), 4096}, {"mailbox_mb", f.MailboxMB, 1024}} {
+		{"block_kb", float64(f.BlockKB), 4096}, {"mailbox_mb", f.MailboxMB, 1024}, {"snapshot_s", f.EveryS, 86400}} {
 		if !(x.value > 0 && x.value <= x.most) {
 			return nil, at.Errorf(x.key, "%v is not above 0, to %v", x.value, x.most)
 		}
@@ -73,6 +105,19 @@
 	case s != capture.SyncNever && s != capture.SyncSegment && s != capture.SyncBlock:
 		return nil, at.Errorf("sync", "%q is none of never, segment, block", f.Sync)
 	}
-	return &capture.Ring{Dir: f.Dir, SegmentMB: f.SegmentMB, MostMB: f.MostMB, MostAge: time.Duration(f.MostHours * float64(time.Hour)),
-		Every: clock.Span(f.EveryMs), BlockKB: f.BlockKB, MailboxMB: f.MailboxMB, Sync: capture.Sync(f.Sync)}, nil
+	if f.MemoryMB < 0 || f.MemoryMB > 4096 {
+		return nil, at.Errorf("memory_mb", "%v is not 0 to 4096", f.MemoryMB)
+	}
+	c := &Capture{MemoryMB: f.MemoryMB, Every: f.EveryS * 1e3}
+	if f.Redact != "" {
+		if c.Secret, err = os.ReadFile(f.Redact); err != nil {
+			return nil, at.Errorf("redact_key_file", "%v", err)
+		}
+		if len(c.Secret) < 16 {
+			return nil, at.Errorf("redact_key_file", "%s: %d bytes are too few for a key, 16 at least", f.Redact, len(c.Secret))
+		}
+	}
+	c.Ring = capture.Ring{Dir: f.Dir, SegmentMB: f.SegmentMB, MostMB: f.MostMB, MostAge: time.Duration(f.MostHours * float64(time.Hour)),
+		Every: clock.Span(f.EveryMs), BlockKB: f.BlockKB, MailboxMB: f.MailboxMB, Sync: capture.Sync(f.Sync)}
+	return c, nil
 }
--- a/internal/serve/control.go
+++ b/internal/serve/control.go
@@ -19,7 +19,7 @@
 const lookWithin = time.Second
 
 // openControl serves the node's control socket until it is closed.
-func openControl(p *Place, o Options, n *node.Node, f *front.Front, started float64, log *slog.Logger) (io.Closer, error) {
+func openControl(p *Place, o Options, n *node.Node, f *front.Front, dump func() (string, error), started float64, log *slog.Logger) (io.Closer, error) {
 	l, err := control.Listen(o.Control)
 	if err != nil {
 		return nil, err
@@ -45,7 +45,7 @@
 		log.Info("service", "in", s.In, "why", s.Why)
 		return nil
 	}
-	server := control.Server(control.Node(status, service))
+	server := control.Server(control.Node(status, service, dump))
 	go func() {
 		if err := server.Serve(control.Limited(l)); !errors.Is(err, http.ErrServerClosed) {
 			log.Error("control socket ended", "error", err)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -12,7 +12,6 @@
 	"syscall"
 	"time"
 
-	"pearknot/internal/capture"
 	"pearknot/internal/clock"
 	"pearknot/internal/front"
 	"pearknot/internal/members"
@@ -41,11 +40,11 @@
 type Options struct {
 	Decide  node.Decide // makes its decision module
 	Version string
-	Control string        // path of its control socket; none is served where empty
-	Held    bool          // out of service until the control socket says otherwise
-	Token   string        // that the control socket answers with
-	Epoch   uint64        // the agent's count of its restarts
-	Capture *capture.Ring // where all that the module is told goes; nil is nowhere
+	Control string   // path of its control socket; none is served where empty
+	Held    bool     // out of service until the control socket says otherwise
+	Token   string   // that the control socket answers with
+	Epoch   uint64   // the agent's count of its restarts
+	Capture *Capture // where all that the module is told goes; nil is nowhere
 }
 
 // Run runs a node until SIGTERM has ended it.
@@ -62,6 +61,11 @@
 	signal.Notify(again, syscall.SIGHUP)
 	defer signal.Stop(again)
 	now, pressed := clock.New(), make(chan struct{}, 1)
+	dumps := make(chan os.Signal, 1)
+	if o.Capture != nil && o.Capture.MemoryMB > 0 { // else it ends the process, as it always did
+		signal.Notify(dumps, syscall.SIGUSR1)
+		defer signal.Stop(dumps)
+	}
 	budget := sockets.New(p.sockets, func() {
 		select {
 		case pressed <- struct{}{}:
@@ -72,9 +76,11 @@
 	if p.known != nil {
 		watch.Version, watch.Held = p.known.Version, true
 	}
+	var dump func() (string, error)
 	if o.Capture != nil {
-		end, err := captured(p, &o, now, log)
-		if err != nil {
+		var end func()
+		var err error
+		if end, dump, err = captured(p, &o, now, log); err != nil {
 			return err
 		}
 		defer end()
@@ -96,7 +102,7 @@
 	over, end := context.WithCancel(context.Background())
 	defer end()
 	if o.Control != "" {
-		c, err := openControl(p, o, n, f, now.Now(), log)
+		c, err := openControl(p, o, n, f, dump, now.Now(), log)
 		if err != nil {
 			return err
 		}
@@ -114,6 +120,14 @@
 			return err
 		case <-again:
 			p.reread(watch.Move, log)
+		case <-dumps:
+			go func() { // the disk may be slow
+				if name, err := dump(); err != nil {
+					log.Error("capture not written out", "error", err)
+				} else {
+					log.Info("capture written out", "file", name)
+				}
+			}()
 		case <-ctx.Done():
 		}
 	}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -56,6 +56,9 @@
 
 // Host runs the instances of one process.
 type Host struct {
+	// Wrap, where given, stands between an instance and its module.
+	Wrap func(instance uint32, d balance.Decider, t *balance.Terms, now float64) balance.Decider
+
 	instances map[uint32]*instance
 	touched   []*instance // in the order of their first event in the batch
 	lists     [listCount][]byte
@@ -66,7 +69,7 @@
 
 type instance struct {
 	number     uint32
-	node       *balance.Node
+	node       balance.Decider
 	ops        map[uint64]*balance.Op
 	backends   map[uint64]*balance.Backend
 	categories int
@@ -191,7 +194,12 @@
 		i = &instance{number: number, categories: len(told.Categories), fields: told.Report, ops: map[uint64]*balance.Op{}, backends: map[uint64]*balance.Backend{}}
 		h.instances[number] = i
 		h.touch(i)
-		h.guard(i, func() { i.node = balance.New(told.Terms, h.now) })
+		h.guard(i, func() {
+			i.node = balance.New(told.Terms, h.now)
+			if h.Wrap != nil {
+				i.node = h.Wrap(number, i.node, told.Terms, h.now)
+			}
+		})
 	case down:
 		if i != nil {
 			i.stopped = true
