--- a/cmd/pearknot-lab/demo.go
+++ b/cmd/pearknot-lab/demo.go
@@ -58,7 +58,7 @@
 			return verdict(out, r)
 		}}
 	c.Flags().Float64Var(&seconds, "seconds", demoSeconds, "how long")
-	c.Flags().StringVar(&p.pearknot, "pearknot", "", "the node's program; else the one beside this, else it is built")
+	p.nodeFlags(c)
 	c.Flags().StringVar(&p.policy, "policy", "", "who decides")
 	return c
 }
--- a/cmd/pearknot-lab/play.go
+++ b/cmd/pearknot-lab/play.go
@@ -42,6 +42,7 @@
 	events   bool
 	capture  string
 	pearknot string
+	nodeArgs []string
 }
 
 func (p *plan) flags(c *cobra.Command) {
@@ -51,7 +52,13 @@
 	c.Flags().StringVar(&p.out, "out", "", "directory for result.json and report.html")
 	c.Flags().BoolVar(&p.events, "events", false, "write all events too: events.jsonl.zst in the directory")
 	c.Flags().StringVar(&p.capture, "capture", "", "directory for a capture of node 0's module, with --virtual and one seed")
+	p.nodeFlags(c)
+}
+
+// nodeFlags are those of the commands that start nodes.
+func (p *plan) nodeFlags(c *cobra.Command) {
 	c.Flags().StringVar(&p.pearknot, "pearknot", "", "the node's program; else the one beside this, else it is built")
+	c.Flags().StringArrayVar(&p.nodeArgs, "node-arg", nil, "a further argument of each node's, such as --capture=FILE")
 }
 
 // apply puts the command line's wishes over the file's.
@@ -146,7 +153,7 @@
 		return r, err
 	}
 	defer clean()
-	o.Command = start
+	o.Command = append(start, p.nodeArgs...)
 	for _, seed := range e.Seeds {
 		run, err := loopback.Run(ctx, e, seed, o)
 		if err != nil {
--- a/cmd/pearknot/capture_test.go
+++ b/cmd/pearknot/capture_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -91,6 +92,62 @@
 	}
 }
 
+// Where no disk lasts, the ring in memory is written out by a signal or by the control socket; what is written can be
+// played from its first snapshot, explained, and cut.
+func TestCaptureInMemory(t *testing.T) {
+	dir, err := os.MkdirTemp("", "pk") // short: a socket's path is bounded
+	require.NoError(t, err)
+	defer os.RemoveAll(dir)
+	file, dumps, socket := filepath.Join(dir, "capture.toml"), filepath.Join(dir, "dumps"), filepath.Join(dir, "s")
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "key"), []byte("sixteen bytes it is"), 0o600))
+	require.NoError(t, os.WriteFile(file, fmt.Appendf(nil, "dir = %q\nmemory_mb = 0.05\nsnapshot_s = 0.02\nredact_key_file = %q\n", dumps, filepath.Join(dir, "key")), 0o600))
+	w := start(t, 256, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") }, "--capture", file, "--control", socket)
+	client := fresh()
+	for k := range 400 {
+		_, _, _, err := w.ask(client, "GET", fmt.Sprint("op", k), "check", "2000")
+		require.NoError(t, err)
+	}
+	client.CloseIdleConnections()
+	require.NoError(t, w.process.Process.Signal(syscall.SIGUSR1))
+	require.Eventually(t, func() bool { files, err := capture.Segments(dumps); return err == nil && len(files) == 1 }, 5*time.Second, time.Millisecond)
+	call := func(status int, args ...string) string {
+		var stdout, stderr bytes.Buffer
+		require.Equal(t, status, run(args, &stdout, &stderr), "%v: %s%s", args, &stdout, &stderr)
+		return stdout.String() + stderr.String()
+	}
+	second := strings.TrimSpace(call(0, "capture", "dump", socket))
+	assert.Equal(t, dumps, filepath.Dir(second))
+	info, err := os.Stat(second)
+	require.NoError(t, err)
+	assert.Less(t, info.Size(), int64(60_000))
+	assert.Contains(t, call(0, "replay", second), "from 0 starts and 1 snapshots")
+	var last capture.Record
+	first := 0.0
+	require.NoError(t, capture.Read(second, func(r capture.Record) error {
+		if r.Kind == capture.Arrived {
+			last = r
+		}
+		if first == 0 {
+			first = r.Now
+		}
+		return nil
+	}))
+	why := call(0, "explain", second, fmt.Sprint(last.Op))
+	assert.Contains(t, why, "decided: push op")
+	assert.Contains(t, why, ": open; answer in")
+	assert.Equal(t, why, call(0, "explain", second, fmt.Sprintf("x%x", last.Ref)))
+	part := filepath.Join(dir, "part.pkcap")
+	call(0, "capture", "cut", second, "--from", fmt.Sprintf("%f", last.Now), "--out", part)
+	assert.Contains(t, call(0, "replay", part), "from 0 starts and 1 snapshots")
+	assert.Contains(t, call(0, "replay", second, "--from", fmt.Sprintf("%f", last.Now)), "decisions match")
+	assert.Contains(t, call(2, "replay", second, "--from", fmt.Sprintf("%f", first-1)), "the first start or snapshot is at")
+	assert.Contains(t, call(3, "explain", second, "999999"), "is not in what can be played")
+	assert.Contains(t, call(2, "explain", second, "y"), "neither a number nor x and a name")
+	assert.Contains(t, call(2, "capture", "cut", second, "--to", "1", "--out", part), "nothing from")
+	require.NoError(t, os.WriteFile(file, []byte("dir = 'x'\nmost_mb = 3\n"), 0o600))
+	assert.Contains(t, call(2, "serve", "--config", w.file, "--capture", file), "capture.toml:2:1: most_mb: 3 is less than two segments")
+}
+
 // A build of the program whose module has one comparison flipped is caught by a replay of what the right one decided.
 func TestFlippedComparisonIsCaught(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -90,7 +90,14 @@
 		return run, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	defer w.close()
+	defer func() {
+		w.close()
+		spent := time.Duration(0)
+		for _, n := range w.nodes {
+			spent += n.cpu
+		}
+		run.NodeCPU = float64(spent.Microseconds()) / float64(max(run.Ops, 1))
+	}()
 	defer cancel()
 	if err = w.build(); err != nil {
 		return run, err
--- a/internal/lab/loopback/node.go
+++ b/internal/lab/loopback/node.go
@@ -41,8 +41,9 @@
 	process *exec.Cmd
 	ended   chan struct{} // closed when the process has
 	ready   bool
-	expect  bool    // its end is our doing
-	deadAt  float64 // -1 while it lives
+	expect  bool          // its end is our doing
+	deadAt  float64       // -1 while it lives
+	cpu     time.Duration // of its processes that have ended
 	crashed func(error)
 }
 
@@ -124,6 +125,7 @@
 		_ = log.Close()
 		n.mu.Lock()
 		n.ready, n.deadAt = false, n.hub.now()
+		n.cpu += p.ProcessState.UserTime() + p.ProcessState.SystemTime()
 		expected := n.expect
 		n.mu.Unlock()
 		if expected {
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -62,7 +62,8 @@
 	Loop         *Loop      `json:"loop,omitempty"`
 	Rules        Verdict    `json:"rules"`
 	Windows      []Window   `json:"windows"`
-	Events       uint64     `json:"events,omitempty"` // of the event loop
+	NodeCPU      float64    `json:"node_cpu_us_per_op,omitempty"` // on sockets: of all nodes, from start to end
+	Events       uint64     `json:"events,omitempty"`             // of the event loop
 }
 
 // Category is one category's part.
