--- a/balance/types.go
+++ b/balance/types.go
@@ -1,6 +1,9 @@
 package balance
 
-import "slices"
+import (
+	"fmt"
+	"slices"
+)
 
 // Effect says what a category's ops allow after a push that may have run.
 type Effect uint8
@@ -158,6 +161,15 @@
 	NotSent
 )
 
+var endings = [...]string{"answered", "failed", "rejected", "timed out", "no connection", "reset", "revoked", "not sent"}
+
+func (e Ending) String() string {
+	if int(e) < len(endings) {
+		return endings[e]
+	}
+	return fmt.Sprintf("ending %d", uint8(e))
+}
+
 // NeverRan tells whether the ending proves that the push did not run.
 func (e Ending) NeverRan() bool { return e == Rejected || e == NoConnection || e == NotSent }
 
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -360,7 +360,7 @@
 	case Begun:
 		text += fmt.Sprintf(" op %d push %d", r.Op, r.Push)
 	case Ended:
-		text += fmt.Sprintf(" op %d push %d ending %d after %.3f, finished %t", r.Op, r.Push, r.Ending, r.Value, r.Flags&flagFinished != 0)
+		text += fmt.Sprintf(" op %d push %d %s after %.3f ms, finished %t", r.Op, r.Push, r.Ending, r.Value, r.Flags&flagFinished != 0)
 	case Snapshot:
 		text += fmt.Sprintf(" of %d bytes, %d ops, %d backends", len(r.State), len(r.Ops), len(r.Backends))
 	case Dropped:
--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -42,6 +42,7 @@
 	// The window that the authority suggests for its renewal, where it offers one (RFC 9773, 4.2).
 	WindowFrom float64 `json:"window_from,omitempty"`
 	WindowTo   float64 `json:"window_to,omitempty"`
+	Now        bool    `json:"now,omitempty"` // an operator, or a revocation, wants it renewed at once
 }
 
 // Order is one that is open at an authority: there is never a second one of its name.
@@ -203,7 +204,7 @@
 // of its life on, spread over a tenth of it so that instances don't meet. A name without one is due at once.
 func (c *Core) RenewAt(name string) float64 {
 	h := c.Names[name].Held
-	if h == nil {
+	if h == nil || h.Now {
 		return 0
 	}
 	u := c.spread(name, h.Serial)
@@ -214,6 +215,13 @@
 	return h.NotBefore + (2.0/3+0.1*u)*life
 }
 
+// Renew has a name's certificate renewed at once.
+func (c *Core) Renew(name string) {
+	if n := c.Names[name]; n.Held != nil {
+		n.Held.Now, n.NextAt, n.Failures = true, 0, 0
+	}
+}
+
 // spread is a number in [0, 1) that is an instance's own for a name and an occasion.
 func (c *Core) spread(name, occasion string) float64 {
 	f := fnv.New64a()
--- a/internal/rules/events.go
+++ b/internal/rules/events.go
@@ -94,7 +94,7 @@
 	case PushBegun:
 		fmt.Fprintf(&b, " op %d push %d node %d backend %d work %.1f", e.Op, e.Push, e.Node, e.Backend, e.Work)
 	case PushEnded:
-		fmt.Fprintf(&b, " op %d push %d %s", e.Op, e.Push, endings[e.Ending])
+		fmt.Fprintf(&b, " op %d push %d %s", e.Op, e.Push, e.Ending)
 	case PushRan:
 		fmt.Fprintf(&b, " op %d push %d backend %d", e.Op, e.Push, e.Backend)
 	case ListTold:
@@ -107,8 +107,6 @@
 	return b.String()
 }
 
-var endings = [...]string{"answered", "failed", "rejected", "timed out", "no connection", "reset", "revoked", "not sent"}
-
 // Rule is one of the four.
 type Rule uint8
 
