TLS: a second listener, certificates through ACME, one instance of a host ordering for all

Cause: an expired certificate on the members' name would stop everything at once; the keeper was there, and nothing served what it obtained.

Found by the measurement: a crowd of honest clients ended each other's handshakes.

--- a/cmd/pearknot-lab/demo.go
+++ b/cmd/pearknot-lab/demo.go
@@ -42,6 +42,9 @@
 				e.Trouble[i].For *= stretch
 			}
 			out := c.OutOrStdout()
+			if p.tls && len(p.renew) == 0 {
+				p.renew = []float64{seconds / 4, seconds / 2, seconds * 3 / 4}
+			}
 			row := func(l loopback.Live) {
 				fmt.Fprintf(out, "%4d %7d %7d %7d %6d %6d %7d %7d  %-6s %-12s %s\n", l.Second, l.Ops, l.Acked, l.InTime, l.Nacked, l.Dead, l.Pushes,
 					l.Breaches, l.Nodes, l.Backends, strings.Join(l.Troubles, ", "))
--- a/cmd/pearknot-lab/play.go
+++ b/cmd/pearknot-lab/play.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -43,6 +44,8 @@
 	capture  string
 	pearknot string
 	nodeArgs []string
+	tls      bool
+	renew    []float64
 }
 
 func (p *plan) flags(c *cobra.Command) {
@@ -59,10 +62,18 @@
 func (p *plan) nodeFlags(c *cobra.Command) {
 	c.Flags().StringVar(&p.pearknot, "pearknot", "", "the node's program; else the one beside this, else it is built")
 	c.Flags().StringArrayVar(&p.nodeArgs, "node-arg", nil, "a further argument of each node's, such as --capture=FILE")
+	c.Flags().BoolVar(&p.tls, "tls", false, "clients speak TLS, with certificates of a stand-in authority")
+	c.Flags().Float64SliceVar(&p.renew, "renew", nil, "with --tls: seconds at which the certificate is ordered anew")
 }
 
 // apply puts the command line's wishes over the file's.
 func (p *plan) apply(e *experiment.Experiment) error {
+	if p.tls && (p.virtual || p.policy != "" && p.policy != "cda") {
+		return command.Usage(errors.New("--tls is for real nodes"))
+	}
+	if len(p.renew) > 0 && !p.tls {
+		return command.Usage(errors.New("--renew goes with --tls"))
+	}
 	if p.policy != "" {
 		if !slices.Contains(experiment.Policies, p.policy) {
 			return command.Usage(fmt.Errorf("--policy %q is none of %s", p.policy, strings.Join(experiment.Policies, ", ")))
@@ -154,6 +165,12 @@
 	}
 	defer clean()
 	o.Command = append(start, p.nodeArgs...)
+	if p.tls {
+		o.TLS = &loopback.TLS{Renew: p.renew, Resume: true, Told: func(s loopback.Swaps) {
+			fmt.Fprintf(out, "TLS: %d renewals asked for, %d not taken, %d certificates issued; %d handshakes, %d of them resumed, %d failed\n", s.Asked, s.Refused,
+				s.Issued, s.Handshakes, s.Resumed, s.Failed)
+		}}
+	}
 	for _, seed := range e.Seeds {
 		run, err := loopback.Run(ctx, e, seed, o)
 		if err != nil {
--- /dev/null
+++ b/cmd/pearknot/certs.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"pearknot/internal/acme"
+	"pearknot/internal/certs"
+	"pearknot/internal/command"
+	"pearknot/internal/control"
+	"pearknot/internal/serve"
+)
+
+const (
+	certsWithin  = time.Minute // a revocation is a call to the authority
+	dialWithin   = 5 * time.Second
+	shortestLeft = 24 * time.Hour // a certificate that ends sooner is no good sign
+)
+
+// certsCommand looks after certificates.
+func certsCommand() *cobra.Command {
+	c := &cobra.Command{Use: "certs", Short: "Certificates: what is served, and what becomes of it"}
+	status := &cobra.Command{Use: "status SOCKET|FILE", Args: cobra.ExactArgs(1), Short: "Tell of a node's certificates, by its control socket or by its tls.toml; 3 where one is late, expired or missing",
+		RunE: func(c *cobra.Command, args []string) error {
+			var s control.Status
+			err := control.NewClient(args[0], dialWithin).Call(c.Context(), "GET", control.StatusPath, nil, &s)
+			if err == nil && s.TLS == nil {
+				return command.Usage(fmt.Errorf("%s: this node serves no TLS", args[0]))
+			}
+			if err != nil {
+				t, odd := serve.ReadTLS(args[0])
+				if odd != nil {
+					if isSocket(args[0]) {
+						return err
+					}
+					return command.Usage(odd)
+				}
+				t.Acme.Log = slog.New(slog.DiscardHandler)
+				return tellCertificates(c.OutOrStdout(), acme.Look(t.Acme))
+			}
+			by := "this instance"
+			if !s.TLS.Orders {
+				by = fmt.Sprintf("process %d", s.TLS.OrderedBy)
+			}
+			h := s.TLS.Handshakes
+			fmt.Fprintf(c.OutOrStdout(), "%s, store %s, ordered by %s; handshakes: %d done, %d of them resumed, %d failed, %d ended for others, %d open\n",
+				s.TLS.Listen, s.TLS.Dir, by, h.Done, h.Resumed, h.Failed, h.Evicted, h.Open)
+			return tellCertificates(c.OutOrStdout(), s.TLS.Certificates)
+		}}
+	tell := func(use, path, short string, done string) *cobra.Command {
+		return &cobra.Command{Use: use + " SOCKET NAME", Args: cobra.ExactArgs(2), Short: short, RunE: func(c *cobra.Command, args []string) error {
+			err := control.NewClient(args[0], certsWithin).Call(c.Context(), "POST", path, control.Certificate{Name: args[1]}, nil)
+			var refused *control.Refused
+			if errors.As(err, &refused) {
+				return &command.Error{Status: command.No, Err: err}
+			}
+			if err == nil {
+				fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", args[1], done)
+			}
+			return err
+		}}
+	}
+	key := &cobra.Command{Use: "account-key SOCKET", Args: cobra.ExactArgs(1), Short: "Give the account at an authority a new key"}
+	authority := key.Flags().Int("authority", 0, "which one of the file, from 0")
+	key.RunE = func(c *cobra.Command, args []string) error {
+		err := control.NewClient(args[0], certsWithin).Call(c.Context(), "POST", control.KeyPath, control.Certificate{Authority: *authority}, nil)
+		if err == nil {
+			fmt.Fprintln(c.OutOrStdout(), "the account has a new key")
+		}
+		return err
+	}
+	address := ""
+	check := &cobra.Command{Use: "check FILE", Args: cobra.ExactArgs(1), Short: "Read a tls.toml, and make a handshake for each name where an address is given; 3 where what is served will not do",
+		RunE: func(c *cobra.Command, args []string) error {
+			t, err := serve.ReadTLS(args[0])
+			if err != nil {
+				return command.Usage(err)
+			}
+			if address == "" {
+				fmt.Fprintf(c.OutOrStdout(), "%s: TLS on %s, %d certificates, %d authorities, store %s\n", args[0], t.Listen, len(t.Acme.Names), len(t.Acme.Authorities), t.Acme.Dir)
+				return nil
+			}
+			return checkServed(c.OutOrStdout(), address, t, time.Now())
+		}}
+	check.Flags().StringVar(&address, "address", "", "host:port of a listener to look at")
+	c.AddCommand(status, check, key,
+		tell("renew", control.RenewPath, "Have a certificate ordered anew now, whatever its age", "is ordered anew"),
+		tell("revoke", control.RevokePath, "Take a certificate back at its authority; another is ordered at once", "revoked, and ordered anew"))
+	return c
+}
+
+func isSocket(name string) bool {
+	c, err := net.DialTimeout("unix", name, dialWithin)
+	if err == nil {
+		_ = c.Close()
+	}
+	return err == nil
+}
+
+// tellCertificates is a table; its error is that an operator has something to do.
+func tellCertificates(out io.Writer, all []acme.Status) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "name\tstage\tends\trenewed from\tnext try\torder\tlatest fault")
+	bad := 0
+	at := func(t time.Time) string {
+		if t.IsZero() {
+			return "-"
+		}
+		return t.UTC().Format(time.RFC3339)
+	}
+	for _, s := range all {
+		if s.Stage != certs.Fine && s.Stage != certs.Due {
+			bad++
+		}
+		order, fault := "-", "-"
+		if s.Order != "" {
+			order = "open"
+		}
+		if s.Fault != "" {
+			fault = at(s.FaultAt) + " " + s.Fault
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\n", s.Name, s.Stage, at(s.NotAfter), at(s.RenewAt), at(s.NextAt), order, fault)
+	}
+	if err := w.Flush(); err != nil || bad == 0 {
+		return err
+	}
+	return &command.Error{Status: command.No, Err: fmt.Errorf("%d of %d certificates want looking after", bad, len(all))}
+}
+
+// checkServed makes a handshake for each name, as a client would.
+func checkServed(out io.Writer, address string, t *serve.TLS, now time.Time) error {
+	bad := 0
+	for _, names := range t.Acme.Names {
+		for _, name := range names {
+			var c *tls.Conn
+			var err error
+			for _, a := range t.Acme.Authorities { // whichever has issued it
+				c, err = tls.DialWithDialer(&net.Dialer{Timeout: dialWithin}, "tcp", address, &tls.Config{ServerName: name, RootCAs: a.Roots, MinVersion: tls.VersionTLS12})
+				if err == nil {
+					break
+				}
+			}
+			if err != nil {
+				bad++
+				fmt.Fprintf(out, "%s: %v\n", name, err)
+				continue
+			}
+			leaf := c.ConnectionState().PeerCertificates[0]
+			_ = c.Close()
+			left := leaf.NotAfter.Sub(now)
+			fmt.Fprintf(out, "%s: serial %s, ends %s, in %s\n", name, leaf.SerialNumber, leaf.NotAfter.UTC().Format(time.RFC3339), left.Round(time.Minute))
+			if left < shortestLeft {
+				bad++
+			}
+		}
+	}
+	if bad > 0 {
+		return &command.Error{Status: command.No, Err: fmt.Errorf("%d names are not served as they should", bad)}
+	}
+	return nil
+}
--- a/cmd/pearknot/fleet.go
+++ b/cmd/pearknot/fleet.go
@@ -258,7 +258,7 @@
 	if c := v.Change; c != nil && !c.Status.Over() {
 		line(w, *c)
 	}
-	fmt.Fprintln(w, "instance\twanted\tverdict\tseen\tago\tlisten\tconfiguration\tpid\tops\tMB\twhy")
+	fmt.Fprintln(w, "instance\twanted\tverdict\tseen\tago\tlisten\tconfiguration\tpid\tops\tMB\tcertificate\twhy")
 	for _, i := range v.Instances {
 		wanted, listen := "none", ""
 		if i.Declared != nil {
@@ -272,11 +272,23 @@
 		if i.Seen.InService {
 			phase = "in service"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%.0f\t%s\n", i.Name, wanted, i.Verdict, phase, ago, listen,
-			i.Seen.Digest[:min(8, len(i.Seen.Digest))], i.Seen.Pid, i.Seen.Open, i.Seen.MemoryMB, i.Why)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%.0f\t%s\t%s\n", i.Name, wanted, i.Verdict, phase, ago, listen,
+			i.Seen.Digest[:min(8, len(i.Seen.Digest))], i.Seen.Pid, i.Seen.Open, i.Seen.MemoryMB, certificate(i.Seen, v.Now), i.Why)
 	}
 }
 
+// certificate tells how long an instance's first certificate to end has left.
+func certificate(s fleet.Seen, now float64) string {
+	const day = 24 * 3600e3
+	switch {
+	case s.CertStage == "":
+		return "-"
+	case s.CertEnds == 0:
+		return s.CertStage
+	}
+	return fmt.Sprintf("%s, %.1f d", s.CertStage, (s.CertEnds-now)/day)
+}
+
 func (t *tool) status() *cobra.Command {
 	return &cobra.Command{Use: "status", Short: "What is declared, what was seen, and when", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
--- a/cmd/pearknot/pearknot_test.go
+++ b/cmd/pearknot/pearknot_test.go
@@ -46,7 +46,7 @@
 
 // world is one running node between a backend, discovery and clients.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	process *exec.Cmd
 	file    string // its configuration
 	address string
@@ -69,7 +69,7 @@
 "coldFrom":0.3,"drainGrace":500,"fallMultiple":4,"overloadFor":2000,"warmWithin":9000},"tenants":[],"zones":["a"]}`
 
 // start runs a node whose one backend answers by handler.
-func start(t *testing.T, sockets int, handler http.HandlerFunc, more ...string) *world {
+func start(t testing.TB, sockets int, handler http.HandlerFunc, more ...string) *world {
 	w := &world{t: t, ended: make(chan error, 1), changes: make(chan string)}
 	backend := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		w.mu.Lock()
@@ -91,8 +91,8 @@
 	t.Cleanup(discovery.Close)
 	w.file = filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(w.file, fmt.Appendf(nil, `{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f",
-"limits":{"cores":1,"memory_mb":192,"sockets":%d},"known":{"rev":41,"all":true,"targets":[%s]},"settings":%s}`,
-		discovery.Listener.Addr(), sockets, entry(address, "up"), settings), 0o600))
+"limits":{"cores":1,"memory_mb":%d,"sockets":%d},"known":{"rev":41,"all":true,"targets":[%s]},"settings":%s}`,
+		discovery.Listener.Addr(), max(192, sockets/4), sockets, entry(address, "up"), settings), 0o600))
 	w.process = exec.Command(nodeProgram, append([]string{"serve", "-config", w.file}, more...)...)
 	stderr, err := w.process.StderrPipe()
 	require.NoError(t, err)
--- a/internal/acme/keeper.go
+++ b/internal/acme/keeper.go
@@ -12,6 +12,7 @@
 	"math"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -54,7 +55,8 @@
 	tokens map[string]string           // answers of http-01, by path
 	proofs map[string]*tls.Certificate // and of tls-alpn-01, by name
 	status []Status
-	poked  chan struct{}
+	calls  chan func()
+	ended  chan struct{} // Run has
 }
 
 // Status is what an operator sees of one certificate.
@@ -83,8 +85,8 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &Keeper{o: o, store: s, served: map[string]*tls.Certificate{}, tokens: map[string]string{}, proofs: map[string]*tls.Certificate{},
-		clients: make([]*client, len(o.Authorities)), poked: make(chan struct{}, 1)}
+	k := &Keeper{o: o, store: s, tokens: map[string]string{}, proofs: map[string]*tls.Certificate{},
+		clients: make([]*client, len(o.Authorities)), calls: make(chan func()), ended: make(chan struct{})}
 	if err := k.open(); err != nil {
 		return nil, errors.Join(err, s.close())
 	}
@@ -92,10 +94,6 @@
 }
 
 func (k *Keeper) open() error {
-	for name := range k.o.Names {
-		k.wanted = append(k.wanted, name)
-	}
-	slices.Sort(k.wanted)
 	state, damaged, err := k.store.state()
 	if err != nil {
 		return err
@@ -103,6 +101,17 @@
 	if damaged != nil {
 		k.o.Log.Error("certificates' state damaged, set aside", "error", damaged)
 	}
+	k.begin(state)
+	return nil
+}
+
+// begin takes up a state and the certificates that are there.
+func (k *Keeper) begin(state certs.State) {
+	for name := range k.o.Names {
+		k.wanted = append(k.wanted, name)
+	}
+	slices.Sort(k.wanted)
+	k.served = map[string]*tls.Certificate{}
 	k.o.Limits.Authorities = len(k.o.Authorities)
 	k.core = certs.New(state, k.wanted, k.o.Limits)
 	for _, name := range k.wanted {
@@ -122,7 +131,6 @@
 		k.swap(name, c)
 	}
 	k.publish()
-	return nil
 }
 
 // Close lets go of the store.
@@ -156,21 +164,26 @@
 func (k *Keeper) Certificate(hello *tls.ClientHelloInfo) (*tls.Certificate, error) {
 	k.mu.RLock()
 	defer k.mu.RUnlock()
-	if len(hello.SupportedProtos) == 1 && hello.SupportedProtos[0] == acme.ALPNProto { // RFC 8737, 3
+	if proof(hello) {
 		if c := k.proofs[hello.ServerName]; c != nil {
 			return c, nil
 		}
 		return nil, fmt.Errorf("no challenge of %q is open", hello.ServerName)
 	}
-	if c := k.served[hello.ServerName]; c != nil {
+	return pick(k.served, k.o.Names[k.wanted[0]][0], hello.ServerName)
+}
+
+// proof tells whether a handshake is that of a challenge (RFC 8737, 3).
+func proof(hello *tls.ClientHelloInfo) bool {
+	return len(hello.SupportedProtos) == 1 && hello.SupportedProtos[0] == acme.ALPNProto
+}
+
+// pick gives the certificate of a name; a client that names none (without SNI, RFC 6066, 3) gets the first.
+func pick(served map[string]*tls.Certificate, first, name string) (*tls.Certificate, error) {
+	if c := served[cmp.Or(strings.ToLower(name), first)]; c != nil {
 		return c, nil
 	}
-	if hello.ServerName == "" && len(k.wanted) > 0 { // a client without the extension gets the first
-		if c := k.served[k.o.Names[k.wanted[0]][0]]; c != nil {
-			return c, nil
-		}
-	}
-	return nil, fmt.Errorf("no certificate for %q", hello.ServerName)
+	return nil, fmt.Errorf("no certificate for %.80q", name)
 }
 
 // Challenge gives the answer to an http-01 challenge by its path.
@@ -218,18 +231,33 @@
 
 // Run goes on until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
+	defer close(k.ended)
 	for ctx.Err() == nil {
 		wait := k.Step(ctx)
 		timer := time.NewTimer(min(wait, time.Minute)) // a machine that slept looks at its clock again
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
-		case <-k.poked:
+		case f := <-k.calls:
+			f()
 		}
 		timer.Stop()
 	}
 }
 
+// Do has something done between two steps of Run, which is the caller then.
+func (k *Keeper) Do(ctx context.Context, f func() error) error {
+	told := make(chan error, 1)
+	select {
+	case k.calls <- func() { told <- f(); k.publish() }:
+		return <-told
+	case <-k.ended:
+		return errors.New("the keeper of certificates has ended")
+	case <-ctx.Done():
+		return fmt.Errorf("the keeper of certificates is busy: %w", ctx.Err())
+	}
+}
+
 // Step does what is due, one thing, and tells how long to wait for the next; 0 is none.
 func (k *Keeper) Step(ctx context.Context) time.Duration {
 	now := k.now()
@@ -381,20 +409,28 @@
 		if err != nil {
 			return nil, err
 		}
+		away, err := k.store.putProof(name, &cert)
+		if err != nil {
+			return nil, err
+		}
 		k.mu.Lock()
 		defer k.mu.Unlock()
 		k.proofs[name] = &cert
-		return func() { k.mu.Lock(); defer k.mu.Unlock(); delete(k.proofs, name) }, nil
+		return func() { away(); k.mu.Lock(); defer k.mu.Unlock(); delete(k.proofs, name) }, nil
 	case ch.Type == "http-01" && k.o.HTTP:
 		text, err := c.acme.HTTP01ChallengeResponse(ch.Token)
 		if err != nil {
 			return nil, err
 		}
 		path := c.acme.HTTP01ChallengePath(ch.Token)
+		away, err := k.store.putToken(path, text)
+		if err != nil {
+			return nil, err
+		}
 		k.mu.Lock()
 		defer k.mu.Unlock()
 		k.tokens[path] = text
-		return func() { k.mu.Lock(); defer k.mu.Unlock(); delete(k.tokens, path) }, nil
+		return func() { away(); k.mu.Lock(); defer k.mu.Unlock(); delete(k.tokens, path) }, nil
 	}
 	return nil, errNotHere
 }
--- a/internal/acme/store.go
+++ b/internal/acme/store.go
@@ -5,8 +5,10 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/hex"
 	"encoding/json"
 	"encoding/pem"
 	"errors"
@@ -14,6 +16,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	"github.com/google/renameio/v2"
@@ -29,6 +32,14 @@
 	lock *os.File
 }
 
+// Holder tells which process has a store; 0 is unknown.
+func holder(dir string) (pid int) {
+	if data, err := os.ReadFile(filepath.Join(dir, "lock")); err == nil {
+		pid, _ = strconv.Atoi(strings.TrimSpace(string(data)))
+	}
+	return pid
+}
+
 // ErrBusy is a store that another process has.
 var ErrBusy = errors.New("another process has it")
 
@@ -44,9 +55,42 @@
 		_ = lock.Close()
 		return nil, fmt.Errorf("%s: %w", dir, ErrBusy)
 	}
+	if err := errors.Join(lock.Truncate(0), writeAt(lock, strconv.Itoa(os.Getpid())), os.RemoveAll(filepath.Join(dir, "open"))); err != nil {
+		_ = lock.Close() // answers to challenges that a killed one left are of no order any more
+		return nil, err
+	}
 	return &store{dir, lock}, nil
 }
 
+func writeAt(f *os.File, text string) error {
+	_, err := f.WriteAt([]byte(text), 0)
+	return err
+}
+
+// putToken and putProof put the answer to a challenge where instances beside this one find it.
+func (s *store) putToken(path, text string) (away func(), err error) {
+	return putOpen(openFile(s.dir, "token", path), []byte(text))
+}
+
+func (s *store) putProof(name string, c *tls.Certificate) (away func(), err error) {
+	data, err := x509.MarshalPKCS8PrivateKey(c.PrivateKey)
+	if err != nil {
+		return nil, err
+	}
+	return putOpen(openFile(s.dir, "proof", name), append(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: c.Certificate[0]}),
+		pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: data})...))
+}
+
+func putOpen(name string, data []byte) (away func(), err error) {
+	return func() { _ = os.Remove(name) }, write(name, data)
+}
+
+// openFile is where such an answer lies: what a client asks for is hashed, and so names no other file.
+func openFile(dir, kind, what string) string {
+	sum := sha256.Sum256([]byte(what))
+	return filepath.Join(dir, "open", kind+"-"+hex.EncodeToString(sum[:16]))
+}
+
 func (s *store) close() error { return s.lock.Close() }
 
 func (s *store) at(name, file string) string {
@@ -60,7 +104,10 @@
 	return renameio.WriteFile(name, data, 0o600)
 }
 
-const stateFile = "state.json"
+const (
+	stateFile  = "state.json"
+	servedFile = "served.pem"
+)
 
 // state reads what the core kept; none is an empty one. One that can't be read is set aside: the certificates themselves
 // stand in files of their own.
@@ -79,6 +126,15 @@
 	return state, nil, nil
 }
 
+// peek reads it as it is, and changes nothing.
+func (s *store) peek() (state certs.State, err error) {
+	data, err := os.ReadFile(filepath.Join(s.dir, stateFile))
+	if err == nil {
+		err = json.Unmarshal(data, &state)
+	}
+	return state, err
+}
+
 func (s *store) save(state certs.State) error {
 	data, err := json.MarshalIndent(state, "", " ")
 	if err != nil {
@@ -132,7 +188,7 @@
 
 // served reads what is served under a name; nil is nothing yet.
 func (s *store) served(name string) (*tls.Certificate, error) {
-	data, err := os.ReadFile(s.at(name, "served.pem"))
+	data, err := os.ReadFile(s.at(name, servedFile))
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
@@ -141,7 +197,7 @@
 	}
 	c, err := tls.X509KeyPair(data, data)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", s.at(name, "served.pem"), err)
+		return nil, fmt.Errorf("%s: %w", s.at(name, servedFile), err)
 	}
 	return &c, nil
 }
@@ -160,7 +216,7 @@
 	for _, c := range chain {
 		data = append(data, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: c})...)
 	}
-	if err := write(s.at(name, "served.pem"), append(data, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: der})...)); err != nil {
+	if err := write(s.at(name, servedFile), append(data, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: der})...)); err != nil {
 		return err
 	}
 	// The next order makes a key of its own.
--- a/internal/agent/file.go
+++ b/internal/agent/file.go
@@ -122,6 +122,8 @@
 		Cores    float64 `toml:"cores"`
 		MemoryMB float64 `toml:"memory_mb"`
 		Sockets  int     `toml:"sockets"`
+		TLS      string  `toml:"tls"` // a tls.toml, and in the place of its listen:
+		TLSAt    string  `toml:"tls_listen"`
 	} `toml:"instance"`
 }
 
@@ -168,7 +170,21 @@
 				limits[what] = x
 			}
 		}
-		text, listen, list, err := Configure(data, map[string]any{"name": i.Name, "listen": i.Listen, "discovery": i.List}, limits)
+		if i.TLS != "" {
+			if !filepath.IsAbs(i.TLS) {
+				i.TLS = filepath.Join(filepath.Dir(name), i.TLS)
+			}
+			if i.TLS, err = filepath.Abs(i.TLS); err != nil {
+				return nil, nil, at.Errorf(key+"tls", "%v", err)
+			}
+			if _, err := os.Stat(i.TLS); err != nil {
+				return nil, nil, at.Errorf(key+"tls", "%v", err)
+			}
+		} else if i.TLSAt != "" {
+			return nil, nil, at.Errorf(key+"tls_listen", "goes with tls")
+		}
+		text, listen, list, err := Configure(data, map[string]any{"name": i.Name, "listen": i.Listen, "discovery": i.List, "tls": i.TLS,
+			"tls_listen": i.TLSAt}, limits)
 		if err != nil {
 			return nil, nil, at.Errorf(key+"config", "%s: %v", path, err)
 		}
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -182,6 +182,13 @@
 	}
 	seen := fleet.Seen{Phase: fleet.Starting, At: now(), Pid: s.PID, Digest: s.Digest, Epoch: s.Epoch, List: s.List,
 		ListAt: s.ListAt, ListSum: s.ListSum, InService: s.InService, Open: s.Open, MemoryMB: s.MemoryMB, Proven: true}
+	if s.TLS != nil {
+		worst := s.TLS.Worst()
+		seen.CertStage = string(worst.Stage)
+		if !worst.NotAfter.IsZero() {
+			seen.CertEnds = float64(worst.NotAfter.UnixMilli())
+		}
+	}
 	switch {
 	case s.Ending || r.TermAt > 0:
 		seen.Phase = fleet.Ending
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"net/http"
+
+	"pearknot/internal/acme"
+	"pearknot/internal/front"
 )
 
 // Paths of a node's socket.
@@ -10,6 +13,9 @@
 	StatusPath  = "/v1/status"
 	ServicePath = "/v1/service"
 	CapturePath = "/v1/capture"
+	RenewPath   = "/v1/certs/renew"
+	RevokePath  = "/v1/certs/revoke"
+	KeyPath     = "/v1/certs/account-key"
 )
 
 // Status is a node's own word about itself.
@@ -32,6 +38,40 @@
 	Ending    bool    `json:"ending"`
 	Open      int64   `json:"open_ops"`
 	MemoryMB  float64 `json:"memory_mb"` // that the runtime has of the system
+	TLS       *TLS    `json:"tls,omitempty"`
+}
+
+// TLS is what a node serves beside plain connections.
+type TLS struct {
+	Listen       string           `json:"listen"`
+	Dir          string           `json:"dir"`    // the store
+	Orders       bool             `json:"orders"` // this instance does, for all on the store
+	OrderedBy    int              `json:"ordered_by,omitempty"`
+	Handshakes   front.Handshakes `json:"handshakes"`
+	Certificates []acme.Status    `json:"certificates"`
+}
+
+// Worst is the certificate that ends first, with those that are missing before all.
+func (t *TLS) Worst() (w acme.Status) {
+	for k, c := range t.Certificates {
+		if k == 0 || c.NotAfter.Before(w.NotAfter) {
+			w = c
+		}
+	}
+	return w
+}
+
+// Certificate names one.
+type Certificate struct {
+	Name      string `json:"name,omitempty"`
+	Authority int    `json:"authority,omitempty"` // of an account's key
+}
+
+// Certificates are what a node's keeper of them can be told.
+type Certificates interface {
+	Renew(ctx context.Context, name string) error
+	Revoke(ctx context.Context, name string) error
+	Rollover(ctx context.Context, authority int) error
 }
 
 // Service tells a node whether its health says that it may be sent clients.
@@ -45,9 +85,31 @@
 	File string `json:"file"`
 }
 
-// Node serves a node's socket. Dump writes its capture out; nil is a node without one to write.
-func Node(status func(context.Context) (Status, error), service func(Service) error, dump func() (string, error)) http.Handler {
+// Node serves a node's socket. Dump writes its capture out; nil is a node without one to write, or without certificates.
+func Node(status func(context.Context) (Status, error), service func(Service) error, dump func() (string, error), certs Certificates) http.Handler {
 	m := http.NewServeMux()
+	for path, f := range map[string]func(context.Context, Certificate) error{
+		RenewPath:  func(ctx context.Context, c Certificate) error { return certs.Renew(ctx, c.Name) },
+		RevokePath: func(ctx context.Context, c Certificate) error { return certs.Revoke(ctx, c.Name) },
+		KeyPath:    func(ctx context.Context, c Certificate) error { return certs.Rollover(ctx, c.Authority) },
+	} {
+		m.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+			if certs == nil {
+				Fail(w, http.StatusNotFound, "this node serves no TLS")
+				return
+			}
+			var c Certificate
+			if err := Decode(r, &c); err != nil {
+				Fail(w, http.StatusBadRequest, err.Error())
+				return
+			}
+			if err := f(r.Context(), c); err != nil {
+				Fail(w, http.StatusConflict, err.Error())
+				return
+			}
+			Answer(w, http.StatusOK, struct{}{})
+		})
+	}
 	m.HandleFunc("POST "+CapturePath, func(w http.ResponseWriter, _ *http.Request) {
 		if dump == nil {
 			Fail(w, http.StatusNotFound, "this node holds no capture in memory")
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -68,8 +68,10 @@
 	InService bool    `json:"in_service"`
 	Open      int64   `json:"open_ops"`
 	MemoryMB  float64 `json:"memory_mb,omitempty"`
-	Why       string  `json:"why,omitempty"` // of Unknown, Alien
-	Proven    bool    `json:"proven"`        // the process that holds its lock is the one that was started
+	CertStage string  `json:"cert_stage,omitempty"` // of the certificate that ends first
+	CertEnds  float64 `json:"cert_ends,omitempty"`  // Unix ms; 0 where it is missing
+	Why       string  `json:"why,omitempty"`        // of Unknown, Alien
+	Proven    bool    `json:"proven"`               // the process that holds its lock is the one that was started
 }
 
 // Witness is what the agent itself read from a list's source.
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"os"
@@ -37,7 +38,7 @@
 		}
 		return nil, err
 	}
-	return &client{TCPConn: c, budget: l.budget}, nil
+	return plain(c, l.budget), nil
 }
 
 // drain lets Accept go on until nothing has come for a while.
@@ -50,8 +51,9 @@
 // its connection exclude each other: net/http closes idle connections on a look that may be out of date by then, a
 // client whose connection ends without an answer sends the op again, and an op already taken would run twice.
 type client struct {
-	*net.TCPConn
-	budget *sockets.Budget
+	net.Conn // the TCP connection, or the TLS one on it
+	tcp      *net.TCPConn
+	budget   *sockets.Budget
 
 	mu      sync.Mutex
 	inHand  bool
@@ -60,9 +62,19 @@
 	crossed bool // bytes came behind an op that was not answered yet
 }
 
+func plain(c *net.TCPConn, b *sockets.Budget) *client { return &client{Conn: c, tcp: c, budget: b} }
+
+// CloseWrite is net/http's, which ends a connection so where the client may still be sending.
+func (c *client) CloseWrite() error {
+	if t, ok := c.Conn.(*tls.Conn); ok {
+		return t.CloseWrite()
+	}
+	return c.tcp.CloseWrite()
+}
+
 // Read follows what net/http reads.
 func (c *client) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
+	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.framing.see(b[:n]) {
@@ -117,8 +129,15 @@
 		return nil
 	}
 	c.closed = true
-	defer c.budget.ClientBack()
-	return c.TCPConn.Close()
+	if c.Conn == net.Conn(c.tcp) {
+		defer c.budget.ClientBack()
+		return c.tcp.Close()
+	}
+	go func() { // the last record may wait for a client that reads nothing; whoever closes does not
+		defer c.budget.ClientBack()
+		_ = c.Conn.Close()
+	}()
+	return nil
 }
 
 type clientKey struct{}
@@ -134,7 +153,7 @@
 // wayHere is how long ago the client sent what was just read whole, in ms: the time that its last bytes waited on
 // this machine and half a round trip. A busy node reads late, and the TTL counts from the sending.
 func (c *client) wayHere() float64 {
-	raw, err := c.SyscallConn()
+	raw, err := c.tcp.SyscallConn()
 	if err != nil {
 		return onTheWay
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -55,6 +55,7 @@
 
 	server   http.Server
 	listener *listener
+	secure   *secure      // nil where no TLS is served
 	withheld atomic.Bool  // kept out of service
 	leaving  atomic.Bool  // told to end: no client is to be sent here any more
 	draining atomic.Bool  // those who still come are asked to close
@@ -93,13 +94,44 @@
 	return err
 }
 
-// Address is where the front listens.
-func (f *Front) Address() string { return f.listener.Addr().String() }
+// ListenSecure opens a second address, for TLS; it is served from Serve on. Its descriptors
+// are of the same budget, half-open ones at most a quarter of the limit.
+func (f *Front) ListenSecure(o Secure, limit int) error {
+	l, err := net.Listen("tcp", o.Address)
+	if err == nil {
+		f.secure = newSecure(&listener{TCPListener: l.(*net.TCPListener), budget: f.budget}, o, limit)
+	}
+	return err
+}
+
+// Tickets sets the keys of TLS session tickets: the first seals, all open. Connections go on.
+func (f *Front) Tickets(keys [][32]byte) { f.secure.tickets(keys) }
+
+// Handshakes counts those of TLS.
+func (f *Front) Handshakes() Handshakes { return f.secure.handshakes() }
+
+// Address is where the front listens; SecureAddress where it does for TLS.
+func (f *Front) Address() string       { return f.listener.Addr().String() }
+func (f *Front) SecureAddress() string { return f.secure.Addr().String() }
 
 // Serve goes on until Drain has ended it.
 func (f *Front) Serve() error {
 	defer close(f.served)
-	if err := f.server.Serve(f.listener); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
+	if f.secure == nil {
+		return f.serveOn(f.listener)
+	}
+	go f.secure.run()
+	failed := make(chan error, 2)
+	go func() { failed <- f.serveOn(f.secure) }()
+	go func() { failed <- f.serveOn(f.listener) }()
+	if err := <-failed; err != nil { // the node ends with either
+		return err
+	}
+	return <-failed
+}
+
+func (f *Front) serveOn(l net.Listener) error {
+	if err := f.server.Serve(l); !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
@@ -122,6 +154,9 @@
 	f.shed(0) // while those who come back still find the listener
 	time.Sleep(quiet)
 	f.listener.drain()
+	if f.secure != nil {
+		f.secure.inner.drain()
+	}
 	select {
 	case <-f.served:
 	case <-ctx.Done():
@@ -140,7 +175,12 @@
 
 // Shed closes clients' connections that have had no op for a while; what crosses that a client sends again on
 // another.
-func (f *Front) Shed() { f.shed(idleAtLeast) }
+func (f *Front) Shed() {
+	f.shed(idleAtLeast)
+	if f.secure != nil {
+		f.secure.shed(silentAtLeast)
+	}
+}
 
 func (f *Front) shed(idle time.Duration) {
 	f.mu.Lock()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -30,7 +30,7 @@
 	budget := sockets.New(64, func() {})
 	require.True(t, budget.Client())
 	t.Cleanup(func() { _ = far.Close() })
-	return &client{TCPConn: near.(*net.TCPConn), budget: budget}, far
+	return plain(near.(*net.TCPConn), budget), far
 }
 
 func TestDecode(t *testing.T) {
--- a/internal/lab/authority/authority.go
+++ b/internal/lab/authority/authority.go
@@ -22,6 +22,7 @@
 	"math/big"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -48,6 +49,18 @@
 	Huge        Fault = "huge"          // answers without end
 )
 
+var faults = []Fault{Unreachable, Slow, Broken, BadNonce, TooMany, Reject, Stuck, WrongChain, Outdated, TooEarly, OtherName, OtherKey, Garbage, Huge}
+
+// Known tells whether it is one of them, and Faults names them all.
+func (f Fault) Known() bool { return slices.Contains(faults, f) }
+
+func Faults() (names []string) {
+	for _, f := range faults {
+		names = append(names, string(f))
+	}
+	return names
+}
+
 // Trouble is a fault for a while, by the authority's clock.
 type Trouble struct {
 	Fault    Fault
@@ -182,6 +195,11 @@
 	return p
 }
 
+// RootPEM is the same as a file has it.
+func (a *Authority) RootPEM() []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.root.der})
+}
+
 // Put sets the schedule of faults.
 func (a *Authority) Put(t ...Trouble) {
 	a.mu.Lock()
@@ -201,6 +219,20 @@
 	return n
 }
 
+// Orders counts those that were made.
+func (a *Authority) Orders() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.orders)
+}
+
+// Issued counts the certificates that were.
+func (a *Authority) Issued() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.issued)
+}
+
 // Revoked tells whether a certificate of that serial was revoked.
 func (a *Authority) Revoked(serial *big.Int) bool {
 	a.mu.Lock()
--- a/internal/lab/loopback/clients.go
+++ b/internal/lab/loopback/clients.go
@@ -22,6 +22,7 @@
 	nodes  [][]*node // by zone
 	turn   []int
 	http   *http.Client
+	secure bool
 	wg     sync.WaitGroup
 	mu     sync.Mutex // of turn
 }
@@ -29,12 +30,16 @@
 // slackMs is what a node's answer may come late for what sockets and processes take.
 const slackMs = 50.0
 
-func newCrowd(h *hub, s *clients.Source, nodes []*node) *crowd {
+func newCrowd(h *hub, s *clients.Source, nodes []*node, secure *secure) *crowd {
 	c := &crowd{hub: h, source: s, nodes: make([][]*node, len(h.e.Fleet.Zones)), turn: make([]int, len(h.e.Fleet.Zones))}
 	for _, n := range nodes {
 		c.nodes[n.zone] = append(c.nodes[n.zone], n)
 	}
-	c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100, DisableCompression: true}}
+	t := &http.Transport{MaxIdleConnsPerHost: 100, DisableCompression: true}
+	if secure != nil {
+		c.secure, t.TLSClientConfig = true, secure.config
+	}
+	c.http = &http.Client{Transport: t}
 	return c
 }
 
@@ -145,7 +150,11 @@
 	if k.Effect != "redeliverable" {
 		method, body = http.MethodPost, []byte("lab")
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.address+"/api", bytes.NewReader(body))
+	target := "http://" + n.address + "/api"
+	if c.secure {
+		target = "https://" + n.secure + "/api"
+	}
+	r, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		panic(err) // plain values
 	}
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -32,6 +32,8 @@
 	Live    func(Live)        // is told once a second
 	Started func()            // called when all is up and load begins
 
+	TLS *TLS // nil is plain
+
 	// External, where given, starts the nodes in the lab's place and returns when they serve. It ends them too.
 	External func([]External) error
 }
@@ -67,6 +69,7 @@
 	nodes    []*node
 	crowd    *crowd
 	switches []trouble.Switch
+	secure   *secure // nil is plain
 	failed   chan error
 	wg       sync.WaitGroup
 }
@@ -99,7 +102,7 @@
 		run.NodeCPU = float64(spent.Microseconds()) / float64(max(run.Ops, 1))
 	}()
 	defer cancel()
-	if err = w.build(); err != nil {
+	if err = w.build(ctx); err != nil {
 		return run, err
 	}
 	if err = w.begin(ctx); err != nil {
@@ -118,9 +121,13 @@
 	if ctx.Err() != nil {
 		err = context.Cause(ctx)
 	}
+	whole := ctx.Err() == nil
 	cancel()
 	<-over
 	w.wg.Wait()
+	if w.secure != nil && whole {
+		w.secure.look(context.Background())
+	}
 	for _, n := range w.nodes {
 		n.mu.Lock()
 		n.expect = true
@@ -130,7 +137,7 @@
 }
 
 // build starts backends, list and nodes, and waits until all nodes are ready.
-func (w *world) build() error {
+func (w *world) build(ctx context.Context) error {
 	for k := range w.e.Fleet.Backends {
 		m := machine.New(w.e.MachineKind(k), rand.New(rand.NewPCG(w.random, uint64(k)+1000)))
 		b, err := newBackend(w.hub, k, k%len(w.e.Fleet.Zones), w.e.MachineOf(k), len(w.e.Fleet.Zones), m)
@@ -140,6 +147,12 @@
 		w.backends = append(w.backends, b)
 	}
 	w.list = newList(w.hub, w.backends)
+	if w.o.TLS != nil {
+		var err error
+		if w.secure, err = w.newSecure(*w.o.TLS); err != nil {
+			return err
+		}
+	}
 	var wg sync.WaitGroup
 	errs := make(chan error, w.e.Fleet.Nodes)
 	var external []External
@@ -158,6 +171,14 @@
 		if n.address, err = freeAddress(w.home); err != nil {
 			return err
 		}
+		if w.secure != nil {
+			if n.secure, err = freeAddress(w.home); err != nil {
+				return err
+			}
+			if n.more, err = w.secure.arguments(n); err != nil {
+				return err
+			}
+		}
 		w.nodes = append(w.nodes, n)
 		if w.o.External != nil {
 			config, err := n.config(w.now())
@@ -167,17 +188,22 @@
 			external = append(external, External{fmt.Sprintf("n%d", k), n.address, config})
 			continue
 		}
-		wg.Go(func() { errs <- n.start(w.now()) })
 	}
 	if w.o.External != nil {
 		return w.o.External(external)
 	}
+	for _, n := range w.nodes {
+		wg.Go(func() { errs <- n.start(w.now()) })
+	}
 	wg.Wait()
 	for range w.nodes {
 		if err := <-errs; err != nil {
 			return err
 		}
 	}
+	if w.secure != nil {
+		return w.secure.ready(ctx)
+	}
 	return nil
 }
 
@@ -189,7 +215,7 @@
 			return err
 		}
 	}
-	w.crowd = newCrowd(w.hub, clients.New(w.e, w.state, w.random), w.nodes)
+	w.crowd = newCrowd(w.hub, clients.New(w.e, w.state, w.random), w.nodes, w.secure)
 	if w.o.Started != nil {
 		w.o.Started()
 	}
@@ -200,6 +226,9 @@
 		}
 	}
 	w.wg.Go(func() { w.trouble(ctx) })
+	if w.secure != nil {
+		w.wg.Go(func() { w.secure.renew(ctx) })
+	}
 	w.wg.Go(func() { w.look(ctx) })
 	return nil
 }
@@ -406,6 +435,9 @@
 	if w.list != nil {
 		w.list.close()
 	}
+	if w.secure != nil {
+		w.secure.server.Close()
+	}
 	for _, b := range w.backends {
 		b.close()
 	}
--- a/internal/lab/loopback/loopback_test.go
+++ b/internal/lab/loopback/loopback_test.go
@@ -106,6 +106,24 @@
 	assert.Empty(t, left(t, dir))
 }
 
+// Clients speak TLS; the certificate is swapped twice under load, and the node that orders is killed between: no op is
+// lost, and nobody's handshake fails.
+func TestSwapUnderLoad(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	e := small(t, 7, experiment.Trouble{Kind: experiment.Nodes, At: 2.5, For: 1, Count: 1})
+	var told Swaps
+	run, err := Run(t.Context(), e, 1, Options{Command: []string{nodeProgram, "serve"}, Dir: t.TempDir(),
+		TLS: &TLS{Renew: []float64{1, 5}, Resume: true, Told: func(s Swaps) { told = s }}})
+	require.NoError(t, err)
+	assert.True(t, run.Rules.Kept, run.Rules.Breaches)
+	assert.Greater(t, run.Service, 0.8)
+	assert.Equal(t, 2, told.Asked)
+	assert.Zero(t, told.Refused)
+	assert.Equal(t, 3, told.Issued)
+	assert.Zero(t, told.Failed)
+	assert.Positive(t, told.Handshakes)
+}
+
 // However a run ends, no process and no port stays behind.
 func TestNothingStays(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/lab/loopback/node.go
+++ b/internal/lab/loopback/node.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -34,7 +35,9 @@
 	command []string
 	list    *list
 	address string
-	from    string // where its list is
+	secure  string   // where it serves TLS
+	more    []string // arguments
+	from    string   // where its list is
 	life    int
 
 	mu      sync.Mutex
@@ -108,7 +111,7 @@
 	if err != nil {
 		return err
 	}
-	p := exec.Command(n.command[0], append(n.command[1:len(n.command):len(n.command)], "--config", file)...)
+	p := exec.Command(n.command[0], slices.Concat(n.command[1:], []string{"--config", file}, n.more)...)
 	p.Stderr, p.Stdout = log, log
 	// Should the lab itself be killed, its nodes end with it; a group of their own keeps a terminal's interrupt from them.
 	p.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
--- a/internal/serve/control.go
+++ b/internal/serve/control.go
@@ -10,6 +10,7 @@
 	"runtime/metrics"
 	"time"
 
+	"pearknot/internal/acme"
 	"pearknot/internal/control"
 	"pearknot/internal/front"
 	"pearknot/internal/node"
@@ -19,7 +20,8 @@
 const lookWithin = time.Second
 
 // openControl serves the node's control socket until it is closed.
-func openControl(p *Place, o Options, n *node.Node, f *front.Front, dump func() (string, error), started float64, log *slog.Logger) (io.Closer, error) {
+func openControl(p *Place, o Options, n *node.Node, f *front.Front, dump func() (string, error), certificates *acme.Instance,
+	started float64, log *slog.Logger) (io.Closer, error) {
 	l, err := control.Listen(o.Control)
 	if err != nil {
 		return nil, err
@@ -33,9 +35,14 @@
 		}
 		in, ending := f.State()
 		now := p.now.Load()
-		return control.Status{Token: o.Token, PID: os.Getpid(), Name: p.name, Listen: f.Address(), Version: o.Version, Started: started,
+		s := control.Status{Token: o.Token, PID: os.Getpid(), Name: p.name, Listen: f.Address(), Version: o.Version, Started: started,
 			Config: p.file, Digest: now.digest, Epoch: o.Epoch, List: now.discovery, ListAt: look.Version, ListSum: look.Digest,
-			Backends: look.Backends, Ready: look.Held, InService: in, Ending: ending, Open: int64(look.Open), MemoryMB: memory()}, nil
+			Backends: look.Backends, Ready: look.Held, InService: in, Ending: ending, Open: int64(look.Open), MemoryMB: memory()}
+		if certificates != nil {
+			s.TLS = &control.TLS{Listen: f.SecureAddress(), Dir: o.TLS.Acme.Dir, Handshakes: f.Handshakes(), Certificates: certificates.Status()}
+			s.TLS.Orders, s.TLS.OrderedBy = certificates.Orders()
+		}
+		return s, nil
 	}
 	service := func(s control.Service) error {
 		if _, ending := f.State(); ending {
@@ -45,7 +52,11 @@
 		log.Info("service", "in", s.In, "why", s.Why)
 		return nil
 	}
-	server := control.Server(control.Node(status, service, dump))
+	var keeper control.Certificates
+	if certificates != nil {
+		keeper = certificates
+	}
+	server := control.Server(control.Node(status, service, dump, keeper))
 	go func() {
 		if err := server.Serve(control.Limited(l)); !errors.Is(err, http.ErrServerClosed) {
 			log.Error("control socket ended", "error", err)
--- a/internal/serve/place.go
+++ b/internal/serve/place.go
@@ -32,6 +32,8 @@
 	sockets   int
 	told      *terms.Deployment
 	names     members.Names
+	tls       string        // a file as --tls names one; empty is none
+	tlsListen string        // in the place of that file's
 	known     *members.List // nil where the node never had one
 	now       atomic.Pointer[reading]
 }
@@ -50,6 +52,8 @@
 	}
 	var read struct {
 		Name, Listen, Discovery, Seed string
+		TLS                           string `json:"tls"`
+		TLSListen                     string `json:"tls_listen"`
 		Limits                        struct {
 			Cores    float64
 			MemoryMB float64 `json:"memory_mb"`
@@ -69,6 +73,8 @@
 		cores:     read.Limits.Cores,
 		memory:    int64(read.Limits.MemoryMB * (1 << 20)),
 		sockets:   cmp.Or(read.Limits.Sockets, 1024),
+		tls:       read.TLS,
+		tlsListen: read.TLSListen,
 	}
 	for what, address := range map[string]string{"listen": p.listen, "discovery": p.discovery} {
 		if _, _, err := net.SplitHostPort(address); err != nil {
@@ -123,7 +129,7 @@
 		return
 	}
 	if next.name != p.name || next.listen != p.listen || next.sockets != p.sockets || next.memory != p.memory ||
-		next.cores != p.cores || !reflect.DeepEqual(next.names, p.names) {
+		next.cores != p.cores || next.tls != p.tls || next.tlsListen != p.tlsListen || !reflect.DeepEqual(next.names, p.names) {
 		log.Warn("new configuration differs in what only a start takes up")
 	}
 	p.discovery = next.discovery
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"pearknot/internal/acme"
 	"pearknot/internal/clock"
 	"pearknot/internal/front"
 	"pearknot/internal/members"
@@ -45,10 +46,17 @@
 	Token   string   // that the control socket answers with
 	Epoch   uint64   // the agent's count of its restarts
 	Capture *Capture // where all that the module is told goes; nil is nowhere
+	TLS     *TLS     // nil is none
 }
 
 // Run runs a node until SIGTERM has ended it.
 func Run(p *Place, o Options, log *slog.Logger) error {
+	if o.TLS == nil && p.tls != "" {
+		var err error
+		if o.TLS, err = ReadTLS(p.tls); err != nil {
+			return err
+		}
+	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(p.cores))))
 	if p.memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(p.memory)))
@@ -66,7 +74,11 @@
 		signal.Notify(dumps, syscall.SIGUSR1)
 		defer signal.Stop(dumps)
 	}
-	budget := sockets.New(p.sockets, func() {
+	limit := p.sockets
+	if o.TLS != nil {
+		limit -= tlsReserve
+	}
+	budget := sockets.New(limit, func() {
 		select {
 		case pressed <- struct{}{}:
 		default:
@@ -101,8 +113,17 @@
 	f.Withhold(o.Held)
 	over, end := context.WithCancel(context.Background())
 	defer end()
+	var certificates *acme.Instance
+	if o.TLS != nil {
+		var wait func()
+		var err error
+		if certificates, wait, err = secured(over, p, o.TLS, f, log); err != nil {
+			return err
+		}
+		defer func() { end(); wait() }()
+	}
 	if o.Control != "" {
-		c, err := openControl(p, o, n, f, dump, now.Now(), log)
+		c, err := openControl(p, o, n, f, dump, certificates, now.Now(), log)
 		if err != nil {
 			return err
 		}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -94,3 +94,10 @@
 	b.mu.Unlock()
 	b.room.Broadcast()
 }
+
+// Clients is how many sockets clients have.
+func (b *Budget) Clients() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.clients
+}
