Edge: trickled ops can be let go, clients with a connection for each op become known

A connection whose op's body trickled counted as having an op in hand, so that letting it go did nothing; an address with one op to a connection was forgotten, as its single op had faded below one; and known clients waited until strangers' silent connections were old enough.

Change: an op is in hand from the moment at which it is whole and taken; half an op is enough to be remembered; the known displace silent strangers at once. The lab spreads clients over devices with connections of their own.

--- a/cmd/pearknot-lab/play.go
+++ b/cmd/pearknot-lab/play.go
@@ -46,6 +46,7 @@
 	nodeArgs []string
 	tls      bool
 	renew    []float64
+	devices  int
 }
 
 func (p *plan) flags(c *cobra.Command) {
@@ -63,6 +64,7 @@
 	c.Flags().StringVar(&p.pearknot, "pearknot", "", "the node's program; else the one beside this, else it is built")
 	c.Flags().StringArrayVar(&p.nodeArgs, "node-arg", nil, "a further argument of each node's, such as --capture=FILE")
 	c.Flags().BoolVar(&p.tls, "tls", false, "clients speak TLS, with certificates of a stand-in authority")
+	c.Flags().IntVar(&p.devices, "devices", 1, "that clients are spread over, each with connections of its own; on sockets")
 	c.Flags().Float64SliceVar(&p.renew, "renew", nil, "with --tls: seconds at which the certificate is ordered anew")
 }
 
@@ -71,6 +73,9 @@
 	if p.tls && (p.virtual || p.policy != "" && p.policy != "cda") {
 		return command.Usage(errors.New("--tls is for real nodes"))
 	}
+	if p.devices < 0 || p.devices > 10_000 {
+		return command.Usage(fmt.Errorf("--devices %d is not 0 to 10000", p.devices))
+	}
 	if len(p.renew) > 0 && !p.tls {
 		return command.Usage(errors.New("--renew goes with --tls"))
 	}
@@ -165,6 +170,7 @@
 	}
 	defer clean()
 	o.Command = append(start, p.nodeArgs...)
+	o.Devices = p.devices
 	if p.tls {
 		o.TLS = &loopback.TLS{Renew: p.renew, Resume: true, Told: func(s loopback.Swaps) {
 			fmt.Fprintf(out, "TLS: %d renewals asked for, %d not taken, %d certificates issued; %d handshakes, %d of them resumed, %d failed\n", s.Asked, s.Refused,
--- a/cmd/pearknot/edge_test.go
+++ b/cmd/pearknot/edge_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -159,6 +160,161 @@
 	require.NoError(t, <-w.ended)
 }
 
+// A hundred and fifty members behind one address beside fifty with one each, as many as there is room for; one of the
+// members sends nothing but malformed ops, on a connection for each: only those pay.
+func TestMembersBehindOneAddress(t *testing.T) {
+	dir, err := os.MkdirTemp("", "pk")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = os.RemoveAll(dir) })
+	socket := filepath.Join(dir, "s")
+	w := start(t, 300, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") }, "--edge", "../../deploy/edge.toml", "--control", socket)
+	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+	defer cancel()
+	var asked, served [2]atomic.Int64
+	var all sync.WaitGroup
+	for k := range 200 {
+		group, address := 0, "127.5.0.1"
+		if k >= 150 {
+			group, address = 1, fmt.Sprintf("127.6.0.%d", k-149)
+		}
+		all.Go(func() {
+			client := &http.Client{Transport: &http.Transport{DialContext: from(address).DialContext}}
+			defer client.CloseIdleConnections()
+			pace := rate.NewLimiter(2, 1)
+			time.Sleep(time.Duration(k) * 2 * time.Millisecond) // members come one after the other
+			for n := 0; pace.Wait(ctx) == nil; n++ {
+				q, err := http.NewRequest("GET", "http://"+w.address+"/api", nil)
+				if err != nil {
+					panic(err) // plain values
+				}
+				q.Header = http.Header{"X-Trace-Id": {fmt.Sprint(k, "-", n)}, "X-Qos": {"check"}, "X-Expires-In-Ms": {"2000"}}
+				asked[group].Add(1)
+				a, err := client.Do(q)
+				if err != nil {
+					continue
+				}
+				_, _ = io.Copy(io.Discard, a.Body)
+				_ = a.Body.Close()
+				if a.StatusCode == http.StatusOK {
+					served[group].Add(1)
+				}
+			}
+		})
+	}
+	all.Go(func() {
+		pace := rate.NewLimiter(100, 1)
+		for pace.Wait(ctx) == nil {
+			if c, err := from("127.5.0.1").DialContext(ctx, "tcp", w.address); err == nil {
+				_, _ = io.WriteString(c, "GET /api HTTP/1.1\r\nHost: x\r\n\r\n")
+				_ = c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+				_, _ = io.Copy(io.Discard, c)
+				_ = c.Close()
+			}
+		}
+	})
+	all.Wait()
+	share := [2]float64{}
+	for g := range share {
+		share[g] = float64(served[g].Load()) / float64(asked[g].Load())
+	}
+	t.Logf("behind one address %.3f of %d, alone %.3f of %d", share[0], asked[0].Load(), share[1], asked[1].Load())
+	assert.InDelta(t, share[0], share[1], 0.03)
+	assert.Greater(t, share[0], 0.95)
+}
+
+// Five hundred clients trickle heads, bodies and reads; known clients go on as without them.
+func TestTrickles(t *testing.T) {
+	dir, err := os.MkdirTemp("", "pk")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = os.RemoveAll(dir) })
+	socket := filepath.Join(dir, "s")
+	w := start(t, 300, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Qos") == "check" {
+			_, _ = w.Write(make([]byte, 60_000)) // what slow readers ask for
+			return
+		}
+		fmt.Fprint(w, "done")
+	}, "--edge", "../../deploy/edge.toml", "--control", socket)
+	why := map[string]int{}
+	run := func(from func(k int) *net.Dialer) (times []time.Duration, failed int) {
+		var mu sync.Mutex
+		var all sync.WaitGroup
+		pace := rate.NewLimiter(100, 1)
+		for k := range 300 {
+			require.NoError(t, pace.Wait(t.Context()))
+			all.Go(func() {
+				client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: from(k).DialContext}}
+				begun := time.Now()
+				status, _, _, err := w.ask(client, "POST", fmt.Sprint(k, begun.UnixNano()), "pay", "2000")
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil || status != 200 {
+					failed++
+					why[fmt.Sprint(status, err != nil)]++
+				}
+				times = append(times, time.Since(begun))
+			})
+		}
+		all.Wait()
+		slices.Sort(times)
+		return times, failed
+	}
+	known := func(k int) *net.Dialer { return from(fmt.Sprintf("127.9.0.%d", 1+k%50)) }
+	quiet, failed := run(known)
+	require.Zero(t, failed)
+	ctx, cancel := context.WithCancel(t.Context())
+	var all sync.WaitGroup
+	says := []string{"POST /api HTTP/1.1\r\nHost: members.example\r\nX-Trace-Id: ", "POST /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: t%d\r\nX-Qos: pay\r\nX-Expires-In-Ms: 2000\r\nContent-Length: 4000\r\n\r\n",
+		"GET /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: s%d\r\nX-Qos: check\r\nX-Expires-In-Ms: 2000\r\n\r\n"}
+	for k := range 500 {
+		all.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				c, err := from(fmt.Sprintf("127.7.%d.%d", 1+k/200, 1+k%200)).DialContext(ctx, "tcp", w.address)
+				if err != nil {
+					return
+				}
+				text := says[k%3]
+				if strings.Contains(text, "%d") {
+					text = fmt.Sprintf(text, k*1000+n)
+				}
+				if _, err = io.WriteString(c, text); err == nil {
+					one := make([]byte, 1)
+					for ctx.Err() == nil && err == nil { // ten bytes a second
+						if k%3 == 2 {
+							_, err = c.Read(one)
+						} else {
+							_, err = c.Write([]byte("x"))
+						}
+						pauseFor(ctx, 100*time.Millisecond)
+					}
+				}
+				_ = c.Close()
+				pauseFor(ctx, 100*time.Millisecond)
+			}
+		})
+	}
+	pauseFor(ctx, 500*time.Millisecond)
+	beside, failed := run(known)
+	_, table := call("clients", socket, "--most", "5")
+	t.Log(table)
+	cancel()
+	all.Wait()
+	at := func(times []time.Duration, q float64) time.Duration {
+		return times[int(q*float64(len(times)-1))].Round(10 * time.Microsecond)
+	}
+	t.Logf("known clients, 50 and 99 of a hundred: without %v and %v, beside 500 that trickle %v and %v, %d failed", at(quiet, 0.5), at(quiet, 0.99),
+		at(beside, 0.5), at(beside, 0.99), failed)
+	assert.LessOrEqual(t, failed, 3, "%v", why)
+	assert.Less(t, at(beside, 0.99), 100*time.Millisecond)
+}
+
+func pauseFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // The operator's file is read strictly, by the check too.
 func TestEdgeFile(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "edge.toml")
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -252,7 +252,7 @@
 		quiet := now - x.since
 		var rank [3]float64 // the least standing first: silent before idle, strangers before known, whoever has most there
 		switch {
-		case !x.proven && (quiet >= c.l.Grace || x.odd > 0 || x.party.unproven > own+1):
+		case !x.proven && (quiet >= c.l.Grace || x.odd > 0 || x.party.unproven > own+1 || x.as == stranger && as == vouched):
 			rank = [3]float64{2, float64(x.party.unproven), quiet}
 		case x.proven && quiet >= c.l.IdleFor:
 			rank = [3]float64{1, float64(x.party.conns), quiet}
@@ -347,9 +347,13 @@
 	c.press()
 }
 
+// leastGood keeps an address in mind with a single op answered, which has faded a little by the time its connection ends:
+// else whoever comes with a connection for each op would never be known.
+const leastGood = 0.5
+
 // rest remembers an address without a connection: one that is good in a place of a ring, any other in the sketch.
 func (c *Core) rest(now float64, p *party) {
-	if p.good.get(now, c.l.KnownHalf) < 1 {
+	if p.good.get(now, c.l.KnownHalf) < leastGood {
 		c.forget(now, p)
 		return
 	}
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -135,6 +135,39 @@
 	assert.Greater(t, served(true), 0.97)
 }
 
+// A known client need not wait until a stranger's connection is old enough to be let go; a stranger does.
+func TestKnownBeforeStrangers(t *testing.T) {
+	s := newSight(Defaults(8))
+	for k := range 4 {
+		s.known(address(k))
+	}
+	for k := range 8 {
+		_, why := s.connect(address(10 + k))
+		require.Equal(t, k < 6, why == Admitted, "two of eight are kept for known ones")
+	}
+	for k := range 4 { // the two, and those of two strangers
+		_, why := s.connect(address(k))
+		require.Equal(t, Admitted, why)
+	}
+	_, why := s.connect(address(100))
+	assert.Equal(t, Full, why)
+}
+
+// Whoever has a connection for each op becomes known as well.
+func TestKnownByConnections(t *testing.T) {
+	s := newSight(Defaults(200))
+	for range 4 {
+		s.now += 1000
+		id, why := s.connect(address(1))
+		require.Equal(t, Admitted, why)
+		s.op(id)
+		s.now += 5
+		s.close(id)
+	}
+	assert.True(t, s.c.Known(s.now, address(1)))
+	assert.False(t, s.c.Known(s.now+3600e3, address(1)), "it fades")
+}
+
 // Whoever behaves well to become known, and then floods, gets no more by it than half the reserve; strangers still get in.
 func TestKnownThatFloods(t *testing.T) {
 	s := newSight(Defaults(200))
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -219,10 +219,6 @@
 
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := r.Context().Value(clientKey{}).(*client)
-	if !c.claim() {
-		return
-	}
-	defer c.release()
 	var op *node.Op
 	defer func() { // net/http would end the connection, and lose an op taken
 		if fault := recover(); fault != nil {
@@ -253,6 +249,11 @@
 		return
 	}
 	defer f.leave(id)
+	// Until here the connection may be let go, whatever of an op it has sent: nothing was taken.
+	if !c.claim() {
+		return
+	}
+	defer c.release()
 	c.judged((*door).began)
 	defer c.judged((*door).answered)
 	f.serve(w, r, c, op)
--- a/internal/lab/loopback/clients.go
+++ b/internal/lab/loopback/clients.go
@@ -21,7 +21,7 @@
 	source *clients.Source
 	nodes  [][]*node // by zone
 	turn   []int
-	http   *http.Client
+	http   []*http.Client // devices, each with connections of its own
 	secure bool
 	wg     sync.WaitGroup
 	mu     sync.Mutex // of turn
@@ -30,22 +30,28 @@
 // slackMs is what a node's answer may come late for what sockets and processes take.
 const slackMs = 50.0
 
-func newCrowd(h *hub, s *clients.Source, nodes []*node, secure *secure) *crowd {
+func newCrowd(h *hub, s *clients.Source, nodes []*node, secure *secure, devices int) *crowd {
 	c := &crowd{hub: h, source: s, nodes: make([][]*node, len(h.e.Fleet.Zones)), turn: make([]int, len(h.e.Fleet.Zones))}
 	for _, n := range nodes {
 		c.nodes[n.zone] = append(c.nodes[n.zone], n)
 	}
-	t := &http.Transport{MaxIdleConnsPerHost: 100, DisableCompression: true}
-	if secure != nil {
-		c.secure, t.TLSClientConfig = true, secure.config
+	for range max(devices, 1) {
+		t := &http.Transport{MaxIdleConnsPerHost: 100, DisableCompression: true}
+		if secure != nil {
+			c.secure, t.TLSClientConfig = true, secure.config
+		}
+		c.http = append(c.http, &http.Client{Transport: t})
 	}
-	c.http = &http.Client{Transport: t}
 	return c
 }
 
 // run sends until the experiment's end, then waits until all have their answers or ctx ends.
 func (c *crowd) run(ctx context.Context) {
-	defer c.http.CloseIdleConnections()
+	defer func() {
+		for _, device := range c.http {
+			device.CloseIdleConnections()
+		}
+	}()
 	for c.source.Next() < c.hub.e.Length() && ctx.Err() == nil {
 		wait(ctx, time.Until(c.hub.time(c.source.Next())))
 		if ctx.Err() != nil {
@@ -167,7 +173,7 @@
 	if number > 0 {
 		r.Header.Set("X-Second-Try", "1")
 	}
-	answer, err := c.http.Do(r)
+	answer, err := c.http[op.ID%uint64(len(c.http))].Do(r)
 	var data []byte
 	if err == nil {
 		data, err = drain(answer.Body)
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -32,7 +32,8 @@
 	Live    func(Live)        // is told once a second
 	Started func()            // called when all is up and load begins
 
-	TLS *TLS // nil is plain
+	TLS     *TLS // nil is plain
+	Devices int  // that clients are spread over, each with connections of its own; 0 is one
 
 	// External, where given, starts the nodes in the lab's place and returns when they serve. It ends them too.
 	External func([]External) error
@@ -215,7 +216,7 @@
 			return err
 		}
 	}
-	w.crowd = newCrowd(w.hub, clients.New(w.e, w.state, w.random), w.nodes, w.secure)
+	w.crowd = newCrowd(w.hub, clients.New(w.e, w.state, w.random), w.nodes, w.secure, w.o.Devices)
 	if w.o.Started != nil {
 		w.o.Started()
 	}
