--- a/internal/acme/process_test.go
+++ b/internal/acme/process_test.go
@@ -13,7 +13,9 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -32,6 +34,7 @@
 	childDirectory = "PEARKNOT_TEST_DIRECTORY"
 	childListen    = "PEARKNOT_TEST_LISTEN"
 	childPoint     = "PEARKNOT_TEST_POINT" // at which it kills itself
+	childFull      = "PEARKNOT_TEST_FULL"  // bytes that a file may have: more is as on a full disk
 )
 
 // TestMain is a keeper in a process of its own where it is asked to be.
@@ -47,6 +50,18 @@
 
 func child() error {
 	dir := os.Getenv(childDir)
+	within := 20 * time.Second
+	if text := os.Getenv(childFull); text != "" {
+		most, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return err
+		}
+		signal.Ignore(syscall.SIGXFSZ) // the write is to fail
+		if err := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: most, Max: most}); err != nil {
+			return err
+		}
+		within = time.Second
+	}
 	data, err := os.ReadFile(filepath.Join(dir, "..", "roots.pem"))
 	if err != nil {
 		return err
@@ -75,7 +90,7 @@
 			_, _ = io.WriteString(w, text)
 		}))
 	}()
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	for ctx.Err() == nil {
 		wait := k.Step(ctx)
@@ -128,6 +143,41 @@
 	}
 }
 
+// The system refuses what a process writes, at whichever file it comes to that: it goes on, nothing is served that is not
+// stored, no order is made that could be forgotten, and with room the next one ends in a certificate.
+func TestFullDisk(t *testing.T) {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := free.Addr().String()
+	require.NoError(t, free.Close())
+	for _, most := range []string{"20", "150", "230", "700"} {
+		w := newWorld(t, func(o *authority.Options) {
+			o.Now = time.Now
+			o.HTTP = func(string) string { return address }
+		})
+		dir := filepath.Join(w.dir, "store")
+		require.NoError(t, os.WriteFile(filepath.Join(w.dir, "roots.pem"), w.a.RootPEM(), 0o600))
+		run := func(full string) (error, string) {
+			c := exec.Command(os.Args[0])
+			c.Env = append(os.Environ(), childDir+"="+dir, childDirectory+"="+w.server.URL+"/directory", childListen+"="+address, childFull+"="+full)
+			var said bytes.Buffer
+			c.Stderr = &said
+			return c.Run(), said.String()
+		}
+		err, text := run(most)
+		require.Error(t, err, most)
+		assert.Contains(t, text, "file too large", most)
+		assert.Contains(t, text, "nothing came of it", "%s: it goes on", most)
+		assert.LessOrEqual(t, w.a.Orders(), 1, most)
+		c, err := (&store{dir: dir}).served("pay")
+		require.NoError(t, err, most)
+		assert.Nil(t, c, most)
+		err, text = run("")
+		require.NoError(t, err, text)
+		assert.LessOrEqual(t, w.a.Orders(), 2, most)
+	}
+}
+
 // Several instances on a store: the first orders, the others serve what it brings and show its answers to challenges; when
 // it ends, one of the others orders.
 func TestInstances(t *testing.T) {
--- a/internal/capture/writer.go
+++ b/internal/capture/writer.go
@@ -54,7 +54,7 @@
 	records uint64 // of them
 	dropped uint64 // since the last that was taken
 	total   uint64
-	some    chan struct{} // there is a block's worth
+	some    chan struct{} // there is enough for a block
 	closing chan struct{}
 	closed  chan struct{}
 
@@ -91,7 +91,7 @@
 	return w, nil
 }
 
-// Put hands a batch on, and never blocks. The actor is woken for a block's worth, not for each.
+// Put hands a batch on, and never blocks. The actor is woken when there is enough for a block, not for each.
 func (w *Writer) Put(b Batch) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/front/secure_test.go
+++ b/internal/front/secure_test.go
@@ -47,7 +47,7 @@
 }
 
 // secured is a front that serves TLS with whatever certificate is held at the moment. Its node knows no backend.
-func secured(t testing.TB, limit int) (f *Front, budget *sockets.Budget, held *atomic.Pointer[tls.Certificate]) {
+func secured(t testing.TB, limit int, with ...func(*Front)) (f *Front, budget *sockets.Budget, held *atomic.Pointer[tls.Certificate]) {
 	held = &atomic.Pointer[tls.Certificate]{}
 	held.Store(certificate(t, "members.example"))
 	budget = sockets.New(limit, func() {})
@@ -56,6 +56,9 @@
 	n := node.New(told, node.Module, now, &upstream.Terms{Budget: budget, Log: log}, func() {}, log)
 	n.Start(&members.List{Whole: true})
 	f = New(n, told, now, budget, log)
+	for _, w := range with {
+		w(f)
+	}
 	require.NoError(t, f.Listen("127.0.0.1:0"))
 	require.NoError(t, f.ListenSecure(Secure{Address: "127.0.0.1:0", Challenges: true, Certificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
 		if c := held.Load(); c != nil {
