Edge: no op is taken on a connection that was let go; what stood twice stands once

Cause: between being let go and being closed a connection could take an op: it was answered, but the core no longer counted the connection. And a reading through found the same lines in two places.

Change: the core says whether a connection still is one when an op begins.

--- a/internal/acme/process_test.go
+++ b/internal/acme/process_test.go
@@ -102,33 +102,39 @@
 	return errors.New("nothing came of it")
 }
 
+// children gives an authority on the machine's clock, a store, and what runs a keeper on it in a process of its own.
+func children(t *testing.T) (w *world, dir string, run func(told ...string) (string, error)) {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := free.Addr().String()
+	require.NoError(t, free.Close())
+	w = newWorld(t, func(o *authority.Options) {
+		o.Now = time.Now
+		o.HTTP = func(string) string { return address }
+	})
+	dir = filepath.Join(w.dir, "store")
+	require.NoError(t, os.WriteFile(filepath.Join(w.dir, "roots.pem"), w.a.RootPEM(), 0o600))
+	return w, dir, func(told ...string) (string, error) {
+		c := exec.Command(os.Args[0])
+		c.Env = append(append(os.Environ(), childDir+"="+dir, childDirectory+"="+w.server.URL+"/directory", childListen+"="+address), told...)
+		var said bytes.Buffer
+		c.Stderr = &said
+		err := c.Run()
+		return said.String(), err
+	}
+}
+
 // A process is killed by the kernel at each point of an order; the next one takes the store up, goes on with the order
 // that is open, and no second one is made.
 func TestSigkillAtEveryPoint(t *testing.T) {
 	for _, point := range Points {
 		t.Run(point, func(t *testing.T) {
-			free, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			address := free.Addr().String()
-			require.NoError(t, free.Close())
-			w := newWorld(t, func(o *authority.Options) {
-				o.Now = time.Now
-				o.HTTP = func(string) string { return address }
-			})
-			dir := filepath.Join(w.dir, "store")
-			require.NoError(t, os.WriteFile(filepath.Join(w.dir, "roots.pem"), w.a.RootPEM(), 0o600))
-			run := func(point string) (error, string) {
-				c := exec.Command(os.Args[0])
-				c.Env = append(os.Environ(), childDir+"="+dir, childDirectory+"="+w.server.URL+"/directory", childListen+"="+address, childPoint+"="+point)
-				var said bytes.Buffer
-				c.Stderr = &said
-				return c.Run(), said.String()
-			}
-			err, text := run(point)
+			w, dir, run := children(t)
+			text, err := run(childPoint + "=" + point)
 			var exit *exec.ExitError
 			require.ErrorAs(t, err, &exit, text)
 			assert.Equal(t, syscall.SIGKILL, exit.Sys().(syscall.WaitStatus).Signal(), text)
-			err, text = run("")
+			text, err = run()
 			require.NoError(t, err, text)
 			most := 1
 			if point == "ordered" { // the kernel took the address with it: the authority alone knows of that order
@@ -146,25 +152,9 @@
 // The system refuses what a process writes, at whichever file it comes to that: it goes on, nothing is served that is not
 // stored, no order is made that could be forgotten, and with room the next one ends in a certificate.
 func TestFullDisk(t *testing.T) {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	address := free.Addr().String()
-	require.NoError(t, free.Close())
 	for _, most := range []string{"20", "150", "230", "700"} {
-		w := newWorld(t, func(o *authority.Options) {
-			o.Now = time.Now
-			o.HTTP = func(string) string { return address }
-		})
-		dir := filepath.Join(w.dir, "store")
-		require.NoError(t, os.WriteFile(filepath.Join(w.dir, "roots.pem"), w.a.RootPEM(), 0o600))
-		run := func(full string) (error, string) {
-			c := exec.Command(os.Args[0])
-			c.Env = append(os.Environ(), childDir+"="+dir, childDirectory+"="+w.server.URL+"/directory", childListen+"="+address, childFull+"="+full)
-			var said bytes.Buffer
-			c.Stderr = &said
-			return c.Run(), said.String()
-		}
-		err, text := run(most)
+		w, dir, run := children(t)
+		text, err := run(childFull + "=" + most)
 		require.Error(t, err, most)
 		assert.Contains(t, text, "file too large", most)
 		assert.Contains(t, text, "nothing came of it", "%s: it goes on", most)
@@ -172,7 +162,7 @@
 		c, err := (&store{dir: dir}).served("pay")
 		require.NoError(t, err, most)
 		assert.Nil(t, c, most)
-		err, text = run("")
+		text, err = run()
 		require.NoError(t, err, text)
 		assert.LessOrEqual(t, w.a.Orders(), 2, most)
 	}
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -274,11 +274,14 @@
 	return &Loss{best.id, why}, true
 }
 
-// Began tells that an op came whole on a connection.
-func (c *Core) Began(id uint64) {
-	if x := c.conns[id]; x != nil {
+// Began tells that an op came whole on a connection; false is that the connection was let go meanwhile: no op is taken on
+// it any more.
+func (c *Core) Began(id uint64) bool {
+	x := c.conns[id]
+	if x != nil {
 		x.inHand = true
 	}
+	return x != nil
 }
 
 // Answered tells that it has its final answer. Whoever has one has shown what he is here for.
@@ -297,7 +300,7 @@
 
 // Looked tells that a connection was for looking at the node's health: it proves nothing, and its end is not held against
 // anybody.
-func (c *Core) Looked(id uint64) {
+func (c *Core) Looked(_ float64, id uint64) {
 	if x := c.conns[id]; x != nil {
 		x.looked = true
 	}
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -153,6 +153,24 @@
 	assert.Equal(t, Full, why)
 }
 
+// On a connection that was let go no op is taken any more, whichever of the two came first by a hair.
+func TestNothingTakenOnceLetGo(t *testing.T) {
+	s := newSight(Defaults(8))
+	first, _ := s.connect(address(10))
+	for k := range 5 {
+		_, why := s.connect(address(11 + k))
+		require.Equal(t, Admitted, why)
+	}
+	require.True(t, s.c.Began(first))
+	s.c.Answered(s.now, first)
+	s.now += 3000
+	for k := range 6 { // each displaces one that has been quiet
+		_, why := s.connect(address(20 + k))
+		require.Equal(t, Admitted, why)
+	}
+	assert.False(t, s.c.Began(first))
+}
+
 // Whoever has a connection for each op becomes known as well.
 func TestKnownByConnections(t *testing.T) {
 	s := newSight(Defaults(200))
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"pearknot/balance"
+	"pearknot/internal/snapshot"
 )
 
 // Kind of a record.
@@ -194,35 +195,9 @@
 
 var errOdd = errors.New("odd record")
 
-// fields walks a message; what is of no known form is an error, what is of no known number is told all the same.
+// fields walks a message.
 func fields(b []byte, f func(n protowire.Number, x uint64, bytes []byte) error) error {
-	for len(b) > 0 {
-		n, t, size := protowire.ConsumeTag(b)
-		if size < 0 {
-			return errOdd
-		}
-		b = b[size:]
-		var x uint64
-		var data []byte
-		switch t {
-		case protowire.VarintType:
-			x, size = protowire.ConsumeVarint(b)
-		case protowire.Fixed64Type:
-			x, size = protowire.ConsumeFixed64(b)
-		case protowire.BytesType:
-			data, size = protowire.ConsumeBytes(b)
-		default:
-			size = protowire.ConsumeFieldValue(n, t, b)
-		}
-		if size < 0 {
-			return errOdd
-		}
-		b = b[size:]
-		if err := f(n, x, data); err != nil {
-			return err
-		}
-	}
-	return nil
+	return snapshot.Walk(b, errOdd, func(n protowire.Number, _ protowire.Type, x uint64, body []byte) error { return f(n, x, body) })
 }
 
 // mostNumber bounds what is used as a place in a list.
--- a/internal/front/door.go
+++ b/internal/front/door.go
@@ -62,7 +62,7 @@
 	d.mu.Unlock()
 	for _, g := range gone {
 		if g != nil {
-			_ = g.Close() // an op that came this very moment is seen through: then nothing is closed
+			_ = g.Close() // it has no op in hand, and began refuses it one from now on
 		}
 	}
 	return taken
@@ -76,28 +76,11 @@
 	}
 }
 
-func (d *door) began(c *client) {
+// began tells that an op is whole; false is that its connection has been let go, and is about to be closed.
+func (d *door) began(c *client) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.core.Began(c.id)
-}
-
-func (d *door) answered(c *client) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.core.Answered(d.clock.Now(), c.id)
-}
-
-func (d *door) looked(c *client) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.core.Looked(c.id)
-}
-
-func (d *door) odd(c *client) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.core.Odd(d.clock.Now(), c.id)
+	return d.core.Began(c.id)
 }
 
 func (d *door) closed(c *client) {
@@ -116,9 +99,11 @@
 }
 
 // judged tells the door of what became of an op, where there is one.
-func (c *client) judged(how func(*door, *client)) {
+func (c *client) judged(how func(core *admission.Core, now float64, id uint64)) {
 	if c.id != 0 {
-		how(c.door, c)
+		c.door.mu.Lock()
+		defer c.door.mu.Unlock()
+		how(c.door.core, c.door.clock.Now(), c.id)
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -233,7 +233,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == healthPath {
-		c.judged((*door).looked)
+		c.judged((*admission.Core).Looked)
 		f.health(w, c)
 		return
 	}
@@ -244,18 +244,17 @@
 	}
 	if bad != nil {
 		f.sayOdd(bad.why)
-		c.judged((*door).odd)
+		c.judged((*admission.Core).Odd)
 		f.write(w, c, bad.status, []byte(bad.why+"\n"))
 		return
 	}
 	defer f.leave(id)
 	// Until here the connection may be let go, whatever of an op it has sent: nothing was taken.
-	if !c.claim() {
+	if c.id != 0 && !c.door.began(c) || !c.claim() {
 		return
 	}
 	defer c.release()
-	c.judged((*door).began)
-	defer c.judged((*door).answered)
+	defer c.judged((*admission.Core).Answered)
 	f.serve(w, r, c, op)
 }
 
--- a/internal/lab/authority/authority.go
+++ b/internal/lab/authority/authority.go
@@ -437,12 +437,20 @@
 	return nil
 }
 
-func (a *Authority) getAccount(c *call) error {
+// deactivates tells whether a call asks for that, and for more than a look (RFC 8555, 7.3.6 and 7.5.2).
+func (c *call) deactivates() (bool, error) {
 	var asked struct{ Status string }
-	if len(c.payload) > 0 {
-		if err := json.Unmarshal(c.payload, &asked); err != nil {
-			return err
-		}
+	if len(c.payload) == 0 {
+		return false, nil
+	}
+	err := json.Unmarshal(c.payload, &asked)
+	return asked.Status == "deactivated", err
+}
+
+func (a *Authority) getAccount(c *call) error {
+	deactivate, err := c.deactivates()
+	if err != nil {
+		return err
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -451,7 +459,7 @@
 		return fail(http.StatusUnauthorized, "unauthorized", "not yours")
 	}
 	status := "valid"
-	if asked.Status == "deactivated" {
+	if deactivate {
 		acc.dead, status = true, "deactivated"
 	}
 	answer(c.w, http.StatusOK, map[string]any{"status": status, "contact": acc.contact})
@@ -576,11 +584,9 @@
 }
 
 func (a *Authority) getAuthz(c *call) error {
-	var asked struct{ Status string }
-	if len(c.payload) > 0 {
-		if err := json.Unmarshal(c.payload, &asked); err != nil {
-			return err
-		}
+	deactivate, err := c.deactivates()
+	if err != nil {
+		return err
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -588,7 +594,7 @@
 	if z == nil || z.account != c.account {
 		return fail(http.StatusNotFound, "malformed", "no such authorization of yours")
 	}
-	if asked.Status == "deactivated" {
+	if deactivate {
 		z.status = "deactivated"
 	}
 	answer(c.w, http.StatusOK, map[string]any{"status": z.status, "identifier": map[string]string{"type": "dns", "value": z.name},
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -32,7 +32,7 @@
 // Decode reads one. What it allocates is in proportion to the data.
 func Decode(data []byte) (*balance.Snapshot, error) {
 	s, version := &balance.Snapshot{}, uint64(0)
-	err := walk(data, func(n protowire.Number, t protowire.Type, x uint64, body []byte) error {
+	err := Walk(data, errOdd, func(n protowire.Number, t protowire.Type, x uint64, body []byte) error {
 		switch {
 		case n == 1 && t == protowire.VarintType:
 			if version = x; version != Version {
@@ -52,11 +52,13 @@
 	return s, nil
 }
 
-func walk(b []byte, f func(n protowire.Number, t protowire.Type, x uint64, body []byte) error) error {
+// Walk goes through a message's fields; what is of no known form is the error odd, what is of no known number is told all
+// the same.
+func Walk(b []byte, odd error, f func(n protowire.Number, t protowire.Type, x uint64, body []byte) error) error {
 	for len(b) > 0 {
 		n, t, size := protowire.ConsumeTag(b)
 		if size < 0 {
-			return errOdd
+			return odd
 		}
 		b = b[size:]
 		var x uint64
@@ -72,7 +74,7 @@
 			size = protowire.ConsumeFieldValue(n, t, b)
 		}
 		if size < 0 {
-			return errOdd
+			return odd
 		}
 		b = b[size:]
 		if err := f(n, t, x, body); err != nil {
@@ -158,7 +160,7 @@
 }
 
 func decodeStruct(data []byte, v reflect.Value) error {
-	return walk(data, func(n protowire.Number, t protowire.Type, x uint64, body []byte) error {
+	return Walk(data, errOdd, func(n protowire.Number, t protowire.Type, x uint64, body []byte) error {
 		if int(n) > v.NumField() {
 			return nil // of a later build
 		}
