--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,6 +31,8 @@
 	shunAt       = 2.0   // distrust from which a backend gets no traffic: two clear failures in a row
 	extraShare   = 0.1   // further pushes an op earns for the budget; a retry storm can add no more load
 	extraMost    = 20.0  // further pushes that may be saved up: one backend's work in flight at a failure
+	rateHalf     = 3e3   // ms; a flood is seen within its first seconds, by nodes of an op a second too
+	mixPrior     = 8.0   // ops in the quotas' mix that count beside those seen
 	coldSafety   = 0.6   // share of the cold budget used; hints are rough, connections cost work too
 )
 
@@ -66,7 +68,7 @@
 	askAt    float64        // when the list is asked for where they don't
 	failures int
 
-	Asked func(op *Op, b *Backend, r Reason) // is told of each backend looked at for an op; nil but where it is explained
+	Asked func(op *Op, b *Backend, r Reason) // is told of each backend looked at; nil but where it is explained
 }
 
 // New starts a node; now is the host's clock.
@@ -81,7 +83,14 @@
 		most = math.Max(most, c.Benefit)
 	}
 	for i := range t.Categories { // under overload the benefit that a unit of work earns decides who may wait
-		t.Categories[i].patience = 0.1 + 0.4*t.Categories[i].Benefit/math.Max(most, 1e-9)
+		c := &t.Categories[i]
+		share := 0.1 + 0.4*c.Benefit/math.Max(most, 1e-9)
+		c.patience = share
+		for _, o := range t.Categories { // by a longer target the lesser would stay on in the way of the greater
+			if o.Benefit > c.Benefit {
+				c.patience = math.Min(c.patience, share*o.TargetLatency/c.TargetLatency)
+			}
+		}
 	}
 	if t.MustAsk {
 		// Nodes restarted together must not call the list's one service together.
@@ -150,12 +159,7 @@
 	if op.work == 0 {
 		op.work = c.TargetLatency / 20 // nothing is known: a small part of what the category allows
 	}
-	if op.Tenant < len(n.t.Tenants) {
-		w := &n.t.Tenants[op.Tenant]
-		w.rate.set(now, w.rate.get(now, 1e3)+1)
-		// The sum over a half-life of 1 s is the rate times 1/ln 2; this node sees its part of it only.
-		op.overfull = w.Quota > 0 && w.rate.sum*math.Ln2*float64(n.t.Nodes) > w.Quota
-	}
+	n.excess(op)
 	n.stirred = true
 	n.value.add(n.benefit(op))
 	n.work.add(op.work)
@@ -164,6 +168,30 @@
 	n.want(op)
 }
 
+// excess judges how likely an op is beyond its tenant's share. Nodes carry very unlike parts of the traffic, so
+// that an equal part of a quota says little: the mix of tenants must be off too, beside a few ops of the usual.
+func (n *Node) excess(op *Op) {
+	if op.Tenant >= len(n.t.Tenants) {
+		return
+	}
+	w := &n.t.Tenants[op.Tenant]
+	w.rate.set(n.now, w.rate.get(n.now, rateHalf)+1)
+	rates, quotas := 0.0, 0.0
+	for i := range n.t.Tenants {
+		rates, quotas = rates+n.t.Tenants[i].rate.get(n.now, rateHalf), quotas+n.t.Tenants[i].Quota
+	}
+	if w.Quota == 0 {
+		return
+	}
+	own, all := w.rate.sum+mixPrior*w.Quota/quotas, rates+mixPrior
+	odds := own * (quotas - w.Quota) / math.Max((all-own)*w.Quota, 1e-9)
+	if quotas == w.Quota {
+		odds = math.Inf(1)
+	}
+	odds = math.Min(odds, w.rate.sum*1e3*math.Ln2/rateHalf*float64(n.t.Nodes)/w.Quota)
+	op.excess = math.Max(0, 1-1/odds)
+}
+
 // Left takes the news that the op's client is gone.
 func (n *Node) Left(now float64, op *Op) {
 	n.now = now
@@ -186,10 +214,14 @@
 	b.drop(now, p)
 	p.out, p.ending = false, how
 	switch {
-	case how == Answered || how == TimedOut && !p.overtaken():
-		n.crowd.add(b.Zone, now, math.Max(0, elapsed-op.work*n.paceOf(b)))
+	case how == TimedOut:
+		if !p.overdue && !p.overtaken() {
+			n.crowd.add(b, now, math.Min(elapsed, op.cat.TargetLatency))
+		}
+	case how == Answered:
+		n.crowd.add(b, now, math.Min(math.Max(0, elapsed-op.work*n.paceOf(b)), op.cat.TargetLatency))
 	case how == Rejected || how == NoConnection: // a queue as long as can be, or the zone is cut off
-		n.crowd.add(b.Zone, now, op.cat.TargetLatency)
+		n.crowd.add(b, now, op.cat.TargetLatency)
 	}
 	switch how {
 	case Answered:
@@ -218,11 +250,17 @@
 }
 
 // Reported takes a backend's mean service time from a load report: it holds no waits, unlike a push's time.
-func (n *Node) Reported(now float64, b *Backend, service float64) {
+func (n *Node) Reported(now float64, b *Backend, r Report) {
 	n.now = now
-	n.service.add(service)
-	// The mean of a few hints can be far off: until twenty are seen, the fleet is rather a standard core's.
-	n.paces.add(b, service, (n.work.value*n.work.seen+20*n.service.value)/(n.work.seen+20))
+	if r.Service > 0 {
+		n.service.add(r.Service)
+		// The mean of a few hints can be far off: until twenty are seen, the fleet is rather a standard core's.
+		n.paces.add(b, r.Service, (n.work.value*n.work.seen+20*n.service.value)/(n.work.seen+20))
+	}
+	if r.Held >= 0 && r.Waiting >= 0 {
+		b.cores = math.Max(b.cores, r.Held-r.Waiting)
+		n.crowd.add(b, now, r.Waiting*n.work.value*n.paceOf(b)/math.Max(b.cores, 1))
+	}
 }
 
 // Due takes a timer.
@@ -470,7 +508,8 @@
 		p.Backend.drop(n.now, p)
 		n.idle = true
 	} else {
-		n.crowd.add(p.Backend.Zone, n.now, n.now-p.SentAt) // seconds before a time-out would tell
+		// Seconds before a time-out would tell; one silent backend says no more of all than a full queue does.
+		n.crowd.add(p.Backend, n.now, math.Min(n.now-p.SentAt, op.cat.TargetLatency))
 		n.suspect(p.Backend, 0.5)
 	}
 	if op.cat.Effect != Redeliverable || n.extra < 1 || op.out() > 1 {
@@ -575,7 +614,7 @@
 // slowFor is how many eighths of its time left an op takes alone at a backend, eight at most: heavy ops earn
 // the most, and a slow machine that any other work is at may not do one in time.
 func (n *Node) slowFor(b *Backend, op *Op) int {
-	return int(math.Min(8*op.work*n.paceOf(b)/n.leftToTarget(op), 8))
+	return int(math.Min(8*(op.work*n.paceOf(b)+b.waits.mean(n.now, n.wait(b.Zone), 1))/n.leftToTarget(op), 8))
 }
 
 // fewest is the backend for a late send: fewest own in flight, own zone first among equals.
@@ -604,9 +643,7 @@
 	if n.t.ByWork {
 		v *= op.work
 	}
-	if op.overfull {
-		v *= n.t.ExcessBenefit
-	}
+	v *= 1 - op.excess*(1-n.t.ExcessBenefit)
 	return v
 }
 
@@ -625,9 +662,7 @@
 // patienceOf is the wait behind others above which an op is nacked.
 func (n *Node) patienceOf(op *Op) float64 {
 	share := op.cat.patience
-	if op.overfull {
-		share *= 0.5
-	}
+	share *= 1 - op.excess*(1-n.t.ExcessBenefit)
 	if op.Repeat {
 		share *= 0.8 // part of its time is gone already
 	}
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -140,9 +140,10 @@
 	zones perPlace[recent]
 }
 
-func (c *crowd) add(zone int, now, wait float64) {
+func (c *crowd) add(b *Backend, now, wait float64) {
 	c.all.add(now, wait)
-	c.zones.of(zone).add(now, wait)
+	c.zones.of(b.Zone).add(now, wait)
+	b.waits.add(now, wait)
 }
 
 // perPlace keeps something for each zone, or kind, by its place in the list of them.
--- a/balance/snapshot.go
+++ b/balance/snapshot.go
@@ -57,6 +57,8 @@
 	Distrust                                        [2]float64
 	SpentAt, Spent                                  []float64
 	Out                                             []int // pushes, as op and number in turn
+	Waits                                           [3]float64
+	Cores                                           float64
 }
 
 type SnapOp struct {
@@ -64,9 +66,10 @@
 	Category, Tenant                int
 	Hint, Arrived, GiveUp, Work     float64
 	Estimate                        float64
-	HasHint, Repeat, Long, Overfull bool
+	HasHint, Repeat, Long, Overfull bool // Overfull is of earlier builds
 	Stage                           int
 	Pushes                          []SnapPush
+	Excess                          float64
 }
 
 type SnapPush struct {
@@ -122,7 +125,8 @@
 		x := SnapBackend{Ref: b.Ref, Zone: b.Zone, Cell: b.Cell, Kind: b.Kind, State: b.State, Weight: b.Weight, Started: b.Started, Known: b.known,
 			Longs: b.longs, WorkOut: b.workOut, Heard: b.heard, Lingers: b.lingers, Best: b.best, Most: b.most, Rest: b.restUntil, Pass: b.pass,
 			Pace: [2]float64{b.pace.time, b.pace.work}, Tail: snapQuantile(b.tail), Flow: [3]float64{b.flow.done, b.flow.busy, b.flow.at},
-			Distrust: [2]float64{b.distrust.sum, b.distrust.at}, SpentAt: slices.Clone(b.recent.at), Spent: slices.Clone(b.recent.amount)}
+			Distrust: [2]float64{b.distrust.sum, b.distrust.at}, SpentAt: slices.Clone(b.recent.at), Spent: slices.Clone(b.recent.amount),
+			Waits: [3]float64{b.waits.sum, b.waits.count, b.waits.at}, Cores: b.cores}
 		for _, p := range b.out {
 			at, named := opAt[p.Op]
 			if !named {
@@ -141,7 +145,7 @@
 	}
 	for _, o := range ops {
 		x := SnapOp{Ref: o.Ref, Key: o.Key, Category: o.Category, Tenant: o.Tenant, Hint: o.Hint, Arrived: o.Arrived, GiveUp: o.GiveUp, Work: o.work,
-			Estimate: o.estimate, HasHint: o.HasHint, Repeat: o.Repeat, Long: o.long, Overfull: o.overfull, Stage: int(o.stage)}
+			Estimate: o.estimate, HasHint: o.HasHint, Repeat: o.Repeat, Long: o.long, Excess: o.excess, Stage: int(o.stage)}
 		for _, p := range o.Pushes {
 			at, named := backendAt[p.Backend]
 			if !named {
@@ -217,14 +221,15 @@
 		backends = append(backends, &Backend{Ref: x.Ref, Zone: x.Zone, Cell: x.Cell, Kind: x.Kind, State: x.State, Weight: x.Weight, Started: x.Started,
 			known: x.Known, longs: x.Longs, workOut: x.WorkOut, heard: x.Heard, lingers: x.Lingers, best: x.Best, most: x.Most, restUntil: x.Rest,
 			pass: x.Pass, pace: pace{x.Pace[0], x.Pace[1]}, tail: quantile{x.Tail.Value, x.Tail.Seen}, flow: flow{x.Flow[0], x.Flow[1], x.Flow[2]},
-			distrust: fader{x.Distrust[0], x.Distrust[1]}, recent: spend{slices.Clone(x.SpentAt), slices.Clone(x.Spent)}})
+			distrust: fader{x.Distrust[0], x.Distrust[1]}, recent: spend{slices.Clone(x.SpentAt), slices.Clone(x.Spent)},
+			waits: recent{x.Waits[0], x.Waits[1], x.Waits[2]}, cores: x.Cores})
 	}
 	for _, x := range s.Ops {
 		if x.Category < 0 || x.Category >= len(t.Categories) || x.Stage < 0 || x.Stage > int(ended) {
 			return nil, nil, nil, errors.New("snapshot of an odd op")
 		}
 		o := &Op{Ref: x.Ref, Key: x.Key, Category: x.Category, Tenant: x.Tenant, Hint: x.Hint, HasHint: x.HasHint, Repeat: x.Repeat, Arrived: x.Arrived,
-			GiveUp: x.GiveUp, cat: &t.Categories[x.Category], work: x.Work, long: x.Long, estimate: x.Estimate, overfull: x.Overfull, stage: stage(x.Stage)}
+			GiveUp: x.GiveUp, cat: &t.Categories[x.Category], work: x.Work, long: x.Long, estimate: x.Estimate, excess: x.Excess, stage: stage(x.Stage)}
 		for k, p := range x.Pushes {
 			if p.Backend < 0 || p.Backend >= len(backends) {
 				return nil, nil, nil, errors.New("snapshot of a push to nowhere")
--- a/balance/types.go
+++ b/balance/types.go
@@ -97,6 +97,8 @@
 	best      float64 // the lowest pace seen
 	tail      quantile
 	flow      flow    // how fast pushes are answered
+	waits     recent  // how long pushes waited behind others there
+	cores     float64 // the most ops at work at once that it has reported
 	most      float64 // how many pushes it may have out
 	restUntil float64
 	distrust  fader
@@ -190,7 +192,7 @@
 	work     float64
 	long     bool
 	estimate float64 // its order among held ops
-	overfull bool    // beyond its tenant's share
+	excess   float64 // how likely it is beyond its tenant's share
 	stage    stage
 	queued   bool
 }
@@ -265,7 +267,7 @@
 	Left(now float64, op *Op)
 	Begun(now float64, p *Push)
 	Ended(now float64, p *Push, how Ending, elapsed float64, finished bool)
-	Reported(now float64, b *Backend, service float64)
+	Reported(now float64, b *Backend, r Report)
 	Due(now float64)
 	Next() (Decision, bool)
 }
@@ -295,6 +297,23 @@
 // Out tells whether the push has not ended yet.
 func (p *Push) Out() bool { return p.out }
 
+// Untold is below what any value of a load report can be.
+const Untold = -1
+
+// Report is what a backend says of its load; below 0 is not told.
+type Report struct {
+	Service float64 // mean service time
+	Held    float64 // ops it has
+	Waiting float64 // of those, the ones not yet at work
+	Busy    float64 // share of its cores at work
+}
+
+// NoReport is one that tells nothing.
+func NoReport() Report { return Report{Untold, Untold, Untold, Untold} }
+
+// Told tells whether it says anything.
+func (r Report) Told() bool { return r != NoReport() }
+
 // Listing is one line of the list of backends.
 type Listing struct {
 	Backend         *Backend
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -71,6 +71,7 @@
 	State    []byte   // of Snapshot, as internal/snapshot has it
 	Ops      []uint64 // of Snapshot: the numbers of its ops and backends, in their order there
 	Backends []uint64
+	Load     balance.Report // of Reported
 }
 
 // Line is one of a list's.
@@ -117,6 +118,7 @@
 	fieldState
 	fieldOps
 	fieldBackends
+	fieldLoad
 )
 
 // Append encodes a record. What is zero is left out.
@@ -153,7 +155,7 @@
 	for _, x := range []struct {
 		field protowire.Number
 		data  []byte
-	}{{fieldData, r.Data}, {fieldState, r.State}, {fieldOps, packed(r.Ops)}, {fieldBackends, packed(r.Backends)}} {
+	}{{fieldData, r.Data}, {fieldState, r.State}, {fieldOps, packed(r.Ops)}, {fieldBackends, packed(r.Backends)}, {fieldLoad, r.load()}} {
 		if len(x.data) > 0 {
 			b = protowire.AppendBytes(protowire.AppendTag(b, x.field, protowire.BytesType), x.data)
 		}
@@ -161,6 +163,27 @@
 	return b
 }
 
+// load gives a report's values; what is not told is below 0, and differs from an idle backend's zeros.
+func (r *Record) load() (b []byte) {
+	if r.Kind == Reported {
+		for _, x := range []float64{r.Load.Service, r.Load.Held, r.Load.Waiting, r.Load.Busy} {
+			b = protowire.AppendFixed64(b, math.Float64bits(x))
+		}
+	}
+	return b
+}
+
+func unpackLoad(b []byte) (load balance.Report, err error) {
+	for _, x := range []*float64{&load.Service, &load.Held, &load.Waiting, &load.Busy} {
+		bits, size := protowire.ConsumeFixed64(b)
+		if size < 0 {
+			return load, errOdd
+		}
+		*x, b = math.Float64frombits(bits), b[size:]
+	}
+	return load, nil
+}
+
 func packed(numbers []uint64) (b []byte) {
 	for _, x := range numbers {
 		b = protowire.AppendVarint(b, x)
@@ -205,6 +228,7 @@
 
 // Decode reads a record.
 func Decode(b []byte) (r Record, err error) {
+	r.Load = balance.NoReport()
 	small := func(x uint64) int {
 		if x > mostNumber {
 			err = errOdd
@@ -252,6 +276,11 @@
 				return odd
 			}
 			r.Lines = append(r.Lines, l)
+		case fieldLoad:
+			var odd error
+			if r.Load, odd = unpackLoad(data); odd != nil {
+				return odd
+			}
 		case fieldData:
 			r.Data = append([]byte{}, data...)
 		case fieldState:
@@ -263,6 +292,9 @@
 		}
 		return err
 	})
+	if r.Kind == Reported && !r.Load.Told() { // earlier builds told a service time alone
+		r.Load.Service = r.Value
+	}
 	if walk == nil && (r.Kind == 0 || math.IsNaN(r.Now)) {
 		walk = errOdd
 	}
@@ -341,7 +373,7 @@
 	case Dropped:
 		text += fmt.Sprintf(" backend %d", r.Backend)
 	case Reported:
-		text += fmt.Sprintf(" backend %d service %.3f", r.Backend, r.Value)
+		text += fmt.Sprintf(" backend %d, service %.3f, held %g, waiting %g, busy %g", r.Backend, r.Load.Service, r.Load.Held, r.Load.Waiting, r.Load.Busy)
 	case Pulled:
 		text += " " + decision(r)
 	case Gap:
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -192,9 +192,9 @@
 	r.forget(p.Op)
 }
 
-func (r *Recorder) Reported(now float64, b *balance.Backend, service float64) {
-	r.put(&Record{Kind: Reported, Now: now, Backend: r.backends[b], Value: service})
-	r.inner.Reported(now, b, service)
+func (r *Recorder) Reported(now float64, b *balance.Backend, load balance.Report) {
+	r.put(&Record{Kind: Reported, Now: now, Backend: r.backends[b], Load: load})
+	r.inner.Reported(now, b, load)
 }
 
 func (r *Recorder) Due(now float64) {
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -266,7 +266,7 @@
 		if b == nil {
 			return fmt.Errorf("record %d at %.3f: backend %d was never listed", r.Claim.Records, x.Now, x.Backend)
 		}
-		r.node.Reported(x.Now, b, x.Value)
+		r.node.Reported(x.Now, b, x.Load)
 	case Due:
 		r.node.Due(x.Now)
 	case Dropped:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -379,8 +379,8 @@
 // ended takes a push's ending. The first answer acks its op.
 func (n *Node) ended(op *Op, p *balance.Push, out upstream.Outcome) {
 	op.out--
-	if out.Service > 0 {
-		n.module.Reported(n.now, p.Backend, out.Service)
+	if out.Reply != nil && out.Report.Told() {
+		n.module.Reported(n.now, p.Backend, out.Report)
 	}
 	if out.Ending == balance.Answered && !op.answered {
 		op.finish(Answer{Final: Acked, Reply: out.Reply})
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -102,7 +102,7 @@
 	n := node.New(p.told, o.Decide, now, &upstream.Terms{
 		ConnectTimeout: clock.Span(p.told.ConnectTimeout),
 		IdleFor:        clock.Span(idleShare * p.told.ConnectionIdle),
-		Service:        terms.Service,
+		Tell:           terms.Tell,
 		Budget:         budget,
 		Long:           upstream.NewRoom(cmp.Or(p.memory, plenty) / longShare),
 		Log:            log,
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -27,8 +27,19 @@
 	MostHeld       int     // ops open at a node
 }
 
-// Service is the name of the load report's value that the module reads.
-const Service = "mean_ms"
+// Tell puts a load report's value in its place by its name; others say nothing to the module.
+func Tell(r *balance.Report, name string, value float64) {
+	switch name {
+	case "mean_ms":
+		r.Service = value
+	case "concurrent":
+		r.Held = value
+	case "depth":
+		r.Waiting = value
+	case "load_share":
+		r.Busy = value
+	}
+}
 
 // FromLines reads path=value lines.
 func FromLines(data []byte) (*Deployment, error) {
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -11,9 +11,9 @@
 
 // Outcome is how a call ended.
 type Outcome struct {
-	Ending  balance.Ending
-	Reply   *Reply  // where the backend answered at all
-	Service float64 // from a load report; 0 is not told
+	Ending balance.Ending
+	Reply  *Reply         // where the backend answered at all
+	Report balance.Report // that came with the reply; without one it is not to be read
 }
 
 // Call is one push on its way. The node may call it off or shorten its time from outside; whether its first byte
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -101,7 +101,7 @@
 		return Outcome{Ending: balance.Reset}, dropped
 	}
 	reply.room, reply.held = p.terms.Long, held
-	service, odd := reply.load(p.terms.Service)
+	report, odd := reply.load(p.terms.Tell)
 	if odd != "" {
 		p.odd.Do(func() { p.terms.Log.Warn("odd load report skipped", "backend", p.name, "report", odd) })
 	}
@@ -110,5 +110,5 @@
 	if keep {
 		fate = kept
 	}
-	return Outcome{reply.ending(), reply, service}, fate
+	return Outcome{reply.ending(), reply, report}, fate
 }
--- a/internal/upstream/message.go
+++ b/internal/upstream/message.go
@@ -188,25 +188,24 @@
 	return balance.Failed
 }
 
-// load reads one value of the reply's load report by its name; odd reports are told and count as none.
-func (r *Reply) load(name string) (value float64, odd string) {
+// load reads the reply's load report; an odd one is told, and says nothing.
+func (r *Reply) load(tell func(r *balance.Report, name string, value float64)) (report balance.Report, odd string) {
+	report = balance.NoReport()
 	text := r.Header.Get(loadReport)
 	if text == "" {
-		return 0, ""
+		return report, ""
 	}
 	form, list, _ := strings.Cut(text, " ")
 	if form != "TEXT" {
-		return 0, text
+		return report, text
 	}
 	for pair := range strings.SplitSeq(list, ",") {
 		field, number, ok := strings.Cut(strings.TrimSpace(pair), "=")
 		x, err := strconv.ParseFloat(number, 64)
 		if !ok || err != nil || math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
-			return 0, text
-		}
-		if field == name {
-			value = x
+			return balance.NoReport(), text
 		}
+		tell(&report, field, x)
 	}
-	return value, ""
+	return report, ""
 }
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -24,8 +24,8 @@
 // Terms are the same for all backends.
 type Terms struct {
 	ConnectTimeout time.Duration
-	IdleFor        time.Duration // how long an idle connection is kept
-	Service        string        // the service time's name in load reports
+	IdleFor        time.Duration                                       // how long an idle connection is kept
+	Tell           func(r *balance.Report, name string, value float64) // puts a load report's value in its place
 	Budget         *sockets.Budget
 	Long           *Room
 	Log            *slog.Logger
