A window on all pushes of a node; deduplicated ops leave silent backends; late ops bear less

Each of 469 nodes has a push out or two, so that no cap of a backend binds (full), and what its answers tell is a queue old. overdue's branch for one copy was dead: gate refused each backend while the push was out. An op that would come late bore the wait of one in time (hopeless).

A deduplicated op is called off from a backend that was silent before while others answer, and goes again once that has ended.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,10 +23,9 @@
 	queueShare   = 0.03  // of the target latency: a queue this long is answered with fewer pushes in flight
 	pauseShare   = 0.2   // of it: a queue that long is answered with pauses where one push is out at most
 	slot         = 4e3   // ms; long enough to see a few answers, short enough to try all in half a minute
-	leastOpen    = 3.0   // backends of a zone that a node uses at a time at least
 	leastFar     = 0.2   // share of the far backends that a node uses at a time at least
-	coreShare    = 0.2   // of the target latency: what all nodes' pushes on a core may take together
 	mostFirst    = 3.0   // pushes queued on a backend of which nothing is known, by all nodes together
+	leastOut     = 10.0  // pushes on each backend by all nodes together that are not too many for any
 	paceKnown    = 3.0   // mean ops' work that counts as the kind's against a backend's own pace
 	shunAt       = 2.0   // distrust from which a backend gets no traffic: two clear failures in a row
 	extraShare   = 0.1   // further pushes an op earns for the budget; a retry storm can add no more load
@@ -57,12 +56,14 @@
 	stretch  quantile       // how much longer than predicted answers take, at the high end
 	value    mean           // of an op's benefit
 	work     mean           // of its work
-	target   mean           // of its target latency
 	service  mean           // of the service times that backends report
 	paces    paces          // of all backends and by kind of machine
 	doubt    float64        // what distrust three in four backends show; a backend is judged against it
 	weight   float64        // mean weight of the ready backends
 	crowd    crowd          // how long pushes lately waited, by zone
+	abroad   int            // pushes out in all
+	window   float64        // how many may be out in all
+	heard    float64        // when the latest push was sent that has been answered
 	warm     perPlace[took] // what a zone's warm backends take of this node's work
 	tracked  bool           // changes of the list come by themselves
 	askAt    float64        // when the list is asked for where they don't
@@ -74,7 +75,7 @@
 // New starts a node; now is the host's clock.
 func New(t *Terms, now float64) *Node {
 	n := &Node{t: t, now: now, rng: newMWC(t.Seed), armed: math.Inf(1), sweepAt: now, weight: 1,
-		extra: extraMost / 2, askAt: math.Inf(1)}
+		extra: extraMost / 2, window: math.Inf(1), askAt: math.Inf(1)}
 	for range 8 { // the first numbers follow the seed too closely
 		n.rng.unit()
 	}
@@ -163,13 +164,13 @@
 	n.stirred = true
 	n.value.add(n.benefit(op))
 	n.work.add(op.work)
-	n.target.add(c.TargetLatency)
 	n.extra = math.Min(n.extra+extraShare, extraMost)
 	n.want(op)
 }
 
-// excess judges how likely an op is beyond its tenant's share. Nodes carry very unlike parts of the traffic, so
-// that an equal part of a quota says little: the mix of tenants must be off too, beside a few ops of the usual.
+// excess judges how likely an op is beyond its tenant's share. Nodes carry very unlike parts of the traffic:
+// against an equal part of the quota alone a busy one always floods. The mix must be off too, beside a few
+// ops of the usual.
 func (n *Node) excess(op *Op) {
 	if op.Tenant >= len(n.t.Tenants) {
 		return
@@ -210,6 +211,7 @@
 func (n *Node) Ended(now float64, p *Push, how Ending, elapsed float64, finished bool) {
 	n.now = now
 	op, b := p.Op, p.Backend
+	n.abroad--
 	n.stirred = true
 	b.drop(now, p)
 	p.out, p.ending = false, how
@@ -235,6 +237,7 @@
 		n.suspect(b, 1)
 	case Rejected: // tells of load, not of a fault; so quick an ending would draw more
 		n.yield(b, 0)
+		n.ease(true)
 		b.restUntil = now + n.work.value*n.paceOf(b)
 	}
 	if how == TimedOut || how == Revoked {
@@ -402,8 +405,8 @@
 	return len(best) > 0 && n.send(op, best[n.rng.below(len(best))])
 }
 
-// unfitForLong tells why a backend may draw no long. A quick error makes one idle at once and a cold one is idle by
-// nature: neither may.
+// unfitForLong tells why a backend may draw no long. A quick error makes one idle at once and a cold one is
+// idle by nature: neither may.
 func (n *Node) unfitForLong(op *Op, b *Backend) Reason {
 	switch {
 	case len(b.out) > 0 || b.lingers > n.now:
@@ -440,7 +443,7 @@
 func (n *Node) holdTime(op *Op) float64 {
 	rate, ahead := 0.0, 0.0
 	for _, b := range n.backends {
-		if open, _ := n.open(b); open && n.isNear(b) && b.State == Ready && n.distrust(b) < shunAt {
+		if n.isNear(b) && b.State == Ready && n.distrust(b) < shunAt {
 			rate += n.drain(b)
 		}
 	}
@@ -512,17 +515,21 @@
 		n.crowd.add(p.Backend, n.now, math.Min(n.now-p.SentAt, op.cat.TargetLatency))
 		n.suspect(p.Backend, 0.5)
 	}
-	if op.cat.Effect != Redeliverable || n.extra < 1 || op.out() > 1 {
+	if op.cat.Effect == AtMostOnce || n.extra < 1 || op.out() > 1 {
 		return
 	}
+	// Where one push is out at most it must end first, and its work goes on there: only where others answer
+	// meanwhile, so that the backend is silent, not all crowded.
+	op.calledOff = !n.t.SecondCopies && n.heard > p.SentAt && n.distrust(p.Backend) >= shunAt/2
 	b := n.rotate(op)
-	switch {
+	switch called := op.calledOff; {
 	case b == nil || n.predict(b, op) > n.left(op):
-	case n.t.SecondCopies && n.send(op, b):
+	case called:
+		n.revoke(p) // its ending brings the op back
+	case op.cat.Effect == Redeliverable && n.send(op, b):
 		n.extra--
-	case !n.t.SecondCopies:
-		n.revoke(p) // its ending brings the op back for another backend
 	}
+	op.calledOff = false
 }
 
 // rotate picks a backend by the rotation: own zone first, the others where that gains more than it costs.
@@ -556,9 +563,9 @@
 		}
 	}
 	margin := skipMargin * out / room
-	var turn, least, warm *Backend
+	var turn, least *Backend
 	turnSlow := 0
-	var leastLoad, warmest float64
+	var leastLoad float64
 	for _, b := range n.backends {
 		if n.isNear(b) != near || n.tell(op, b, n.passed(op, b, patience)) != Open {
 			continue
@@ -573,17 +580,12 @@
 		if b.longs > 0 {
 			continue
 		}
-		if n.t.WarmKeys && op.Key != 0 && load <= margin+1 {
-			if h := mix(op.Key, b.Ref); warm == nil || h > warmest {
-				warm, warmest = b, h
-			}
-		}
 		if slow := n.slowFor(b, op); load <= margin &&
 			(turn == nil || slow < turnSlow || slow == turnSlow && b.pass < turn.pass) {
 			turn, turnSlow = b, slow
 		}
 	}
-	return cmp.Or(warm, turn, least)
+	return cmp.Or(turn, least)
 }
 
 // passed tells why the rotation passes a backend.
@@ -656,6 +658,9 @@
 // wait behind others longer than ops of its benefit may. A heavy op's own time is not held against it.
 func (n *Node) hopeless(b *Backend, op *Op, patience float64) bool {
 	time := n.predict(b, op)
+	if time > n.leftToTarget(op) { // it earns that part only, and has no more say than an op of such benefit
+		patience *= op.cat.LateBenefit
+	}
 	return time > n.left(op) || time-op.work*n.paceOf(b) > patience
 }
 
@@ -689,24 +694,31 @@
 	return b.flow.rate(n.now, len(b.out) > 0, 1/n.paceOf(b))
 }
 
-// open tells whether this node uses a backend in this slot of time, and whether with one push at most. A push
-// of each of many nodes adds up to more than a backend stands: each keeps to its share, others in each slot.
-// Where nodes are too many for that, soft shares bound the far ones, to which all cross at once in a burst.
-func (n *Node) open(b *Backend) (open, single bool) {
-	share := n.part(coreShare * n.target.value / max(n.work.value, 1) * b.Weight)
-	if single = share < 0.5 && share*n.warm.of(b.Zone).ready >= leastOpen; !single {
-		if n.isNear(b) {
-			return true, false
-		}
-		share = max(leastFar, n.part(mostFirst), b.most-1) // more where answers come promptly
+// open tells whether this node uses a backend in this slot of time. All nodes cross at once in a burst: soft
+// shares bound the far backends, to others in each slot.
+func (n *Node) open(b *Backend) bool {
+	// More of them where answers come promptly.
+	return n.isNear(b) || mix(b.Ref+uint64(n.now/slot+mix(n.t.Seed, b.Ref))<<48, n.t.Seed) <=
+		max(leastFar, n.part(mostFirst), b.most-1)
+}
+
+// ease lowers or raises how many pushes the node may have out in all. Many nodes of few ops each reach no cap
+// of any backend, and hear of a queue too late to keep from feeding it: what is not answered yet holds back
+// the next. Two at least, so that a silent backend doesn't stop a node.
+func (n *Node) ease(queued bool) {
+	least := math.Max(2, n.part(leastOut*float64(len(n.backends))))
+	switch {
+	case queued:
+		n.window = math.Max(least, 0.8*math.Min(n.window, float64(n.abroad+1)))
+	case float64(n.abroad+1) >= n.window:
+		n.window += math.Min(n.window/4, 1/n.window)
 	}
-	return mix(b.Ref+uint64(n.now/slot+mix(n.t.Seed, b.Ref))<<48, n.t.Seed) <= share, single
 }
 
 // full tells whether a backend has all the pushes that this node sends there at once. Beyond that they would
 // queue, and a crowded backend may turn slower for all nodes.
 func (n *Node) full(b *Backend) bool {
-	if open, single := n.open(b); !open || b.restUntil > n.now || single && len(b.out) > 0 {
+	if float64(n.abroad) >= n.window || b.restUntil > n.now || !n.open(b) {
 		return true
 	}
 	// A part of a push more is rounded up where nodes are few, down where many of them would add up.
@@ -758,6 +770,7 @@
 func (n *Node) learn(b *Backend, p *Push, elapsed float64) {
 	work := p.Op.work
 	b.hear(n.now, p)
+	n.heard = math.Max(n.heard, p.SentAt)
 	// Behind own pushes the time tells of the queue, not of the backend; what backends report is better.
 	if p.alone && n.service.seen == 0 {
 		share := 1.0
@@ -779,6 +792,7 @@
 	if b.most <= 1 { // a pause gives up more than a push in flight does: only for a queue that costs answers
 		share = pauseShare
 	}
+	n.ease(elapsed-1.5*work*b.best > pauseShare*p.Op.cat.TargetLatency)
 	if elapsed-1.5*work*b.best > share*p.Op.cat.TargetLatency {
 		n.yield(b, elapsed)
 	} else if float64(len(b.out)+1) >= b.most {
@@ -811,7 +825,6 @@
 			continue
 		}
 		z := n.warm.of(b.Zone)
-		z.ready++
 		if n.warmth(b) == 1 {
 			z.took, z.speed = z.took+b.flow.perTime(n.now), z.speed+b.Weight/n.paceOf(b)
 		}
@@ -847,7 +860,7 @@
 		return OpOver
 	case b.State != Ready: // at once on being told: no grace is needed
 		return NotReady
-	case op.out() > 0 && !n.t.SecondCopies:
+	case op.out() > 0 && !n.t.SecondCopies && !op.calledOff:
 		return OneCopy
 	}
 	if p := op.mayHaveRun(); p != nil {
@@ -877,9 +890,6 @@
 	part := b.Weight * n.part(0.5/n.weight)
 	if z := n.warm.of(b.Zone); z.speed > 0 { // a slow machine stands less than fast ones take
 		took := z.took / z.speed * b.Weight / n.paceOf(b)
-		if n.t.WarmKeys { // what a backend has met lately costs it half; nothing is to one that just started
-			took *= 0.5
-		}
 		part = math.Max(part, took)
 	}
 	spent := work + b.recent.within(n.now, n.t.OverloadFor)
@@ -895,6 +905,7 @@
 		alone: len(b.out) < 2}
 	op.Pushes, op.stage = append(op.Pushes, p), pushed
 	b.take(n.now, p)
+	n.abroad++
 	b.recent.add(n.now, n.t.OverloadFor, math.Max(op.work, op.cat.work.value/2))
 	// A backend that comes back from being skipped takes its next turn, not all those it missed.
 	n.round = math.Max(n.round, b.pass)
--- a/balance/snapshot.go
+++ b/balance/snapshot.go
@@ -12,27 +12,27 @@
 // decisions. What the terms say is not in it, nor what follows from them. Backends and ops go by their places in the
 // lists that the host gave.
 type Snapshot struct {
-	Now, Armed, SweepAt, Round, Extra, Doubt, Weight, AskAt float64
-	Tracked, Stirred, Idle                                  bool
-	Failures                                                int
-	Seq                                                     uint64
-	Chance                                                  [2]uint64
-	Hints                                                   []float64 // the cutoff's window
-	HintNext                                                int
-	Stretch                                                 SnapQuantile
-	Value, Work, Target, Service                            SnapMean
-	PaceAll                                                 [2]float64
-	PaceKinds                                               [][2]float64
-	CrowdAll                                                [3]float64
-	CrowdZones                                              [][3]float64
-	Warm                                                    [][3]float64
-	Categories                                              []SnapMean   // works
-	Tenants                                                 [][2]float64 // rates
-	Backends                                                []SnapBackend
-	Order                                                   []int // the node's backends among them
-	Ops                                                     []SnapOp
-	Held                                                    []int
-	Due                                                     []SnapDue
+	Now, Armed, SweepAt, Round, Extra, Doubt, Weight, AskAt, Window, Heard float64
+	Tracked, Stirred, Idle                                                 bool
+	Failures                                                               int
+	Seq                                                                    uint64
+	Chance                                                                 [2]uint64
+	Hints                                                                  []float64 // the cutoff's window
+	HintNext                                                               int
+	Stretch                                                                SnapQuantile
+	Value, Work, Service                                                   SnapMean
+	PaceAll                                                                [2]float64
+	PaceKinds                                                              [][2]float64
+	CrowdAll                                                               [3]float64
+	CrowdZones                                                             [][3]float64
+	Warm                                                                   [][2]float64
+	Categories                                                             []SnapMean   // works
+	Tenants                                                                [][2]float64 // rates
+	Backends                                                               []SnapBackend
+	Order                                                                  []int // the node's backends among them
+	Ops                                                                    []SnapOp
+	Held                                                                   []int
+	Due                                                                    []SnapDue
 }
 
 // SnapQuantile, SnapMean and the others below are parts of a Snapshot.
@@ -62,14 +62,14 @@
 }
 
 type SnapOp struct {
-	Ref, Key                        uint64
-	Category, Tenant                int
-	Hint, Arrived, GiveUp, Work     float64
-	Estimate                        float64
-	HasHint, Repeat, Long, Overfull bool // Overfull is of earlier builds
-	Stage                           int
-	Pushes                          []SnapPush
-	Excess                          float64
+	Ref, Key                    uint64
+	Category, Tenant            int
+	Hint, Arrived, GiveUp, Work float64
+	Estimate                    float64
+	HasHint, Repeat, Long       bool
+	Stage                       int
+	Pushes                      []SnapPush
+	Excess                      float64
 }
 
 type SnapPush struct {
@@ -100,10 +100,10 @@
 	for i, b := range backends {
 		backendAt[b] = i
 	}
-	s := &Snapshot{Now: n.now, Armed: n.armed, SweepAt: n.sweepAt, Round: n.round, Extra: n.extra, Doubt: n.doubt, Weight: n.weight, AskAt: n.askAt,
+	s := &Snapshot{Now: n.now, Armed: n.armed, SweepAt: n.sweepAt, Round: n.round, Extra: n.extra, Doubt: n.doubt, Weight: n.weight, AskAt: n.askAt, Window: n.window, Heard: n.heard,
 		Tracked: n.tracked, Stirred: n.stirred, Idle: n.idle, Failures: n.failures, Seq: n.seq, Chance: [2]uint64{n.rng.x, n.rng.carry},
 		Hints: slices.Clone(n.cutoff.ring), HintNext: n.cutoff.next, Stretch: snapQuantile(n.stretch),
-		Value: SnapMean{n.value.value, n.value.seen}, Work: SnapMean{n.work.value, n.work.seen}, Target: SnapMean{n.target.value, n.target.seen},
+		Value: SnapMean{n.value.value, n.value.seen}, Work: SnapMean{n.work.value, n.work.seen},
 		Service: SnapMean{n.service.value, n.service.seen}, PaceAll: [2]float64{n.paces.all.time, n.paces.all.work},
 		CrowdAll: [3]float64{n.crowd.all.sum, n.crowd.all.count, n.crowd.all.at}}
 	for _, p := range n.paces.kinds {
@@ -113,7 +113,7 @@
 		s.CrowdZones = append(s.CrowdZones, [3]float64{r.sum, r.count, r.at})
 	}
 	for _, w := range n.warm {
-		s.Warm = append(s.Warm, [3]float64{w.ready, w.took, w.speed})
+		s.Warm = append(s.Warm, [2]float64{w.took, w.speed})
 	}
 	for _, c := range n.t.Categories {
 		s.Categories = append(s.Categories, SnapMean{c.work.value, c.work.seen})
@@ -191,12 +191,13 @@
 	}
 	n = New(t, s.Now)
 	n.armed, n.sweepAt, n.round, n.extra, n.doubt, n.weight, n.askAt = s.Armed, s.SweepAt, s.Round, s.Extra, s.Doubt, s.Weight, s.AskAt
+	n.window, n.heard = s.Window, s.Heard
 	n.tracked, n.stirred, n.idle, n.failures, n.seq = s.Tracked, s.Stirred, s.Idle, s.Failures, s.Seq
 	n.rng = mwc{s.Chance[0], s.Chance[1]}
 	n.cutoff = window{ring: slices.Clone(s.Hints), sorted: slices.Clone(s.Hints), next: s.HintNext}
 	sort.Float64s(n.cutoff.sorted)
 	n.stretch = quantile{s.Stretch.Value, s.Stretch.Seen}
-	n.value, n.work, n.target, n.service = mean{s.Value.Value, s.Value.Seen}, mean{s.Work.Value, s.Work.Seen}, mean{s.Target.Value, s.Target.Seen}, mean{s.Service.Value, s.Service.Seen}
+	n.value, n.work, n.service = mean{s.Value.Value, s.Value.Seen}, mean{s.Work.Value, s.Work.Seen}, mean{s.Service.Value, s.Service.Seen}
 	n.paces.all = pace{s.PaceAll[0], s.PaceAll[1]}
 	for _, p := range s.PaceKinds {
 		n.paces.kinds = append(n.paces.kinds, pace{p[0], p[1]})
@@ -206,7 +207,7 @@
 		n.crowd.zones = append(n.crowd.zones, recent{r[0], r[1], r[2]})
 	}
 	for _, w := range s.Warm {
-		n.warm = append(n.warm, took{w[0], w[1], w[2]})
+		n.warm = append(n.warm, took{w[0], w[1]})
 	}
 	for i, c := range s.Categories {
 		t.Categories[i].work = mean{c.Value, c.Seen}
@@ -239,6 +240,9 @@
 		}
 		ops = append(ops, o)
 	}
+	for _, o := range ops {
+		n.abroad += o.out()
+	}
 	push := func(op, number int) (*Push, error) {
 		if op < 0 || op >= len(ops) || number < 0 || number >= len(ops[op].Pushes) {
 			return nil, errors.New("snapshot names a push that it has not")
--- a/balance/types.go
+++ b/balance/types.go
@@ -54,7 +54,6 @@
 	ByWork        bool // benefit is counted for each unit of work
 
 	CrossPrice   float64
-	WarmKeys     bool
 	MaxPushes    int
 	SecondCopies bool
 	Cancel       bool
@@ -188,13 +187,14 @@
 	GiveUp   float64 // clock time at which the client gives up on this try
 	Pushes   []*Push
 
-	cat      *Category
-	work     float64
-	long     bool
-	estimate float64 // its order among held ops
-	excess   float64 // how likely it is beyond its tenant's share
-	stage    stage
-	queued   bool
+	cat       *Category
+	work      float64
+	long      bool
+	estimate  float64 // its order among held ops
+	excess    float64 // how likely it is beyond its tenant's share
+	stage     stage
+	queued    bool
+	calledOff bool // a look at where it could go once its push has ended
 }
 
 // Over tells whether the op has ended and nothing of it is out, so that the host may forget it.
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -16,7 +16,7 @@
 )
 
 // Version is that of the form.
-const Version = 1
+const Version = 2
 
 // ErrVersion is a snapshot that another build has written: whoever has one starts fresh and says so.
 var ErrVersion = errors.New("snapshot of another version")
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -132,7 +132,6 @@
 		ByWork:        p.text("benefitBy") == "work",
 		ExcessBenefit: optional(p, "excessBenefit", p.number, 1),
 		CrossPrice:    optional(p, "prices.crossZone", p.number, 0),
-		WarmKeys:      optional(p, "familyInfo.warmKeys", p.flag, false),
 		MaxPushes:     int(p.number("bounds.mostPushes")),
 		SecondCopies:  p.flag("bounds.secondCopies"),
 		Cancel:        p.flag("bounds.cancel"),
