Longs bear no more wait than shorts; lab nodes are given addresses of their own

Counters told that what was still pushed was 92 core-seconds a second of work on some 40 cores, payments of 250 ms each where the mean is 35: the longs. placeLong takes any backend with none of this node's work, and where many nodes have a push out or none that is each of them; no wait was asked for (unfitForLong).

Lab: two of twenty nodes got the same free port once; free asks the others' addresses too.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -422,6 +422,10 @@
 	if !n.isNear(b) && n.crossCost(op) >= 0.5 {
 		return Dear
 	}
+	// Idle of this node's work says little where many nodes have a push out or none: others' may queue there.
+	if n.hopeless(b, op, n.patienceOf(op)) {
+		return Hopeless
+	}
 	return Open
 }
 
--- a/internal/lab/loopback/node.go
+++ b/internal/lab/loopback/node.go
@@ -232,5 +232,16 @@
 	return l.Addr().String(), nil
 }
 
+// free finds an address for a node: one that none of the others was given, though none listens there yet.
+func (w *world) free(of *node) (string, error) {
+	all := append(slices.Clone(w.nodes), of)
+	for {
+		address, err := freeAddress(w.home)
+		if err != nil || !slices.ContainsFunc(all, func(n *node) bool { return address == n.address || address == n.secure }) {
+			return address, err
+		}
+	}
+}
+
 // drain reads an answer's rest, so that its connection can be used again.
 func drain(r io.Reader) ([]byte, error) { return io.ReadAll(io.LimitReader(r, 1<<20)) }
