--- a/internal/serve/place.go
+++ b/internal/serve/place.go
@@ -146,6 +146,6 @@
 	if p.known != nil {
 		known = len(p.known.Members)
 	}
-	return fmt.Sprintf("%s on %s, list at %s: %d categories, %d known backends, %d nodes; %g cores, %d MB, %d sockets",
-		p.name, p.listen, p.discovery, len(p.told.Categories), known, p.told.Terms.Nodes, p.cores, p.memory>>20, p.sockets)
+	return fmt.Sprintf("%s on %s, list at %s: %s, reports of %v, %d categories, %d known backends, %d nodes; %g cores, %d MB, %d sockets",
+		p.name, p.listen, p.discovery, p.told.Shape, p.told.Report, len(p.told.Categories), known, p.told.Terms.Nodes, p.cores, p.memory>>20, p.sockets)
 }
--- a/internal/terms/json.go
+++ b/internal/terms/json.go
@@ -18,7 +18,12 @@
 	}
 	p := &pairs{values: map[string]string{}}
 	p.flatten("", tree)
-	return p.deployment()
+	told, err := p.deployment()
+	if err != nil {
+		return nil, err
+	}
+	told.Shape = p.shape(told)
+	return told, p.err
 }
 
 // Name puts a name into the form that it has in lines, where blanks and commas part values.
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -14,6 +14,7 @@
 
 // Deployment is what a host keeps of the settings: the module's part and its own.
 type Deployment struct {
+	Shape      Shape // of an operator's settings
 	Terms      *balance.Terms
 	Categories []string
 	Tenants    []string
@@ -41,6 +42,9 @@
 	}
 }
 
+// mostNodes is what the wire's numbers of instances can count.
+const mostNodes = math.MaxUint32
+
 // FromLines reads path=value lines.
 func FromLines(data []byte) (*Deployment, error) {
 	p := &pairs{values: map[string]string{}}
@@ -117,6 +121,17 @@
 	return int(n)
 }
 
+// within reads a number that has bounds.
+func (p *pairs) within(least, most float64) func(path string) float64 {
+	return func(path string) float64 {
+		x := p.number(path)
+		if p.err == nil && (x < least || x > most) {
+			p.err = fmt.Errorf("setting %s is %v, not from %v to %v", path, x, least, most)
+		}
+		return x
+	}
+}
+
 // optional settings are absent at some sites; unset is what their absence means.
 func optional[T any](p *pairs, path string, read func(string) T, unset T) T {
 	if v, ok := p.values[path]; ok && v != "" {
@@ -128,9 +143,9 @@
 func (p *pairs) deployment() (*Deployment, error) {
 	t := &balance.Terms{
 		Zone:          int(p.number("az")),
-		Nodes:         int(p.number("balancers")),
+		Nodes:         int(p.within(1, mostNodes)("balancers")),
 		ByWork:        p.text("benefitBy") == "work",
-		ExcessBenefit: optional(p, "excessBenefit", p.number, 1),
+		ExcessBenefit: optional(p, "excessBenefit", p.within(0, 1), 1),
 		CrossPrice:    optional(p, "prices.crossZone", p.number, 0),
 		MaxPushes:     int(p.number("bounds.mostPushes")),
 		SecondCopies:  p.flag("bounds.secondCopies"),
@@ -161,7 +176,7 @@
 			Remembered:    optional(p, at+"keyTtl", p.number, 0),
 			TargetLatency: p.number(at + "targetLatency"),
 			Benefit:       p.number(at + "benefit"),
-			LateBenefit:   optional(p, at+"overdueBenefit", p.number, 0),
+			LateBenefit:   optional(p, at+"overdueBenefit", p.within(0, 1), 0),
 		})
 		d.Categories = append(d.Categories, p.values[at+"name"])
 		d.LongestTTL = max(d.LongestTTL, p.number(at+"ttl"))
@@ -169,7 +184,7 @@
 	if p.values["tenants"] == "" && p.values["tenants.count"] != "" {
 		for k := range p.count("tenants") {
 			at := fmt.Sprintf("tenants.%d.", k)
-			t.Tenants = append(t.Tenants, balance.Tenant{Quota: optional(p, at+"quotaPerS", p.number, 0)})
+			t.Tenants = append(t.Tenants, balance.Tenant{Quota: optional(p, at+"quotaPerS", p.within(0, math.MaxFloat64), 0)})
 			d.Tenants = append(d.Tenants, p.values[at+"name"])
 		}
 	}
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -76,6 +76,44 @@
 		_, err := FromLines([]byte(strings.Replace(lines, c.from, c.to, 1)))
 		assert.ErrorContains(t, err, c.want, name)
 	}
+	for name, c := range map[string]struct{ from, to, want string }{
+		"no nodes":      {"balancers=3", "balancers=0", "balancers is 0, not from 1"},
+		"quota below 0": {"quotaPerS=20", "quotaPerS=-20", "tenants.0.quotaPerS is -20"},
+		"more than all": {"az=1\n", "az=1\nexcessBenefit=1.5\n", "excessBenefit is 1.5, not from 0 to 1"},
+		"late for more": {"categories.0.benefit=3.0", "categories.0.benefit=3.0\ncategories.0.overdueBenefit=2", "categories.0.overdueBenefit is 2"},
+	} {
+		_, err := FromLines([]byte(strings.Replace(lines, c.from, c.to, 1)))
+		assert.ErrorContains(t, err, c.want, name)
+	}
 	_, err := FromJSON([]byte(`[1]`))
 	assert.Error(t, err)
 }
+
+// Half a move must not serve: settings of two layouts are refused by the key that is of the other one. Without a word of
+// the layout it is a pool, as before there were two.
+func TestShapes(t *testing.T) {
+	beside := strings.NewReplacer(`"az":1`, `"az":0,"domainType":"mesh"`, `"secondCopies":true`, `"secondCopies":false`, `"zones":["a","b"]`,
+		`"zones":["a"]`, `"registryMode":"subscribe"`, `"registryMode":"automatic"`, `["mean_ms","concurrent"]`, `["concurrent","depth"]`).Replace(nested)
+	for name, c := range map[string]struct {
+		text, from, to string
+		shape          Shape
+		want           string
+	}{
+		"pool":                     {nested, "", "", Pool, ""},
+		"pool by its word":         {nested, `"az":1`, `"az":1,"domainType":"proxy"`, Pool, ""},
+		"beside":                   {beside, "", "", Beside, ""},
+		"pool without copies":      {nested, `"secondCopies":true`, `"secondCopies":false`, Pool, "setting bounds.secondCopies is false"},
+		"beside with copies":       {beside, `"secondCopies":false`, `"secondCopies":true`, Beside, "setting bounds.secondCopies is true"},
+		"beside with zones":        {beside, `"zones":["a"]`, `"zones":["a","b"]`, Beside, "setting zones is [a b]"},
+		"beside, crossing priced":  {beside, `"az":0`, `"az":0,"prices":{"crossZone":0.1}`, Beside, "setting prices.crossZone is 0.1"},
+		"a layout nobody knows of": {beside, `"mesh"`, `"ring"`, Beside, "setting domainType has an unknown value"},
+	} {
+		d, err := FromJSON([]byte(strings.Replace(c.text, c.from, c.to, 1)))
+		if c.want != "" {
+			assert.ErrorContains(t, err, c.want, name)
+			assert.NotContains(t, err.Error(), "\n", name)
+		} else if assert.NoError(t, err, name) {
+			assert.Equal(t, c.shape, d.Shape, name)
+		}
+	}
+}
