Clearing up: ops' keys and busy shares gone, which served retired fleets or nothing

How it is known: none of the four sites' settings has warmKeys (read from the first message of each), and nothing but warm keys read an op's key; captures keep their field's number free.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -643,11 +643,11 @@
 		return first
 	}
 	fresh := &Backend{}
-	d.node.Reported(d.now, fresh, Report{Service: Untold, Held: 14, Waiting: 12, Busy: Untold})
+	d.node.Reported(d.now, fresh, Report{Service: Untold, Held: 14, Waiting: 12})
 	assert.InDelta(t, 300, fresh.waits.mean(d.now, 0, 0), 60, "two at work, twelve of 50 ms wait")
 	assert.InDelta(t, 10, most(), 3)
 	for range 3 {
-		d.node.Reported(d.now, d.backends[0], Report{Service: Untold, Held: 14, Waiting: 12, Busy: Untold})
+		d.node.Reported(d.now, d.backends[0], Report{Service: Untold, Held: 14, Waiting: 12})
 	}
 	assert.Less(t, most(), 8)
 	d.after(60e3)
--- a/balance/snapshot.go
+++ b/balance/snapshot.go
@@ -62,7 +62,7 @@
 }
 
 type SnapOp struct {
-	Ref, Key                    uint64
+	Ref                         uint64
 	Category, Tenant            int
 	Hint, Arrived, GiveUp, Work float64
 	Estimate                    float64
@@ -144,7 +144,7 @@
 		s.Order = append(s.Order, at)
 	}
 	for _, o := range ops {
-		x := SnapOp{Ref: o.Ref, Key: o.Key, Category: o.Category, Tenant: o.Tenant, Hint: o.Hint, Arrived: o.Arrived, GiveUp: o.GiveUp, Work: o.work,
+		x := SnapOp{Ref: o.Ref, Category: o.Category, Tenant: o.Tenant, Hint: o.Hint, Arrived: o.Arrived, GiveUp: o.GiveUp, Work: o.work,
 			Estimate: o.estimate, HasHint: o.HasHint, Repeat: o.Repeat, Long: o.long, Excess: o.excess, Stage: int(o.stage)}
 		for _, p := range o.Pushes {
 			at, named := backendAt[p.Backend]
@@ -229,7 +229,7 @@
 		if x.Category < 0 || x.Category >= len(t.Categories) || x.Stage < 0 || x.Stage > int(ended) {
 			return nil, nil, nil, errors.New("snapshot of an odd op")
 		}
-		o := &Op{Ref: x.Ref, Key: x.Key, Category: x.Category, Tenant: x.Tenant, Hint: x.Hint, HasHint: x.HasHint, Repeat: x.Repeat, Arrived: x.Arrived,
+		o := &Op{Ref: x.Ref, Category: x.Category, Tenant: x.Tenant, Hint: x.Hint, HasHint: x.HasHint, Repeat: x.Repeat, Arrived: x.Arrived,
 			GiveUp: x.GiveUp, cat: &t.Categories[x.Category], work: x.Work, long: x.Long, estimate: x.Estimate, excess: x.Excess, stage: stage(x.Stage)}
 		for k, p := range x.Pushes {
 			if p.Backend < 0 || p.Backend >= len(backends) {
--- a/balance/types.go
+++ b/balance/types.go
@@ -179,7 +179,6 @@
 	Ref      uint64 // the host's name for it
 	Category int
 	Tenant   int
-	Key      uint64 // 0 is none
 	Hint     float64
 	HasHint  bool
 	Repeat   bool
@@ -305,11 +304,10 @@
 	Service float64 // mean service time
 	Held    float64 // ops it has
 	Waiting float64 // of those, the ones not yet at work
-	Busy    float64 // share of its cores at work
 }
 
 // NoReport is one that tells nothing.
-func NoReport() Report { return Report{Untold, Untold, Untold, Untold} }
+func NoReport() Report { return Report{Untold, Untold, Untold} }
 
 // Told tells whether it says anything.
 func (r Report) Told() bool { return r != NoReport() }
--- a/internal/capture/bench_test.go
+++ b/internal/capture/bench_test.go
@@ -46,7 +46,7 @@
 				p = d.Push
 			}
 		}
-		n.Reported(now+3, p.Backend, balance.Report{Service: 3, Held: 2, Waiting: balance.Untold, Busy: balance.Untold})
+		n.Reported(now+3, p.Backend, balance.Report{Service: 3, Held: 2, Waiting: balance.Untold})
 		n.Ended(now+3, p, balance.Answered, 3, true)
 		for _, more := n.Next(); more; _, more = n.Next() {
 		}
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -318,7 +318,7 @@
 		assert.NotEqual(t, a[i], b[i])
 	}
 	r := &Recorder{o: Options{Secret: []byte("x")}}
-	assert.Zero(t, r.hashed(0), "no key stays none")
+	assert.Zero(t, r.hashed(0), "none stays none")
 	assert.NotEqual(t, uint64(5), r.hashed(5))
 }
 
@@ -605,7 +605,7 @@
 		r := Record{Kind: Kind(rapid.IntRange(1, 15).Draw(t, "kind")), Now: rapid.Float64Range(0, 1e13).Draw(t, "now"), Op: rapid.Uint64().Draw(t, "op"),
 			Ref: rapid.Uint64().Draw(t, "ref"), Push: rapid.IntRange(0, 200).Draw(t, "push"), Value: rapid.Float64().Draw(t, "value"),
 			Hint: rapid.Float64().Draw(t, "hint"), GiveUp: rapid.Float64().Draw(t, "give up"), Flags: rapid.Uint64().Draw(t, "flags"),
-			Category: rapid.IntRange(0, 300).Draw(t, "category"), Key: rapid.Uint64().Draw(t, "key")}
+			Category: rapid.IntRange(0, 300).Draw(t, "category")}
 		for range rapid.IntRange(0, 3).Draw(t, "lines") {
 			r.Lines = append(r.Lines, Line{Backend: rapid.Uint64().Draw(t, "b"), State: balance.State(rapid.IntRange(0, 2).Draw(t, "s")),
 				Zone: rapid.IntRange(0, 9).Draw(t, "z"), Weight: rapid.Float64().Draw(t, "w"), Started: rapid.Float64().Draw(t, "st")})
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -62,7 +62,6 @@
 	Flags    uint64
 	Category int
 	Tenant   int
-	Key      uint64
 	Hint     float64
 	GiveUp   float64
 	Count    uint64
@@ -109,7 +108,7 @@
 	fieldFlags
 	fieldCategory
 	fieldTenant
-	fieldKey
+	_ // what an op was about, in earlier builds
 	fieldHint
 	fieldGiveUp
 	fieldCount
@@ -145,7 +144,6 @@
 	number(fieldFlags, r.Flags)
 	number(fieldCategory, uint64(r.Category))
 	number(fieldTenant, uint64(r.Tenant))
-	number(fieldKey, r.Key)
 	float(fieldHint, r.Hint)
 	float(fieldGiveUp, r.GiveUp)
 	number(fieldCount, r.Count)
@@ -166,7 +164,7 @@
 // load gives a report's values; what is not told is below 0, and differs from an idle backend's zeros.
 func (r *Record) load() (b []byte) {
 	if r.Kind == Reported {
-		for _, x := range []float64{r.Load.Service, r.Load.Held, r.Load.Waiting, r.Load.Busy} {
+		for _, x := range []float64{r.Load.Service, r.Load.Held, r.Load.Waiting} {
 			b = protowire.AppendFixed64(b, math.Float64bits(x))
 		}
 	}
@@ -174,7 +172,7 @@
 }
 
 func unpackLoad(b []byte) (load balance.Report, err error) {
-	for _, x := range []*float64{&load.Service, &load.Held, &load.Waiting, &load.Busy} {
+	for _, x := range []*float64{&load.Service, &load.Held, &load.Waiting} {
 		bits, size := protowire.ConsumeFixed64(b)
 		if size < 0 {
 			return load, errOdd
@@ -262,8 +260,6 @@
 			r.Category = small(x)
 		case fieldTenant:
 			r.Tenant = small(x)
-		case fieldKey:
-			r.Key = x
 		case fieldHint:
 			r.Hint = math.Float64frombits(x)
 		case fieldGiveUp:
@@ -373,7 +369,7 @@
 	case Dropped:
 		text += fmt.Sprintf(" backend %d", r.Backend)
 	case Reported:
-		text += fmt.Sprintf(" backend %d, service %.3f, held %g, waiting %g, busy %g", r.Backend, r.Load.Service, r.Load.Held, r.Load.Waiting, r.Load.Busy)
+		text += fmt.Sprintf(" backend %d, service %.3f, held %g, waiting %g", r.Backend, r.Load.Service, r.Load.Held, r.Load.Waiting)
 	case Pulled:
 		text += " " + decision(r)
 	case Gap:
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -22,7 +22,7 @@
 // Options are how a module is captured.
 type Options struct {
 	Every  float64     // between snapshots, in ms; 0 is none after the first
-	Secret []byte      // with which names and keys of ops are hashed; none are where empty. All nodes of a fleet need the same
+	Secret []byte      // with which names of ops are hashed; none are where empty. All nodes of a fleet need the same
 	Sink   func(Batch) // must not block, nor keep the bytes
 }
 
@@ -92,7 +92,7 @@
 	})
 }
 
-// hashed stands for a name or key where they are secret.
+// hashed stands for a name where they are secret.
 func (r *Recorder) hashed(x uint64) uint64 {
 	if len(r.o.Secret) == 0 || x == 0 {
 		return x
@@ -153,8 +153,7 @@
 func (r *Recorder) Arrived(now float64, op *balance.Op) {
 	r.lastOp++
 	r.ops[op] = r.lastOp
-	op.Key = r.hashed(op.Key) // the module goes by it: it has to see what the capture has
-	x := Record{Kind: Arrived, Now: now, Op: r.lastOp, Ref: r.hashed(op.Ref), Category: op.Category, Tenant: op.Tenant, Key: op.Key, Hint: op.Hint,
+	x := Record{Kind: Arrived, Now: now, Op: r.lastOp, Ref: r.hashed(op.Ref), Category: op.Category, Tenant: op.Tenant, Hint: op.Hint,
 		GiveUp: op.GiveUp}
 	if op.HasHint {
 		x.Flags |= flagHint
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -249,7 +249,7 @@
 	case ListFailed:
 		r.node.ListFailed(x.Now)
 	case Arrived:
-		op = &balance.Op{Ref: x.Ref, Category: x.Category, Tenant: x.Tenant, Key: x.Key, Hint: x.Hint, HasHint: x.Flags&flagHint != 0,
+		op = &balance.Op{Ref: x.Ref, Category: x.Category, Tenant: x.Tenant, Hint: x.Hint, HasHint: x.Flags&flagHint != 0,
 			Repeat: x.Flags&flagRepeat != 0, GiveUp: x.GiveUp}
 		r.ops[x.Op], r.numbers[op] = op, x.Op
 		r.node.Arrived(x.Now, op)
--- a/internal/front/decode.go
+++ b/internal/front/decode.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"math"
 	"net/http"
@@ -23,7 +22,6 @@
 	tenantHeader   = "X-Customer"
 	repeatHeader   = "X-Second-Try"
 	hintHeader     = "X-Size-Hint"
-	keyParameter   = "sid"
 )
 
 // longestTTL keeps odd times within what a clock can hold, in ms.
@@ -81,25 +79,14 @@
 	// The limit on reading must not end the watch for a client that leaves.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	now := f.clock.Now()
-	repeat, about, tenant := r.Header.Get(repeatHeader) == "1", key(r), f.tenant(r)
+	repeat, tenant := r.Header.Get(repeatHeader) == "1", f.tenant(r)
 	op := node.NewOp(upstream.NewMessage(r.Method, r.RequestURI, r.Host, r.Header, body))
-	op.Category, op.Tenant, op.Key, op.Repeat = category, tenant, about, repeat
+	op.Category, op.Tenant, op.Repeat = category, tenant, repeat
 	op.Hint, op.HasHint = hint/1e3, hinted != ""
 	op.GiveUp = now - c.wayHere() + min(float64(ttl), longestTTL)
 	return op, nil
 }
 
-// key hashes what the op is about, so that all nodes find the same backend warm.
-func key(r *http.Request) uint64 {
-	sid := r.URL.Query().Get(keyParameter)
-	if sid == "" {
-		return 0
-	}
-	h := fnv.New64a()
-	_, _ = io.WriteString(h, sid)
-	return max(h.Sum64(), 1)
-}
-
 func (f *Front) tenant(r *http.Request) int {
 	return max(slices.Index(f.told.Tenants, terms.Name(r.Header.Get(tenantHeader))), 0)
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -72,14 +72,13 @@
 		assert.Equal(t, test.want, bad.status, name)
 	}
 
-	r := httptest.NewRequest("GET", "/api?sid=77", nil)
+	r := httptest.NewRequest("GET", "/api", nil)
 	r.Header = http.Header{"X-Trace-Id": {"a"}, "X-Qos": {"pay out"}, "X-Expires-In-Ms": {"480"}, "X-Size-Hint": {"1500"},
 		"X-Second-Try": {"1"}, "X-Customer": {"two"}}
 	before := f.clock.Now()
 	op, bad := f.decode(httptest.NewRecorder(), r, c)
 	require.Nil(t, bad)
 	assert.Equal(t, []any{1, 1, 1.5, true, true}, []any{op.Category, op.Tenant, op.Hint, op.HasHint, op.Repeat})
-	assert.NotZero(t, op.Key)
 	assert.Less(t, op.GiveUp, f.clock.Now()+480, "the TTL counts from the sending")
 	assert.Greater(t, op.GiveUp, before+480-100)
 }
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -37,8 +37,6 @@
 		r.Held = value
 	case "depth":
 		r.Waiting = value
-	case "load_share":
-		r.Busy = value
 	}
 }
 
