--- a/balance/balance.go
+++ b/balance/balance.go
@@ -662,6 +662,9 @@
 // wait behind others longer than ops of its benefit may. A heavy op's own time is not held against it.
 func (n *Node) hopeless(b *Backend, op *Op, patience float64) bool {
 	time := n.predict(b, op)
+	if op.long { // a wait does not grow with the op, as what small ones took there would have it
+		time = math.Min(time, op.work*n.paceOf(b)+n.wait(b.Zone))
+	}
 	if time > n.leftToTarget(op) { // it earns that part only, and has no more say than an op of such benefit
 		patience *= op.cat.LateBenefit
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -789,3 +789,17 @@
 	d.arrive("b", 1, 100)
 	assert.Equal(t, "nack:b", d.pull())
 }
+
+// What small ops took at a backend, way and set-up of connections with it, does not grow with the work: taken in proportion,
+// one slow answer of a small op had the longs of a calm fleet nacked.
+func TestWaitsDoNotGrowWithTheOp(t *testing.T) {
+	d := sit(t, plain(), 1)
+	d.seen()
+	small := d.arrive("small", 1, 10)
+	require.Equal(t, "push:small", d.pull())
+	d.after(80).end(small.Pushes[0], Answered)
+	d.pull()
+	require.Less(t, d.node.drain(d.backends[0]), 0.8)
+	d.arrive("long", 1, 700)
+	assert.Equal(t, "push:long", d.pull())
+}
