--- a/balance/balance.go
+++ b/balance/balance.go
@@ -7,7 +7,6 @@
 import (
 	"cmp"
 	"container/heap"
-	"fmt"
 	"math"
 	"slices"
 )
@@ -121,10 +120,17 @@
 			b.most = 1 + n.part(mostFirst)
 			b.pass = n.round + n.rng.unit() // the rotation starts at random
 		}
-		if l.Started > b.Started { // a new process: what was learned of the old one's state is void
+		back := b.banned && !l.Banned // by hand: restarted meanwhile, which the list tells of late, if at all
+		if back {
+			b.back = now
+		}
+		if l.Started > b.Started || back { // a new process: what was learned of the old one's state is void
 			b.flow, b.most, b.distrust, b.lingers, b.restUntil = flow{}, 1+n.part(mostFirst), fader{}, 0, 0
 		}
 		b.Zone, b.Cell, b.Kind, b.State, b.Started = l.Zone, l.Cell, l.Kind, l.State, l.Started
+		if b.banned = l.Banned; b.banned { // whatever the list says
+			b.State = min(b.State, Draining)
+		}
 		b.Weight = l.Weight
 		if !(b.Weight > 0) || math.IsInf(b.Weight, 0) {
 			b.Weight = 1
@@ -325,26 +331,9 @@
 	return d, true
 }
 
-func (n *Node) want(op *Op) {
-	if !op.queued && op.stage != ended {
-		op.queued = true
-		n.waiting = append(n.waiting, op)
-	}
-}
-
 // part is this node's of what all nodes together may.
 func (n *Node) part(whole float64) float64 { return whole / float64(max(n.t.Nodes, 1)) }
 
-func (n *Node) at(d due) {
-	n.seq++
-	d.seq = n.seq
-	heap.Push(&n.due, d)
-}
-
-func (n *Node) log(format string, args ...any) {
-	n.out = append(n.out, Decision{Kind: DoLog, Text: fmt.Sprintf(format, args...)})
-}
-
 // decide places an op that has nothing out.
 func (n *Node) decide(op *Op) {
 	switch {
@@ -511,10 +500,6 @@
 	}
 }
 
-func (n *Node) unhold(op *Op) {
-	n.held = slices.DeleteFunc(n.held, func(o *Op) bool { return o == op })
-}
-
 // overdue answers a push that is out longer than its fellows' high quantile: silence is the first sign of a
 // backend that takes work and answers none, long before a time-out.
 func (n *Node) overdue(p *Push) {
@@ -760,7 +745,8 @@
 
 // warmth is the share of its capacity that a backend is sure to have.
 func (n *Node) warmth(b *Backend) float64 {
-	if age := n.now - b.Started; b.Started > 0 && age < n.t.WarmWithin {
+	started := math.Max(b.Started, b.back)
+	if age := n.now - started; started > 0 && age < n.t.WarmWithin {
 		return n.t.ColdFrom + (1-n.t.ColdFrom)*math.Max(age, 0)/n.t.WarmWithin
 	}
 	return 1
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -939,3 +939,48 @@
 		assert.Equal(t, near, op.Pushes[0].Backend == d.backends[0], "a wait of %v", wait)
 	}
 }
+
+// A backend taken out by hand counts as draining whatever the list says, also over its going and coming back; put back it
+// is cold, and nothing of its former process keeps it from being used.
+func TestTakenOutByHand(t *testing.T) {
+	d := sit(t, plain(), 2)
+	a, b := d.backends[0], d.backends[1]
+	line := func(state State, started float64, out bool) {
+		d.node.Listed(d.now, []Listing{{Backend: a, State: state, Weight: 1, Started: started, Banned: out}}, false, true)
+	}
+	d.node.suspect(a, 5)
+	d.pull()
+	a.restUntil, a.most = d.now+1e6, 0.1
+	require.GreaterOrEqual(t, d.node.distrust(a), shunAt)
+	line(Ready, 0, true)
+	for _, listed := range []State{Ready, Draining, Gone, Ready} {
+		line(listed, 0, true)
+		assert.Less(t, a.State, Ready)
+		op := d.arrive("a", 0, 10)
+		require.Equal(t, "push:a", d.pull())
+		assert.Same(t, b, op.Pushes[0].Backend)
+		assert.Equal(t, NotReady, d.node.gate(op, a))
+		d.end(op.Pushes[0], Answered)
+		d.after(10).pull()
+	}
+	line(Draining, 0, false) // the list's own word still holds
+	assert.Equal(t, Draining, a.State)
+	line(Ready, 0, false)
+	line(Ready, d.now-500, false) // the list tells late that it was restarted: the later of the two counts
+	assert.Equal(t, d.node.t.ColdFrom, d.node.warmth(a))
+	assert.Zero(t, a.distrust.get(d.now, distrustHalf))
+	used := 0
+	for k := range 100 {
+		op := d.arrive(fmt.Sprint("c", k), 0, 10)
+		d.pull()
+		if op.Pushes[0].Backend == a {
+			used++
+		}
+		d.after(10).end(op.Pushes[0], Answered)
+		d.pull()
+	}
+	assert.Positive(t, used)
+	assert.LessOrEqual(t, a.recent.within(d.now, 2000), 3*0.3*2000.0, "within its budget")
+	d.after(10e3)
+	assert.Equal(t, 1.0, d.node.warmth(a))
+}
--- a/balance/snapshot.go
+++ b/balance/snapshot.go
@@ -60,6 +60,8 @@
 	Waits                                           [3]float64
 	Cores                                           float64
 	Met                                             [2]float64
+	Banned                                          bool
+	Back                                            float64
 }
 
 type SnapOp struct {
@@ -128,7 +130,7 @@
 			Pace: [2]float64{b.pace.time, b.pace.work}, Tail: snapQuantile(b.tail), Flow: [3]float64{b.flow.done, b.flow.busy, b.flow.at},
 			Distrust: [2]float64{b.distrust.sum, b.distrust.at}, SpentAt: slices.Clone(b.recent.at), Spent: slices.Clone(b.recent.amount),
 			Waits: [3]float64{b.waits.sum, b.waits.count, b.waits.at}, Cores: b.cores,
-			Met: [2]float64{b.met.wait, b.met.at}}
+			Met: [2]float64{b.met.wait, b.met.at}, Banned: b.banned, Back: b.back}
 		for _, p := range b.out {
 			at, named := opAt[p.Op]
 			if !named {
@@ -226,7 +228,7 @@
 			pass: x.Pass, pace: pace{x.Pace[0], x.Pace[1]}, tail: quantile{x.Tail.Value, x.Tail.Seen}, flow: flow{x.Flow[0], x.Flow[1], x.Flow[2]},
 			distrust: fader{x.Distrust[0], x.Distrust[1]}, recent: spend{slices.Clone(x.SpentAt), slices.Clone(x.Spent)},
 			waits: recent{x.Waits[0], x.Waits[1], x.Waits[2]}, cores: x.Cores,
-			met: met{x.Met[0], x.Met[1]}})
+			met: met{x.Met[0], x.Met[1]}, banned: x.Banned, back: x.Back})
 	}
 	for _, x := range s.Ops {
 		if x.Category < 0 || x.Category >= len(t.Categories) || x.Stage < 0 || x.Stage > int(ended) {
--- a/balance/types.go
+++ b/balance/types.go
@@ -105,6 +105,8 @@
 	pass      float64 // its place in the rotation
 	recent    spend   // work sent in the last window, for the time when it may be cold
 	known     bool    // the node has it among its backends
+	banned    bool    // taken out by hand
+	back      float64 // when it was last put back by hand
 }
 
 // take and drop keep count of what is out there; one dropped before it ends is not counted twice.
@@ -320,4 +322,5 @@
 	Zone, Cell      int
 	Kind            int // of machine
 	Weight, Started float64
+	Banned          bool // taken out by hand: draining, whatever its state is here
 }
--- /dev/null
+++ b/cmd/pearknot/call_test.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os/exec"
+	"regexp"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// operated is a running node with a second address, and a backend s-1 that answers.
+func operated(t *testing.T) (w *world, second string) {
+	backend := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(backend.Close)
+	list := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	t.Cleanup(list.Close)
+	file := writeConfig(t, list.Listener.Addr(), 64, 128, entry(backend.Listener.Addr().String(), "up"), settings)
+	withControl(t, file)
+	process := exec.Command(nodeProgram, "serve", "-config", file)
+	w = &world{t: t, process: process, file: file, ended: make(chan error, 1)}
+	r, err := process.StderrPipe()
+	require.NoError(t, err)
+	require.NoError(t, process.Start())
+	t.Cleanup(func() { _ = process.Process.Kill() })
+	lines, serving := bufio.NewScanner(r), regexp.MustCompile(`msg=serving .*address=(\S+) control=(\S+)`)
+	for second == "" && lines.Scan() {
+		if m := serving.FindStringSubmatch(lines.Text()); m != nil {
+			w.address, second = m[1], m[2]
+		}
+	}
+	require.NotEmpty(t, second)
+	go func() {
+		_, _ = io.Copy(io.Discard, r)
+		w.ended <- process.Wait()
+	}()
+	return w, second
+}
+
+// Each call once, as an operator makes it.
+func TestCalls(t *testing.T) {
+	w, second := operated(t)
+	for _, c := range []struct {
+		args   []string
+		says   string
+		status int
+		ops    int // what an op gets after it
+	}{
+		{[]string{"health"}, "YES ready\n", 0, 200},
+		{[]string{"cordon", "s-1"}, "YES out\n", 0, 503},
+		{[]string{"cordon", "s-1"}, "YES out\n", 0, 503},
+		{[]string{"uncordon", "s-1"}, "YES back\n", 0, 200},
+		{[]string{"cordon", "s-9"}, "NO \"s-9\": never listed\n", 3, 200},
+		{[]string{"resume"}, "YES clients are taken\n", 0, 200},
+		{[]string{"quiesce"}, "YES clients are sent away\n", 0, 200},
+		{[]string{"quiesce"}, "YES clients are sent away\n", 0, 200},
+		{[]string{"health"}, "NO clients are sent away\n", 3, 200},
+		{[]string{"resume"}, "YES clients are taken\n", 0, 200},
+		{[]string{"health"}, "YES ready\n", 0, 200},
+		{[]string{"cordon"}, "pearknot: cordon needs a backend's id\n", 2, 200},
+	} {
+		status, says := call(append([]string{"call", second}, c.args...)...)
+		assert.Equal(t, c.says, says, c.args)
+		assert.Equal(t, c.status, status, c.args)
+		got, _, _, err := w.ask(fresh(), "GET", fmt.Sprint(c.args), "check", "2000")
+		require.NoError(t, err)
+		assert.Equal(t, c.ops, got, c.args)
+	}
+	status, _ := call("call", "127.0.0.1:1", "health")
+	assert.Equal(t, 1, status, "nobody there")
+}
+
+// Clients are sent away: the health check says no at once, connections are let go of in the order that costs least, and
+// four seconds after the call none is held.
+func TestSentAway(t *testing.T) {
+	w, second := operated(t)
+	healthy := func() bool {
+		answer, err := fresh().Get("http://" + w.address + "/_health")
+		require.NoError(t, err)
+		defer answer.Body.Close()
+		return answer.StatusCode == http.StatusOK
+	}
+	closed := make(chan time.Time, 1)
+	idle, err := net.Dial("tcp", w.address)
+	require.NoError(t, err)
+	defer idle.Close()
+	busy, err := net.Dial("tcp", w.address)
+	require.NoError(t, err)
+	defer busy.Close()
+	go func() {
+		_, _ = idle.Read(make([]byte, 1))
+		closed <- time.Now()
+	}()
+	answers := bufio.NewReader(busy)
+	ask := func(id string) *http.Response { // on one connection, as long as it stays
+		fmt.Fprintf(busy, "GET /api HTTP/1.1\r\nHost: s\r\nX-Trace-Id: %s\r\nX-Qos: check\r\nX-Expires-In-Ms: 2000\r\n\r\n", id)
+		answer, err := http.ReadResponse(answers, nil)
+		require.NoError(t, err, "never cut off")
+		_, err = io.Copy(io.Discard, answer.Body)
+		require.NoError(t, err)
+		return answer
+	}
+	require.False(t, ask("a").Close)
+	require.True(t, healthy())
+	begun := time.Now()
+	yes, _ := call("call", second, "quiesce")
+	require.Zero(t, yes)
+	assert.False(t, healthy())
+	pace := time.NewTicker(20 * time.Millisecond)
+	defer pace.Stop()
+	for k := 0; ; k++ { // in use, it is asked to close with an answer
+		answer := ask(fmt.Sprint("b", k))
+		assert.Equal(t, 200, answer.StatusCode)
+		if answer.Close {
+			break
+		}
+		require.Less(t, time.Since(begun), 3*time.Second)
+		<-pace.C
+	}
+	assert.Less(t, (<-closed).Sub(begun), 3500*time.Millisecond)
+	require.Eventually(t, func() bool { // what comes later could not be gone in time
+		status, _, _, err := w.ask(fresh(), "GET", fmt.Sprint(time.Now()), "check", "2000")
+		return err == nil && status == 503
+	}, 3*time.Second, 20*time.Millisecond)
+	yes, _ = call("call", second, "resume")
+	require.Zero(t, yes)
+	assert.True(t, healthy())
+	status, _, _, err := w.ask(fresh(), "GET", "c", "check", "2000")
+	require.NoError(t, err)
+	assert.Equal(t, 200, status)
+}
--- a/cmd/pearknot/main.go
+++ b/cmd/pearknot/main.go
@@ -46,7 +46,7 @@
 	check.Short = "Read the configuration, tell what it says, and end"
 	root.AddCommand(serveCommand, check, &cobra.Command{Use: "version", Short: "Tell the version", Args: cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "pearknot", command.Version()) }},
-		agentCommand(), fleetCommand(), replayCommand(), explainCommand(), captureCommand(), certsCommand(), clientsCommand())
+		agentCommand(), fleetCommand(), replayCommand(), explainCommand(), captureCommand(), certsCommand(), clientsCommand(), callCommand())
 	root.SetArgs(longFlags(args))
 	root.SetOut(out)
 	root.SetErr(errs)
--- a/cmd/pearknot/pearknot_test.go
+++ b/cmd/pearknot/pearknot_test.go
@@ -77,6 +77,13 @@
 	return file
 }
 
+// withControl gives a configuration a second address.
+func withControl(t testing.TB, file string) {
+	text, err := os.ReadFile(file)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(file, bytes.Replace(text, []byte(`"seed"`), []byte(`"control":"127.0.0.1:0","seed"`), 1), 0o600))
+}
+
 // launch starts a node and gives the address that it serves, and the rest of what it says.
 func launch(t testing.TB, args ...string) (process *exec.Cmd, address string, stderr io.Reader) {
 	process = exec.Command(nodeProgram, args...)
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -83,6 +83,7 @@
 	Kind    int
 	Weight  float64
 	Started float64
+	Banned  bool
 }
 
 // Flags of records.
@@ -211,6 +212,9 @@
 			b = protowire.AppendFixed64(protowire.AppendTag(b, protowire.Number(field+7), protowire.Fixed64Type), bits)
 		}
 	}
+	if l.Banned {
+		b = protowire.AppendVarint(protowire.AppendTag(b, 9, protowire.VarintType), 1)
+	}
 	return b
 }
 
@@ -321,6 +325,8 @@
 			l.Weight = math.Float64frombits(x)
 		case 8:
 			l.Started = math.Float64frombits(x)
+		case 9:
+			l.Banned = x != 0
 		}
 		return nil
 	})
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -139,7 +139,7 @@
 	}
 	for _, l := range lines {
 		x.Lines = append(x.Lines, Line{Backend: r.backend(l.Backend), Ref: l.Backend.Ref, State: l.State, Zone: l.Zone, Cell: l.Cell, Kind: l.Kind,
-			Weight: l.Weight, Started: l.Started})
+			Weight: l.Weight, Started: l.Started, Banned: l.Banned})
 	}
 	r.put(&x)
 	r.inner.Listed(now, lines, full, cached)
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -243,7 +243,7 @@
 				r.backends[l.Backend], r.refs[b] = b, l.Backend
 			}
 			lines = append(lines, balance.Listing{Backend: b, State: l.State, Zone: l.Zone, Cell: l.Cell, Kind: l.Kind, Weight: l.Weight,
-				Started: l.Started})
+				Started: l.Started, Banned: l.Banned})
 		}
 		r.node.Listed(x.Now, lines, x.Flags&flagFull != 0, x.Flags&flagCached != 0)
 	case ListFailed:
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -56,11 +56,12 @@
 
 	server   http.Server
 	listener *listener
-	secure   *secure      // nil where no TLS is served
-	door     *door        // nil lets all in
-	withheld atomic.Bool  // kept out of service
-	leaving  atomic.Bool  // told to end: no client is to be sent here any more
-	draining atomic.Bool  // those who still come are asked to close
+	secure   *secure     // nil where no TLS is served
+	door     *door       // nil lets all in
+	withheld atomic.Bool // kept out of service
+	leaving  atomic.Bool // told to end: no client is to be sent here any more
+	draining atomic.Bool // those who still come are asked to close
+	away     away
 	latest   atomic.Int64 // when an op came, Unix ms
 	open     atomic.Int64 // ops taken and not answered
 	served   chan struct{}
@@ -183,7 +184,7 @@
 
 // State tells whether the node's health would send clients here, and whether it is about to end.
 func (f *Front) State() (in, ending bool) {
-	return !f.withheld.Load() && !f.leaving.Load(), f.leaving.Load()
+	return !f.withheld.Load() && !f.leaving.Load() && !f.away.now(), f.leaving.Load()
 }
 
 // Shed closes clients' connections that have had no op for a while; what crosses that a client sends again on
@@ -229,7 +230,7 @@
 			f.write(w, c, http.StatusInternalServerError, nil) // a dead letter: no claim about what ran
 		}
 	}()
-	if f.draining.Load() || f.budget.Crowded() {
+	if f.draining.Load() || f.away.closing.Load() || f.budget.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == healthPath {
@@ -282,7 +283,7 @@
 func (f *Front) health(w http.ResponseWriter, c *client) {
 	select {
 	case <-f.node.Ready():
-		if !f.leaving.Load() && !f.withheld.Load() {
+		if in, _ := f.State(); in {
 			f.write(w, c, http.StatusOK, []byte("ready\n"))
 			return
 		}
@@ -296,7 +297,7 @@
 	open := f.open.Add(1)
 	f.latest.Store(time.Now().UnixMilli())
 	defer f.open.Add(-1)
-	if most := int64(f.told.MostHeld); open > most && most > 0 {
+	if most := int64(f.told.MostHeld); open > most && most > 0 || f.away.empty.Load() {
 		full := node.Answer{Final: node.Nacked}
 		if f.told.Terms.ComeBack { // a node as full as that is not soon another
 			full.ComeBack = f.told.Terms.MaxComeBack
--- a/internal/lab/policy/policy.go
+++ b/internal/lab/policy/policy.go
@@ -124,6 +124,9 @@
 			p.backends = append(p.backends, b)
 		}
 		b.State, b.Zone, b.Cell, b.Kind, b.Started, b.Weight = l.State, l.Zone, l.Cell, l.Kind, l.Started, l.Weight
+		if l.Banned {
+			b.State = min(b.State, balance.Draining)
+		}
 	}
 }
 
--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -3,7 +3,10 @@
 // one call for the list.
 package mailbox
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // Box holds what was put and not yet taken, in order.
 type Box[T any] struct {
@@ -18,6 +21,18 @@
 	b.mu.Lock()
 	b.items = append(b.items, item)
 	b.mu.Unlock()
+	b.tell()
+}
+
+// PutFirst puts in front of what lies there: for what an operator asks, who waits for the answer.
+func (b *Box[T]) PutFirst(item T) {
+	b.mu.Lock()
+	b.items = slices.Insert(b.items, 0, item)
+	b.mu.Unlock()
+	b.tell()
+}
+
+func (b *Box[T]) tell() {
 	select {
 	case b.some <- struct{}{}:
 	default:
@@ -36,3 +51,10 @@
 	b.items = spare[:0]
 	return items
 }
+
+// Len is how much lies there.
+func (b *Box[T]) Len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.items)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,7 @@
 	seq      uint64
 	backends map[string]*backend           // by name
 	behind   map[*balance.Backend]*backend // the same, as the module knows them
+	names    names
 	held     bool
 	version  uint64 // of the list that is held
 	timer    *time.Timer
@@ -71,7 +72,7 @@
 func New(told *terms.Deployment, decide Decide, c *clock.Clock, peers *upstream.Terms, ask func(), log *slog.Logger) *Node {
 	return &Node{decide: decide, clock: c, log: log, told: told, peers: peers, ask: ask, box: mailbox.New[func()](),
 		ready: make(chan struct{}), ops: map[uint64]*Op{}, backends: map[string]*backend{},
-		behind: map[*balance.Backend]*backend{}, timer: time.NewTimer(time.Hour), done: make(chan struct{})}
+		behind: map[*balance.Backend]*backend{}, names: newNames(), timer: time.NewTimer(time.Hour), done: make(chan struct{})}
 }
 
 // Start runs the actor, with the list as the node last had it, if it had one.
@@ -270,16 +271,16 @@
 			n.log.Info("backend listed", "backend", m.Name, "ref", fmt.Sprintf("%x", b.Ref), "address", m.Address)
 		}
 		named[b] = true
-		b.tell(m, n.peers)
-		lines = append(lines, balance.Listing{Backend: b.Backend, State: m.State, Zone: m.Zone, Cell: m.Cell,
-			Kind: m.Kind, Weight: m.Weight, Started: m.Started})
+		n.names.listed(m.Name)
+		n.tell(b, m)
+		lines = append(lines, n.line(b))
 	}
 	if list.Whole {
 		for _, b := range n.backends {
 			if !named[b] {
 				m := b.member
 				m.State = balance.Gone
-				b.tell(m, n.peers)
+				n.tell(b, m)
 			}
 		}
 	}
@@ -301,15 +302,22 @@
 	}
 }
 
+// line is a backend's as the module gets it: what the list says, and whether it was taken out by hand.
+func (n *Node) line(b *backend) balance.Listing {
+	m := b.member
+	return balance.Listing{Backend: b.Backend, State: m.State, Zone: m.Zone, Cell: m.Cell, Kind: m.Kind, Weight: m.Weight,
+		Started: m.Started, Banned: n.names.banned[m.Name]}
+}
+
 // tell passes an entry on to the backend's actor, which lives while the list names the backend.
-func (b *backend) tell(m members.Member, t *upstream.Terms) {
+func (n *Node) tell(b *backend, m members.Member) {
 	b.member = m
 	switch {
 	case m.State != balance.Gone:
 		if b.peer == nil {
-			b.peer = upstream.NewPeer(m.Name, t)
+			b.peer = upstream.NewPeer(m.Name, n.peers)
 		}
-		b.peer.Tell(m.Address, m.State == balance.Ready)
+		b.peer.Tell(m.Address, m.State == balance.Ready && !n.names.banned[m.Name])
 	case b.peer != nil:
 		b.peer.Close()
 		b.peer = nil
--- a/internal/serve/place.go
+++ b/internal/serve/place.go
@@ -27,6 +27,7 @@
 	name      string
 	listen    string
 	discovery string
+	control   string // where operators call; empty is nowhere
 	cores     float64
 	memory    int64 // bytes; 0 is no limit
 	sockets   int
@@ -52,11 +53,11 @@
 		return nil, err
 	}
 	var read struct {
-		Name, Listen, Discovery, Seed string
-		TLS                           string `json:"tls"`
-		TLSListen                     string `json:"tls_listen"`
-		Edge                          string `json:"edge"`
-		Limits                        struct {
+		Name, Listen, Discovery, Control, Seed string
+		TLS                                    string `json:"tls"`
+		TLSListen                              string `json:"tls_listen"`
+		Edge                                   string `json:"edge"`
+		Limits                                 struct {
 			Cores    float64
 			MemoryMB float64 `json:"memory_mb"`
 			Sockets  int
@@ -72,6 +73,7 @@
 		name:      cmp.Or(read.Name, os.Getenv("ROUTER_NAME")),
 		listen:    cmp.Or(read.Listen, os.Getenv("ROUTER_LISTEN")),
 		discovery: cmp.Or(read.Discovery, os.Getenv("ROUTER_DISCOVERY")),
+		control:   cmp.Or(read.Control, os.Getenv("ROUTER_CONTROL")),
 		cores:     read.Limits.Cores,
 		memory:    int64(read.Limits.MemoryMB * (1 << 20)),
 		sockets:   cmp.Or(read.Limits.Sockets, 1024),
@@ -79,7 +81,10 @@
 		tlsListen: read.TLSListen,
 		edge:      read.Edge,
 	}
-	for what, address := range map[string]string{"listen": p.listen, "discovery": p.discovery} {
+	for what, address := range map[string]string{"listen": p.listen, "discovery": p.discovery, "control": p.control} {
+		if what == "control" && address == "" {
+			continue
+		}
 		if _, _, err := net.SplitHostPort(address); err != nil {
 			return nil, fmt.Errorf("%s: %s: %w", file, what, err)
 		}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"log/slog"
 	"math"
 	"os"
@@ -14,6 +15,7 @@
 
 	"pearknot/internal/acme"
 	"pearknot/internal/clock"
+	"pearknot/internal/console"
 	"pearknot/internal/front"
 	"pearknot/internal/members"
 	"pearknot/internal/node"
@@ -80,6 +82,9 @@
 	if o.TLS != nil {
 		limit -= tlsReserve
 	}
+	if p.control != "" {
+		limit -= console.Descriptors
+	}
 	budget := sockets.New(limit, func() {
 		select {
 		case pressed <- struct{}{}:
@@ -146,8 +151,17 @@
 	}
 	watch.Start(over)
 	n.Start(p.known)
+	second := ""
+	if p.control != "" {
+		c, err := console.Open(p.control, calls(n, f, log), log)
+		if err != nil {
+			return fmt.Errorf("second address: %w", err)
+		}
+		defer c.Close()
+		second = c.Address()
+	}
 	go shed(over, budget, pressed, n.Shed, f.Shed)
-	log.Info("serving", "name", p.name, "address", f.Address(), "version", o.Version)
+	log.Info("serving", "name", p.name, "address", f.Address(), "control", second, "version", o.Version)
 	failed := make(chan error, 1)
 	go func() { failed <- f.Serve() }()
 	for ctx.Err() == nil {
