--- a/balance/balance.go
+++ b/balance/balance.go
@@ -82,7 +82,32 @@
 func New(t *Terms, now float64) *Node {
 	n := &Node{t: t, now: now, rng: newMWC(t.Seed), armed: math.Inf(1), sweepAt: now, weight: 1,
 		extra: extraMost / 2, window: math.Inf(1), askAt: math.Inf(1)}
-	most := 0.0
+	n.weigh()
+	if t.MustAsk {
+		// Nodes restarted together must not call the list's one service together.
+		n.askAt = now + 200*n.rng.unit()
+	}
+	return n
+}
+
+// Retuned takes new terms; from tells for each category its former place, or -1. Ops keep those that they came under.
+func (n *Node) Retuned(now float64, t *Terms, from []int) {
+	for i, k := range from {
+		if k >= 0 && k < len(n.t.Categories) && i < len(t.Categories) {
+			t.Categories[i].work = n.t.Categories[k].work
+		}
+	}
+	for i := range min(len(t.Tenants), len(n.t.Tenants)) {
+		t.Tenants[i].rate = n.t.Tenants[i].rate
+	}
+	n.now, n.t = now, t
+	n.weigh()
+	n.sweep()
+}
+
+// weigh tells each category's patience from its benefit against the others'.
+func (n *Node) weigh() {
+	t, most := n.t, 0.0
 	for _, c := range t.Categories {
 		most = math.Max(most, c.Benefit)
 	}
@@ -96,11 +121,6 @@
 			}
 		}
 	}
-	if t.MustAsk {
-		// Nodes restarted together must not call the list's one service together.
-		n.askAt = now + 200*n.rng.unit()
-	}
-	return n
 }
 
 // Listed takes news of the list; where full, a backend not in it is gone.
@@ -154,7 +174,8 @@
 // Arrived takes an op.
 func (n *Node) Arrived(now float64, op *Op) {
 	n.now = now
-	c := &n.t.Categories[op.Category]
+	op.Under = cmp.Or(op.Under, n.t)
+	c := &op.Under.Categories[op.Category]
 	op.cat, op.Arrived = c, now
 	op.HasHint = op.HasHint && op.Hint > 0 && !math.IsInf(op.Hint, 0)
 	if op.HasHint {
@@ -506,15 +527,15 @@
 	// Where one push is out at most it must end first, and its work goes on there: only where others answer
 	// meanwhile, so that the backend is silent, not all crowded.
 	if op.cat.Effect == AtMostOnce || n.extra < 1 || op.out() > 1 ||
-		!n.t.SecondCopies && (n.heard <= p.SentAt || n.distrust(p.Backend) < shunAt/2) {
+		!op.Under.SecondCopies && (n.heard <= p.SentAt || n.distrust(p.Backend) < shunAt/2) {
 		return
 	}
-	op.calledOff = !n.t.SecondCopies
+	op.calledOff = !op.Under.SecondCopies
 	b := n.rotate(op)
 	op.calledOff = false
 	switch {
 	case b == nil || n.predict(b, op) > n.left(op):
-	case !n.t.SecondCopies:
+	case !op.Under.SecondCopies:
 		n.revoke(p) // its ending brings the op back
 	case op.cat.Effect == Redeliverable && n.send(op, b):
 		n.extra--
@@ -840,11 +861,11 @@
 // gate is the one that every push passes; it holds all four rules and tells by which a push may not go out.
 func (n *Node) gate(op *Op, b *Backend) Reason {
 	switch {
-	case op.stage == ended || op.stage == streaming || op.GiveUp <= n.now || len(op.Pushes) >= n.t.MaxPushes:
+	case op.stage == ended || op.stage == streaming || op.GiveUp <= n.now || len(op.Pushes) >= op.Under.MaxPushes:
 		return OpOver
 	case b.State != Ready: // at once on being told: no grace is needed
 		return NotReady
-	case op.out() > 0 && !n.t.SecondCopies && !op.calledOff:
+	case op.out() > 0 && !op.Under.SecondCopies && !op.calledOff:
 		return OneCopy
 	}
 	if p := op.mayHaveRun(); p != nil {
@@ -911,7 +932,7 @@
 }
 
 func (n *Node) revoke(p *Push) {
-	if n.t.Cancel && p.out && !p.revoked {
+	if p.Op.Under.Cancel && p.out && !p.revoked {
 		p.revoked = true
 		n.out = append(n.out, Decision{Kind: DoRevoke, Op: p.Op, Push: p})
 	}
@@ -928,10 +949,10 @@
 		kind = DoNack
 	}
 	d := Decision{Kind: kind, Op: op}
-	if kind == DoNack && n.t.ComeBack {
+	if kind == DoNack && op.Under.ComeBack {
 		// About when half of what is held has gone: a repeat too late is lost, and all at once are a storm.
 		wait := math.Min(op.cat.TargetLatency, n.holdTime(op)) * (0.25 + 0.5*n.rng.unit())
-		d.Wait = math.Min(n.t.MaxComeBack, wait)
+		d.Wait = math.Min(op.Under.MaxComeBack, wait)
 	}
 	n.out = append(n.out, d)
 	n.end(op)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -83,7 +83,7 @@
 func spendBudget(d *desk, _ *Op) {
 	d.list(Ready, d.now, d.backends[1])
 	for range 1000 {
-		d.node.send(&Op{GiveUp: d.now + 4000, cat: &d.node.t.Categories[0], work: 10}, d.backends[1])
+		d.node.send(&Op{Under: d.node.t, GiveUp: d.now + 4000, cat: &d.node.t.Categories[0], work: 10}, d.backends[1])
 	}
 }
 
@@ -98,7 +98,7 @@
 		type at struct{ when, work float64 }
 		var sent []at
 		for range 5000 {
-			op := &Op{GiveUp: d.now + 4000, cat: &terms.Categories[0], work: 10}
+			op := &Op{Under: terms, GiveUp: d.now + 4000, cat: &terms.Categories[0], work: 10}
 			if d.node.send(op, b) {
 				sent = append(sent, at{d.now, op.work})
 				d.pull()
@@ -539,7 +539,7 @@
 		d.end(d.busy(d.backends[0]), Rejected)
 		d.after(200).pull()
 	}
-	op := &Op{cat: &d.node.t.Categories[0], work: 10, GiveUp: d.now + 4000, Arrived: d.now}
+	op := &Op{Under: d.node.t, cat: &d.node.t.Categories[0], work: 10, GiveUp: d.now + 4000, Arrived: d.now}
 	assert.Greater(t, d.node.predict(fresh, op), quiet+300)
 	assert.Greater(t, d.node.holdTime(op), 300.0)
 	d.after(60e3)
@@ -984,3 +984,102 @@
 	d.after(10e3)
 	assert.Equal(t, 1.0, d.node.warmth(a))
 }
+
+// Ops that are open when the terms change keep those that they came under, whatever their category means since; what was
+// learned stays.
+func TestOpsKeepTheirTerms(t *testing.T) {
+	d := sit(t, plain(), 3)
+	d.seen()
+	safe, once := d.arrive("safe", 0, 10), d.arrive("once", 1, 20)
+	d.pull()
+	d.node.t.Categories[0].work = mean{40, 9}
+	d.node.suspect(d.backends[2], 1)
+	later := plain() // the two change places, with one push each
+	later.Categories[0], later.Categories[1] = later.Categories[1], later.Categories[0]
+	later.MaxPushes, later.SecondCopies = 1, false
+	d.node.Retuned(d.now, later, []int{1, 0, 2, -1})
+	assert.Equal(t, mean{40, 9}, d.node.t.Categories[1].work, "learned of a category, by its former place")
+	assert.Equal(t, mean{}, d.node.t.Categories[3].work)
+	assert.Positive(t, d.node.distrust(d.backends[2]))
+	assert.Positive(t, later.Categories[0].patience)
+	d.end(safe.Pushes[0], Reset)
+	assert.Equal(t, "push:safe", d.pull(), "redeliverable still, within three pushes")
+	d.end(once.Pushes[0], Reset)
+	assert.Equal(t, "dead:once", d.pull(), "at-most-once still")
+	d.after(60e3).pull() // distrust fades
+	fresh := d.arrive("fresh", 0, 10)
+	d.pull()
+	d.end(fresh.Pushes[0], Reset)
+	assert.Equal(t, "dead:fresh", d.pull(), "at-most-once now")
+	d.after(60e3).pull()
+	spare := d.arrive("spare", 1, 10)
+	d.pull()
+	d.end(spare.Pushes[0], Reset)
+	assert.Equal(t, "nack:spare", d.pull(), "one push now")
+
+	// One that the front read under the earlier terms, and the module got after them.
+	d.after(60e3).pull()
+	late := &Op{Category: 1, Hint: 10, HasHint: true, GiveUp: d.now + 4000, Under: safe.Under}
+	d.ops["late"] = late
+	d.node.Arrived(d.now, late)
+	d.pull()
+	d.end(late.Pushes[0], Reset)
+	assert.Equal(t, "dead:late", d.pull())
+	d.node.Arrived(d.now, &Op{Category: 2, GiveUp: d.now + 4000, Under: safe.Under})
+	_, err := d.node.Snapshot([]*Op{{Under: safe.Under}}, nil)
+	assert.ErrorContains(t, err, "earlier terms")
+}
+
+// Two processes of a node keep its cold budget together, and for a window after one of them has gone.
+func TestSplitBudget(t *testing.T) {
+	whole := func(of ...int) float64 {
+		d := sit(t, plain(), 1)
+		for _, n := range of {
+			d.node.Split(d.now, n)
+		}
+		d.list(Ready, d.now, d.backends...)
+		sent := 0.0
+		for d.node.coldRoom(d.backends[0], 10) {
+			d.backends[0].recent.add(d.now, 2000, 10)
+			sent += 10
+		}
+		return sent
+	}
+	alone := whole()
+	assert.Greater(t, alone, 100.0)
+	assert.LessOrEqual(t, 2*whole(2), alone+20)
+	assert.Equal(t, whole(2), whole(2, 1), "what the other spent still counts")
+	d := sit(t, plain(), 1)
+	d.node.Split(d.now, 2)
+	d.node.Split(d.now, 1)
+	assert.Equal(t, 2.0, d.node.processes())
+	d.after(d.node.t.OverloadFor)
+	assert.Equal(t, 1.0, d.node.processes())
+}
+
+// A snapshot that another process goes on from holds what was learned, and nothing that the first still has out.
+func TestCarried(t *testing.T) {
+	d := sit(t, plain(), 2)
+	d.seen()
+	d.arrive("a", 0, 10)
+	d.pull()
+	d.node.suspect(d.backends[0], 3)
+	d.pull()
+	s, err := d.node.Carried(d.backends)
+	require.NoError(t, err)
+	n, ops, backends, err := Restore(plain(), s)
+	require.NoError(t, err)
+	assert.Empty(t, ops)
+	assert.Zero(t, n.abroad)
+	assert.Len(t, n.cutoff.ring, 101)
+	assert.Equal(t, d.node.distrust(d.backends[0]), n.distrust(backends[0]))
+	for k, b := range backends {
+		assert.Empty(t, b.out)
+		assert.Zero(t, b.workOut)
+		assert.Equal(t, d.backends[k].recent.within(d.now, 2000), b.recent.within(d.now, 2000), "what was spent counts for both")
+	}
+	n.Arrived(d.now, &Op{Hint: 10, HasHint: true, GiveUp: d.now + 4000})
+	x, more := n.Next()
+	require.True(t, more)
+	assert.Equal(t, DoPush, x.Kind)
+}
--- a/balance/helpers_test.go
+++ b/balance/helpers_test.go
@@ -122,7 +122,7 @@
 // busy puts a short of its own on a backend.
 func (d *desk) busy(b *Backend) *Push {
 	op := &Op{Category: 0, Hint: 10, HasHint: true, GiveUp: d.now + 4000, Arrived: d.now}
-	op.cat, op.work = &d.node.t.Categories[0], 10
+	op.cat, op.work, op.Under = &d.node.t.Categories[0], 10, d.node.t
 	require.True(d.t, d.node.send(op, b))
 	d.pull()
 	return op.Pushes[0]
--- a/balance/snapshot.go
+++ b/balance/snapshot.go
@@ -37,18 +37,6 @@
 	Whole                                                                  float64
 }
 
-// Carried leaves what another process may go on with from now on: what was learned and spent. What is out, held or due
-// stays with the process that has it, and so does its chance; the list is asked for anew.
-func (s *Snapshot) Carried(now float64) {
-	s.Ops, s.Held, s.Due, s.Idle, s.Stirred = nil, nil, nil, false, true
-	s.Now, s.Armed, s.SweepAt, s.AskAt, s.Tracked, s.Failures = now, math.Inf(1), now, now, false, 0
-	for i := range s.Backends {
-		b := &s.Backends[i]
-		b.Out, b.WorkOut, b.Longs = nil, 0, 0
-	}
-	s.Chance = [2]uint64{}
-}
-
 // SnapQuantile, SnapMean and the others below are parts of a Snapshot.
 type SnapQuantile struct {
 	Value float64
@@ -107,6 +95,30 @@
 // Snapshot takes the node's state at a batch's end. The host names all ops that are not over, and all backends that it
 // may name again, in an order of its own.
 func (n *Node) Snapshot(ops []*Op, backends []*Backend) (*Snapshot, error) {
+	for _, o := range ops {
+		if o.Under != n.t && o.Under != nil { // its category has no place among those of now
+			return nil, errors.New("snapshot with an op under earlier terms")
+		}
+	}
+	return n.snapshot(ops, backends, true)
+}
+
+// Carried is what another process may go on with: all that was learned and spent. What is out, held or due stays with the
+// process that has it, and so does its chance; the list is asked for anew.
+func (n *Node) Carried(backends []*Backend) (*Snapshot, error) {
+	s, err := n.snapshot(nil, backends, false)
+	if err != nil {
+		return nil, err
+	}
+	s.Idle, s.Stirred, s.Chance = false, true, [2]uint64{}
+	s.Armed, s.SweepAt, s.AskAt, s.Tracked, s.Failures = math.Inf(1), s.Now, s.Now, false, 0
+	for i := range s.Backends {
+		s.Backends[i].WorkOut, s.Backends[i].Longs = 0, 0
+	}
+	return s, nil
+}
+
+func (n *Node) snapshot(ops []*Op, backends []*Backend, whole bool) (*Snapshot, error) {
 	if len(n.waiting) > 0 || len(n.out) > 0 {
 		return nil, errors.New("snapshot in the middle of a batch")
 	}
@@ -146,6 +158,9 @@
 			Waits: [3]float64{b.waits.sum, b.waits.count, b.waits.at}, Cores: b.cores,
 			Met: [2]float64{b.met.wait, b.met.at}, Banned: b.banned, Back: b.back}
 		for _, p := range b.out {
+			if !whole {
+				break
+			}
 			at, named := opAt[p.Op]
 			if !named {
 				return nil, fmt.Errorf("snapshot: backend %x has a push of op %d, which the host did not name", b.Ref, p.Op.Ref)
@@ -174,6 +189,9 @@
 		}
 		s.Ops = append(s.Ops, x)
 	}
+	if !whole {
+		return s, nil
+	}
 	for _, o := range n.held {
 		at, named := opAt[o]
 		if !named {
@@ -250,7 +268,7 @@
 		if x.Category < 0 || x.Category >= len(t.Categories) || x.Stage < 0 || x.Stage > int(ended) {
 			return nil, nil, nil, errors.New("snapshot of an odd op")
 		}
-		o := &Op{Ref: x.Ref, Category: x.Category, Tenant: x.Tenant, Hint: x.Hint, HasHint: x.HasHint, Repeat: x.Repeat, Arrived: x.Arrived,
+		o := &Op{Under: t, Ref: x.Ref, Category: x.Category, Tenant: x.Tenant, Hint: x.Hint, HasHint: x.HasHint, Repeat: x.Repeat, Arrived: x.Arrived,
 			GiveUp: x.GiveUp, cat: &t.Categories[x.Category], work: x.Work, long: x.Long, estimate: x.Estimate, excess: x.Excess, stage: stage(x.Stage)}
 		for k, p := range x.Pushes {
 			if p.Backend < 0 || p.Backend >= len(backends) {
--- a/balance/types.go
+++ b/balance/types.go
@@ -188,6 +188,7 @@
 	Arrived  float64
 	GiveUp   float64 // clock time at which the client gives up on this try
 	Pushes   []*Push
+	Under    *Terms // that it came under; the node's present ones where nil
 
 	cat       *Category
 	work      float64
@@ -271,6 +272,7 @@
 	Ended(now float64, p *Push, how Ending, elapsed float64, finished bool)
 	Reported(now float64, b *Backend, r Report)
 	Split(now float64, of int)
+	Retuned(now float64, t *Terms, from []int)
 	Due(now float64)
 	Next() (Decision, bool)
 }
--- a/cmd/pearknot/call_test.go
+++ b/cmd/pearknot/call_test.go
@@ -7,8 +7,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"os/exec"
 	"regexp"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -136,3 +139,45 @@
 	require.NoError(t, err)
 	assert.Equal(t, 200, status)
 }
+
+// SIGHUP takes new settings whole or not at all: categories come, go and change their effect, and an op that is open keeps
+// what it came under.
+func TestNewSettings(t *testing.T) {
+	inHand, answer := make(chan bool, 9), make(chan bool)
+	w := start(t, 1024, func(rw http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.Header.Get("X-Trace-Id"), "slow") {
+			inHand <- true
+			<-answer
+			panic(http.ErrAbortHandler) // it may have run
+		}
+	})
+	status := func(id, category string) int {
+		status, _, _, err := w.ask(fresh(), "GET", id, category, "6000")
+		require.NoError(t, err)
+		return status
+	}
+	slow := make(chan int, 1)
+	go func() {
+		status, _, _, _ := w.ask(fresh(), "GET", "slow", "check", "6000")
+		slow <- status
+	}()
+	<-inHand
+	whole, err := os.ReadFile(w.file)
+	require.NoError(t, err)
+	change := func(pairs ...string) []byte { return []byte(strings.NewReplacer(pairs...).Replace(string(whole))) }
+	reload := func(text []byte) {
+		require.NoError(t, os.WriteFile(w.file, text, 0o600))
+		require.NoError(t, w.process.Process.Signal(syscall.SIGHUP))
+	}
+	for _, bad := range [][]byte{nil, whole[:len(whole)-2], change(`"name":"n1",`, ``, `"name":"pay"`, `"name":"new"`),
+		change(`"limits"`, `"no"`, `"name":"pay"`, `"name":"new"`), change(`"ttl":4000`, `"ttl":-1`, `"name":"pay"`, `"name":"new"`)} {
+		reload(bad)
+	}
+	reload(change(`"name":"check"`, `"name":"look"`, `"name":"pay"`, `"name":"check"`, `"mostPushes":3`, `"mostPushes":1`))
+	require.Eventually(t, func() bool { return status("a", "look") == 200 }, 10*time.Second, 10*time.Millisecond)
+	assert.Equal(t, 400, status("b", "new"), "of none of the bad files anything was taken")
+	assert.Equal(t, 400, status("c", "pay"), "dropped")
+	close(answer)
+	assert.Equal(t, 503, <-slow, "redeliverable, as it came: a nack")
+	assert.Equal(t, 502, status("slow-2", "check"), "at-most-once now: a dead letter")
+}
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -661,3 +661,44 @@
 	require.NoError(t, err)
 	assert.Equal(t, balance.Report{Service: 31.5, Held: balance.Untold, Waiting: balance.Untold}, got.Load)
 }
+
+// A ban, a second process and new terms are replayed as they came, also for an op that came under the earlier terms.
+func TestOperatorsReplayed(t *testing.T) {
+	terms := func(effect balance.Effect) *balance.Terms {
+		return &balance.Terms{Seed: 2, Nodes: 1, MaxPushes: 2, OverloadFor: 100, Categories: []balance.Category{{Effect: effect, TargetLatency: 100, Benefit: 1}}}
+	}
+	first, second := terms(balance.Redeliverable), terms(balance.AtMostOnce)
+	var records []Record
+	r, err := NewRecorder(balance.New(first, 1000), 1000, Start{Terms: first}, Options{Sink: func(b Batch) { records = append(records, unframed(b.Data)...) }})
+	require.NoError(t, err)
+	bs := []*balance.Backend{{Ref: 4}, {Ref: 5}, {Ref: 6}}
+	list := func(now float64, out bool) {
+		for _, b := range bs {
+			r.Listed(now, []balance.Listing{{Backend: b, State: balance.Ready, Weight: 1, Banned: out && b.Ref == 4}}, false, true)
+		}
+	}
+	finals := 0
+	ask := func(now float64, under *balance.Terms) {
+		r.Arrived(now, &balance.Op{GiveUp: now + 1000, HasHint: true, Hint: 5, Under: under})
+		for d, more := r.Next(); more; d, more = r.Next() {
+			switch d.Kind {
+			case balance.DoPush:
+				assert.NotEqual(t, uint64(4), d.Push.Backend.Ref)
+				r.Ended(now+1, d.Push, balance.Reset, 1, false)
+			case balance.DoNack, balance.DoDeadLetter:
+				finals++
+			}
+		}
+	}
+	list(1000, true)
+	ask(1010, first)
+	r.Split(1020, 2)
+	r.Retuned(1030, second, []int{0})
+	ask(1040, second)
+	ask(1050, first)
+	ask(1060, nil)
+	assert.GreaterOrEqual(t, finals, 2) // others wait for backends that have failed
+	claim, err := replay(records)
+	require.NoError(t, err)
+	assert.Greater(t, claim.Decisions, 8)
+}
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -37,10 +37,11 @@
 	Snapshot  // the module's state at a batch's end, from which a replay may begin
 	Dropped   // the host let go of a backend
 	Split     // of how many processes the node is made up: Count
+	Retuned   // new terms, in Data as of Begin; Ops has each category's former place, from 1 on, 0 where it had none
 )
 
 var kinds = [...]string{"", "begin", "listed", "list failed", "arrived", "left", "begun", "ended", "reported", "due", "shortened", "pulled",
-	"idle", "gap", "snapshot", "dropped", "split"}
+	"idle", "gap", "snapshot", "dropped", "split", "retuned"}
 
 func (k Kind) String() string {
 	if int(k) < len(kinds) && k > 0 {
@@ -94,6 +95,7 @@
 	flagHint
 	flagRepeat
 	flagFinished
+	flagEarlier // the op came under the terms before those in force
 )
 
 // Fields in the wire format.
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -31,7 +31,8 @@
 type Recorder struct {
 	inner    balance.Decider
 	o        Options
-	start    []byte  // a Start as JSON
+	begun    Start
+	start    []byte  // the same as JSON
 	next     float64 // when a snapshot is due
 	restart  bool    // the batch has one
 	now      float64
@@ -49,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Recorder{inner: inner, o: o, start: data, ops: map[*balance.Op]uint64{}, backends: map[*balance.Backend]uint64{}}
+	r := &Recorder{inner: inner, o: o, begun: s, start: data, ops: map[*balance.Op]uint64{}, backends: map[*balance.Backend]uint64{}}
 	r.put(&Record{Kind: Begin, Now: now, Data: data})
 	r.snapshot() // what the terms have learned under a module before it is not in them
 	return r, nil
@@ -161,6 +162,9 @@
 	if op.Repeat {
 		x.Flags |= flagRepeat
 	}
+	if op.Under != nil && op.Under != r.begun.Terms {
+		x.Flags |= flagEarlier
+	}
 	r.put(&x)
 	r.inner.Arrived(now, op)
 }
@@ -201,6 +205,20 @@
 	r.inner.Split(now, of)
 }
 
+func (r *Recorder) Retuned(now float64, t *balance.Terms, from []int) {
+	s := r.begun
+	s.Terms = t
+	if data, err := json.Marshal(s); err == nil { // terms of numbers, as the first were
+		r.start, r.begun = data, s
+	}
+	x := Record{Kind: Retuned, Now: now, Data: r.start}
+	for _, k := range from {
+		x.Ops = append(x.Ops, uint64(k+1))
+	}
+	r.put(&x)
+	r.inner.Retuned(now, t, from)
+}
+
 func (r *Recorder) Due(now float64) {
 	r.put(&Record{Kind: Due, Now: now})
 	r.inner.Due(now)
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -52,6 +52,8 @@
 	numbers  map[*balance.Op]uint64
 	backends map[uint64]*balance.Backend
 	refs     map[*balance.Backend]uint64
+	terms    *balance.Terms // in force, and those before
+	before   *balance.Terms
 	batch    []Record
 	lost     bool // after a gap
 }
@@ -130,6 +132,7 @@
 		r.node = balance.New(s.Terms, x.Now)
 	}
 	r.clear()
+	r.terms, r.before = s.Terms, nil
 	r.Claim.Epochs++
 	return nil
 }
@@ -186,7 +189,7 @@
 		return fail(errOdd)
 	}
 	r.clear()
-	r.node = n
+	r.node, r.terms, r.before = n, s.Terms, nil
 	for i, op := range ops {
 		r.ops[x.Ops[i]], r.numbers[op] = op, x.Ops[i]
 	}
@@ -251,6 +254,12 @@
 	case Arrived:
 		op = &balance.Op{Ref: x.Ref, Category: x.Category, Tenant: x.Tenant, Hint: x.Hint, HasHint: x.Flags&flagHint != 0,
 			Repeat: x.Flags&flagRepeat != 0, GiveUp: x.GiveUp}
+		if op.Under = r.terms; x.Flags&flagEarlier != 0 && r.before != nil {
+			op.Under = r.before
+		}
+		if op.Category >= len(op.Under.Categories) {
+			return fmt.Errorf("record %d at %.3f: category %d of %d", r.Claim.Records, x.Now, op.Category, len(op.Under.Categories))
+		}
 		r.ops[x.Op], r.numbers[op] = op, x.Op
 		r.node.Arrived(x.Now, op)
 	case Left:
@@ -267,6 +276,17 @@
 			return fmt.Errorf("record %d at %.3f: backend %d was never listed", r.Claim.Records, x.Now, x.Backend)
 		}
 		r.node.Reported(x.Now, b, x.Load)
+	case Retuned:
+		s, err := x.start()
+		if err != nil {
+			return fmt.Errorf("record %d at %.3f: %w", r.Claim.Records, x.Now, err)
+		}
+		from := make([]int, 0, len(x.Ops))
+		for _, k := range x.Ops {
+			from = append(from, int(min(k, mostNumber))-1)
+		}
+		r.before, r.terms = r.terms, s.Terms
+		r.node.Retuned(x.Now, s.Terms, from)
 	case Split:
 		r.node.Split(x.Now, int(min(x.Count, mostNumber)))
 	case Due:
--- a/internal/front/decode.go
+++ b/internal/front/decode.go
@@ -49,7 +49,8 @@
 	if r.RequestURI[0] != '/' {
 		return bad("no path")
 	}
-	category := slices.Index(f.told.Categories, terms.Name(r.Header.Get(categoryHeader)))
+	told := f.told.Load()
+	category := slices.Index(told.Categories, terms.Name(r.Header.Get(categoryHeader)))
 	if category < 0 {
 		return bad("unknown category %.40q", r.Header.Get(categoryHeader))
 	}
@@ -79,14 +80,14 @@
 	// The limit on reading must not end the watch for a client that leaves.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	now := f.clock.Now()
-	repeat, tenant := r.Header.Get(repeatHeader) == "1", f.tenant(r)
+	repeat, tenant := r.Header.Get(repeatHeader) == "1", tenant(told, r)
 	op := node.NewOp(upstream.NewMessage(r.Method, r.RequestURI, r.Host, r.Header, body))
-	op.Category, op.Tenant, op.Repeat = category, tenant, repeat
+	op.Under, op.Category, op.Tenant, op.Repeat = told.Terms, category, tenant, repeat
 	op.Hint, op.HasHint = hint/1e3, hinted != ""
 	op.GiveUp = now - c.wayHere() + min(float64(ttl), longestTTL)
 	return op, nil
 }
 
-func (f *Front) tenant(r *http.Request) int {
-	return max(slices.Index(f.told.Tenants, terms.Name(r.Header.Get(tenantHeader))), 0)
+func tenant(told *terms.Deployment, r *http.Request) int {
+	return max(slices.Index(told.Tenants, terms.Name(r.Header.Get(tenantHeader))), 0)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -49,7 +49,7 @@
 // Front is the clients' side of a node.
 type Front struct {
 	node   *node.Node
-	told   *terms.Deployment
+	told   atomic.Pointer[terms.Deployment]
 	clock  *clock.Clock
 	budget *sockets.Budget
 	log    *slog.Logger
@@ -74,8 +74,9 @@
 }
 
 func New(n *node.Node, told *terms.Deployment, c *clock.Clock, budget *sockets.Budget, log *slog.Logger) *Front {
-	f := &Front{node: n, told: told, clock: c, budget: budget, log: log, between: map[net.Conn]time.Time{},
+	f := &Front{node: n, clock: c, budget: budget, log: log, between: map[net.Conn]time.Time{},
 		ids: map[string]struct{}{}, odd: rate.Sometimes{Interval: oddEvery}, served: make(chan struct{})}
+	f.told.Store(told)
 	f.server = http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: readWithin,
@@ -96,6 +97,9 @@
 	f.door = &door{clock: f.clock, core: admission.New(l), clients: map[uint64]*client{}, told: told}
 }
 
+// Retune takes up other terms for the ops that come from now on; the module has them already.
+func (f *Front) Retune(told *terms.Deployment) { f.told.Store(told) }
+
 // Relimit takes up other limits, and Clients tells who is here; both only after Admit.
 func (f *Front) Relimit(l admission.Limits) { f.door.relimit(l) }
 func (f *Front) Clients() Clients           { return f.door.look() }
@@ -345,10 +349,11 @@
 	open := f.open.Add(1)
 	f.latest.Store(time.Now().UnixMilli())
 	defer f.open.Add(-1)
-	if most := int64(f.told.MostHeld); open > most && most > 0 || f.away.empty.Load() {
+	told := f.told.Load()
+	if most := int64(told.MostHeld); open > most && most > 0 || f.away.empty.Load() {
 		full := node.Answer{Final: node.Nacked}
-		if f.told.Terms.ComeBack { // a node as full as that is not soon another
-			full.ComeBack = f.told.Terms.MaxComeBack
+		if told.Terms.ComeBack { // a node as full as that is not soon another
+			full.ComeBack = told.Terms.MaxComeBack
 		}
 		f.answer(w, c, full)
 		return
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -34,8 +34,8 @@
 }
 
 func TestDecode(t *testing.T) {
-	f := &Front{told: &terms.Deployment{Categories: []string{"check", "pay_out"}, Tenants: []string{"one", "two"}},
-		clock: clock.New()}
+	f := &Front{clock: clock.New()}
+	f.told.Store(&terms.Deployment{Categories: []string{"check", "pay_out"}, Tenants: []string{"one", "two"}})
 	c, _ := pair(t)
 	for name, test := range map[string]struct {
 		headers string
@@ -132,8 +132,8 @@
 
 // A node with as many ops open as it may have turns the next away before it is taken, and says when to come back.
 func TestMostHeld(t *testing.T) {
-	f := &Front{told: &terms.Deployment{MostHeld: 1, Terms: &balance.Terms{ComeBack: true, MaxComeBack: 1500}},
-		budget: sockets.New(64, func() {})}
+	f := &Front{budget: sockets.New(64, func() {})}
+	f.told.Store(&terms.Deployment{MostHeld: 1, Terms: &balance.Terms{ComeBack: true, MaxComeBack: 1500}})
 	f.open.Store(1)
 	w := httptest.NewRecorder()
 	c, _ := pair(t)
--- a/internal/lab/policy/policy.go
+++ b/internal/lab/policy/policy.go
@@ -136,6 +136,9 @@
 	p.fails++
 }
 
+// Retuned takes new terms, under which open ops go on too: a baseline keeps no more.
+func (p *plain) Retuned(now float64, t *balance.Terms, _ []int) { p.now, p.t = now, t }
+
 // Split says nothing to a baseline.
 func (p *plain) Split(now float64, _ int) { p.now = now }
 
--- a/internal/node/learned.go
+++ b/internal/node/learned.go
@@ -8,6 +8,7 @@
 	"pearknot/balance"
 	"pearknot/internal/members"
 	"pearknot/internal/snapshot"
+	"pearknot/internal/terms"
 )
 
 // Learned is what the node's next process goes on with.
@@ -52,15 +53,10 @@
 	if !ok { // one with a recorder round it would be restored without its knowing
 		return l, nil
 	}
-	ops := make([]*balance.Op, 0, len(n.ops))
-	for _, op := range n.ops {
-		ops = append(ops, &op.Op)
-	}
-	s, err := module.Snapshot(ops, backends)
+	s, err := module.Carried(backends)
 	if err != nil {
 		return nil, err
 	}
-	s.Carried(n.now)
 	l.Module = snapshot.Encode(s)
 	return l, nil
 }
@@ -97,5 +93,21 @@
 	return nil
 }
 
+// Retune takes other terms: the module has them, and all ops that come after, when it returns. Ops keep those that they
+// came under.
+func (n *Node) Retune(ctx context.Context, d *terms.Deployment) error {
+	done := make(chan error, 1)
+	n.box.PutFirst(func() {
+		from := make([]int, len(d.Categories))
+		for k, name := range d.Categories {
+			from[k] = slices.Index(n.told.Categories, name)
+		}
+		n.told = d
+		n.module.Retuned(n.now, d.Terms, from)
+		done <- nil
+	})
+	return n.within(ctx, done)
+}
+
 // Split tells the module of how many processes the node is made up.
 func (n *Node) Split(of int) { n.box.Put(func() { n.module.Split(n.now, of) }) }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -26,8 +26,10 @@
 		OverloadFor: 1000, Categories: []balance.Category{
 			{TargetLatency: 60e3, Benefit: 1, LateBenefit: 1},
 			{TargetLatency: 60e3, Benefit: 1, LateBenefit: 1, Effect: balance.AtMostOnce}}}}
-	n := New(told, Module, c, &upstream.Terms{ConnectTimeout: time.Second, IdleFor: time.Minute,
-		Budget: sockets.New(64, func() {}), Log: log}, func() {}, log)
+	peers := &upstream.Terms{Budget: sockets.New(64, func() {}), Log: log}
+	peers.ConnectTimeout.Set(time.Second)
+	peers.IdleFor.Set(time.Minute)
+	n := New(told, Module, c, peers, func() {}, log)
 	n.Start(&members.List{Whole: true, Members: []members.Member{{Name: "s", Address: address, State: balance.Ready, Weight: 1}}})
 	t.Cleanup(n.Stop)
 	return n, c
--- a/internal/serve/place.go
+++ b/internal/serve/place.go
@@ -10,11 +10,13 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"net"
 	"os"
-	"reflect"
+	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 
 	"pearknot/internal/members"
@@ -37,6 +39,7 @@
 	tlsListen string        // in the place of that file's
 	edge      string        // a file as --edge names one
 	known     *members.List // nil where the node never had one
+	keys      []string      // that the file has beside its settings
 	now       atomic.Pointer[reading]
 }
 
@@ -103,6 +106,17 @@
 	}
 	sum := sha256.Sum256(data)
 	p.now.Store(&reading{hex.EncodeToString(sum[:]), p.discovery})
+	var keys struct {
+		Limits map[string]json.RawMessage
+	}
+	var all map[string]json.RawMessage
+	if err := errors.Join(json.Unmarshal(data, &all), json.Unmarshal(data, &keys)); err != nil {
+		return nil, wrong(file, data, err)
+	}
+	p.keys = slices.Collect(maps.Keys(all))
+	for key := range keys.Limits {
+		p.keys = append(p.keys, "limits."+key)
+	}
 	p.names = members.Names{Zones: p.told.Zones, Kinds: p.told.Kinds}
 	if len(read.Known) > 0 && string(read.Known) != "null" {
 		if p.known, err = p.names.Decode(read.Known, log); err != nil {
@@ -128,22 +142,43 @@
 	return fmt.Errorf("%s:%d:%d: no configuration: %w", file, line, column, err)
 }
 
-// reread takes up a new text of the file: where the list is asked for, and the whole list from there. All else needs
-// a start. Of a file that can't be read nothing is taken.
-func (p *Place) reread(move func(address string), log *slog.Logger) {
+// mayGo are the keys that a file may come without, though the one before had them.
+var mayGo = []string{"known", "tls", "tls_listen", "edge"}
+
+// reread takes up a new text of the file, whole or not at all: where the list is asked for, and the whole list from there;
+// and the settings, by retune. Addresses and limits need a start.
+func (p *Place) reread(move func(address string), retune func(*terms.Deployment) error, log *slog.Logger) {
 	next, err := Read(p.file, log)
+	if err == nil {
+		for _, key := range slices.Sorted(slices.Values(p.keys)) {
+			if err == nil && !slices.Contains(next.keys, key) && !slices.Contains(mayGo, key) {
+				err = fmt.Errorf("%s: %s is missing", p.file, key)
+			}
+		}
+	}
+	if err == nil {
+		if err = next.told.Follows(p.told); err != nil {
+			err = fmt.Errorf("%s: %w", p.file, err)
+		}
+	}
+	if err == nil {
+		err = retune(next.told)
+	}
 	if err != nil {
 		log.Error("new configuration not taken, the old one holds", "error", err)
 		return
 	}
+	p.told, p.keys = next.told, next.keys
 	if next.name != p.name || next.listen != p.listen || next.sockets != p.sockets || next.memory != p.memory ||
-		next.cores != p.cores || next.tls != p.tls || next.tlsListen != p.tlsListen || next.edge != p.edge || !reflect.DeepEqual(next.names, p.names) {
+		next.cores != p.cores || next.tls != p.tls || next.tlsListen != p.tlsListen || next.edge != p.edge || next.control != p.control {
 		log.Warn("new configuration differs in what only a start takes up")
 	}
+	if next.discovery != p.discovery { // else the watch goes on
+		defer move(next.discovery)
+	}
 	p.discovery = next.discovery
 	p.now.Store(next.now.Load())
-	log.Info("new configuration", "discovery", p.discovery)
-	move(p.discovery)
+	log.Info("new configuration", "discovery", p.discovery, "categories", strings.Join(p.told.Categories, " "))
 }
 
 func (p *Place) String() string {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -110,14 +110,13 @@
 		}
 		defer end()
 	}
-	n := node.New(p.told, o.Decide, now, &upstream.Terms{
-		ConnectTimeout: clock.Span(p.told.ConnectTimeout),
-		IdleFor:        clock.Span(idleShare * p.told.ConnectionIdle),
-		Tell:           terms.Tell,
-		Budget:         budget,
-		Long:           upstream.NewRoom(cmp.Or(p.memory, plenty) / longShare),
-		Log:            log,
-	}, watch.Ask, log)
+	peers := &upstream.Terms{Tell: terms.Tell, Budget: budget, Long: upstream.NewRoom(cmp.Or(p.memory, plenty) / longShare), Log: log}
+	retime := func(d *terms.Deployment) {
+		peers.ConnectTimeout.Set(clock.Span(d.ConnectTimeout))
+		peers.IdleFor.Set(clock.Span(idleShare * d.ConnectionIdle))
+	}
+	retime(p.told)
+	n := node.New(p.told, o.Decide, now, peers, watch.Ask, log)
 	watch.Told, watch.Failed = n.Listed, n.ListFailed
 	f := front.New(n, p.told, now, budget, log)
 	if o.Edge != "" {
@@ -183,7 +182,16 @@
 		case err := <-failed:
 			return err
 		case <-again:
-			p.reread(watch.Move, log)
+			p.reread(watch.Move, func(d *terms.Deployment) error {
+				ctx, cancel := context.WithTimeout(over, lookWithin)
+				defer cancel()
+				if err := n.Retune(ctx, d); err != nil {
+					return err
+				}
+				f.Retune(d)
+				retime(d)
+				return nil
+			}, log)
 			if o.Edge != "" {
 				if limits, err := ReadEdge(o.Edge); err != nil {
 					log.Error("new limits of clients not taken, the old ones hold", "error", err)
--- a/internal/terms/json.go
+++ b/internal/terms/json.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -23,6 +24,12 @@
 		return nil, err
 	}
 	told.Shape = p.shape(told)
+	told.keys = p.keys()
+	for k, name := range told.Categories { // by which ops come
+		if p.err == nil && (name == "" || slices.Index(told.Categories, name) < k) {
+			p.err = fmt.Errorf("setting categories.%d.name is missing or another's: %q", k, name)
+		}
+	}
 	return told, p.err
 }
 
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -26,6 +26,8 @@
 	ConnectTimeout float64 // a connection not up after it never comes up
 	ConnectionIdle float64 // a backend closes a connection idle for so long
 	MostHeld       int     // ops open at a node
+
+	keys keys // of the settings that it was read from
 }
 
 // Tell puts a load report's value in its place by its name; others say nothing to the module.
@@ -130,6 +132,15 @@
 	}
 }
 
+// above reads a time, which is more than 0.
+func (p *pairs) above(path string) float64 {
+	x := p.number(path)
+	if p.err == nil && x <= 0 {
+		p.err = fmt.Errorf("setting %s is %v, not above 0", path, x)
+	}
+	return x
+}
+
 // optional settings are absent at some sites; unset is what their absence means.
 func optional[T any](p *pairs, path string, read func(string) T, unset T) T {
 	if v, ok := p.values[path]; ok && v != "" {
@@ -145,7 +156,7 @@
 		ByWork:        p.text("benefitBy") == "work",
 		ExcessBenefit: optional(p, "excessBenefit", p.within(0, 1), 1),
 		CrossPrice:    optional(p, "prices.crossZone", p.number, 0),
-		MaxPushes:     int(p.number("bounds.mostPushes")),
+		MaxPushes:     int(p.within(1, math.MaxUint16)("bounds.mostPushes")),
 		SecondCopies:  p.flag("bounds.secondCopies"),
 		Cancel:        p.flag("bounds.cancel"),
 		ComeBack:      p.flag("bounds.retryAfter"),
@@ -172,12 +183,12 @@
 			Effect:        balance.Effect(p.word(at+"idempotency", "pure", "token", "side_effect")),
 			Group:         balance.Group(optional(p, at+"dedupScope", func(s string) int { return p.word(s, "all", "zone", "cell") }, 0)),
 			Remembered:    optional(p, at+"keyTtl", p.number, 0),
-			TargetLatency: p.number(at + "targetLatency"),
+			TargetLatency: p.above(at + "targetLatency"),
 			Benefit:       p.number(at + "benefit"),
 			LateBenefit:   optional(p, at+"overdueBenefit", p.within(0, 1), 0),
 		})
 		d.Categories = append(d.Categories, p.values[at+"name"])
-		d.LongestTTL = max(d.LongestTTL, p.number(at+"ttl"))
+		d.LongestTTL = max(d.LongestTTL, p.above(at+"ttl"))
 	}
 	if p.values["tenants"] == "" && p.values["tenants.count"] != "" {
 		for k := range p.count("tenants") {
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -56,6 +56,7 @@
 	require.NoError(t, err)
 	b, err := FromJSON([]byte(nested))
 	require.NoError(t, err)
+	b.keys = keys{} // which lines are never held against
 	assert.Equal(t, a, b)
 	assert.Equal(t, []string{"first_come", "second"}, a.Categories)
 	assert.Equal(t, 3000.0, a.LongestTTL)
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -21,10 +21,16 @@
 // oddEvery is the least time between two log lines of one backend's odd reports.
 const oddEvery = 10 * time.Second
 
+// Span is a time that may change while it is read.
+type Span struct{ ns atomic.Int64 }
+
+func (s *Span) Get() time.Duration  { return time.Duration(s.ns.Load()) }
+func (s *Span) Set(d time.Duration) { s.ns.Store(int64(d)) }
+
 // Terms are the same for all backends.
 type Terms struct {
-	ConnectTimeout time.Duration
-	IdleFor        time.Duration                                       // how long an idle connection is kept
+	ConnectTimeout Span
+	IdleFor        Span                                                // how long an idle connection is kept
 	Tell           func(r *balance.Report, name string, value float64) // puts a load report's value in its place
 	Budget         *sockets.Budget
 	Long           *Room
@@ -97,7 +103,7 @@
 				note()
 			}
 		case <-p.reap.C:
-			p.shed(p.terms.IdleFor)
+			p.shed(p.terms.IdleFor.Get())
 		}
 	}
 	p.reap.Stop()
@@ -116,7 +122,7 @@
 			continue
 		}
 		p.idle = slices.Delete(p.idle, k, k+1)
-		if idle < p.terms.IdleFor && !p.wear.worn(idle) && on.sound() {
+		if idle < p.terms.IdleFor.Get() && !p.wear.worn(idle) && on.sound() {
 			on.rested = idle
 			p.carry(c, on)
 			return
@@ -138,7 +144,7 @@
 }
 
 func (p *Peer) dial(c *Call) {
-	ctx, cancel, wanted := c.dialling(p.terms.ConnectTimeout)
+	ctx, cancel, wanted := c.dialling(p.terms.ConnectTimeout.Get())
 	if !wanted || !p.open.Load() || !p.terms.Budget.Peer() {
 		cancel()
 		p.finish(c, nil, Outcome{Ending: balance.NotSent}, dropped)
@@ -197,7 +203,7 @@
 	case fate == kept && p.open.Load() && on.address == p.address:
 		on.used, on.since = true, time.Now()
 		if len(p.idle) == 0 {
-			p.reap.Reset(p.terms.IdleFor)
+			p.reap.Reset(p.terms.IdleFor.Get())
 		}
 		p.idle = append(p.idle, on)
 	default:
@@ -213,7 +219,7 @@
 		p.idle = p.idle[1:]
 	}
 	if len(p.idle) > 0 {
-		p.reap.Reset(p.terms.IdleFor - time.Since(p.idle[0].since))
+		p.reap.Reset(p.terms.IdleFor.Get() - time.Since(p.idle[0].since))
 	}
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -64,8 +64,10 @@
 }
 
 func peer(t *testing.T, address string) (*Peer, *Terms) {
-	told := &Terms{ConnectTimeout: time.Second, IdleFor: time.Minute, Tell: terms.Tell,
+	told := &Terms{Tell: terms.Tell,
 		Budget: sockets.New(64, func() {}), Long: NewRoom(0), Log: slog.New(slog.DiscardHandler)}
+	told.ConnectTimeout.Set(time.Second)
+	told.IdleFor.Set(time.Minute)
 	p := NewPeer("s", told)
 	p.Tell(address, true)
 	t.Cleanup(p.Close)
@@ -341,7 +343,7 @@
 	<-b.conns
 
 	// What stands idle for too long is closed here, before the backend would.
-	terms.IdleFor = 0
+	terms.IdleFor.Set(0)
 	p.Shed()
 	p.box.Put(func() { on <- len(p.idle) == 0 })
 	assert.True(t, <-on)
