--- a/balance/balance.go
+++ b/balance/balance.go
@@ -97,12 +97,8 @@
 			t.Categories[i].work = n.t.Categories[k].work
 		}
 	}
-	for i := range min(len(t.Tenants), len(n.t.Tenants)) {
-		t.Tenants[i].rate = n.t.Tenants[i].rate
-	}
 	n.now, n.t = now, t
 	n.weigh()
-	n.sweep()
 }
 
 // weigh tells each category's patience from its benefit against the others'.
@@ -213,13 +209,22 @@
 	}
 }
 
+// Sent takes the moment at which a streamed op's last byte has come and gone on: from then on its time counts.
+func (n *Node) Sent(now float64, p *Push) {
+	n.now = now
+	if p.Op.stage == pushed && p.out {
+		p.SentAt, p.Op.Arrived, p.expect = now, now, n.predict(p.Backend, p.Op)
+		n.begin(p)
+	}
+}
+
 // Ended takes a push's ending; finished tells that the op has ended with it or before.
 func (n *Node) Ended(now float64, p *Push, how Ending, elapsed float64, finished bool) {
 	n.now = now
 	op, b := p.Op, p.Backend
-	n.abroad--
 	n.stirred = true
 	b.drop(now, p)
+	n.abroad -= p.counted()
 	p.out, p.ending = false, how
 	switch {
 	case how == Answered:
@@ -330,14 +335,6 @@
 	}
 }
 
-// processes is of how many the node is made up as far as budgets go.
-func (n *Node) processes() float64 {
-	if n.now < n.whole {
-		return float64(max(n.of, 1))
-	}
-	return 1
-}
-
 // part is this process's of what all nodes together may.
 func (n *Node) part(whole float64) float64 {
 	return whole / float64(max(n.t.Nodes, 1)) / n.processes()
@@ -861,7 +858,7 @@
 // gate is the one that every push passes; it holds all four rules and tells by which a push may not go out.
 func (n *Node) gate(op *Op, b *Backend) Reason {
 	switch {
-	case op.stage == ended || op.stage == streaming || op.GiveUp <= n.now || len(op.Pushes) >= op.Under.MaxPushes:
+	case op.stage == ended || op.stage == streaming || op.GiveUp <= n.now || len(op.Pushes) >= op.most():
 		return OpOver
 	case b.State != Ready: // at once on being told: no grace is needed
 		return NotReady
@@ -912,23 +909,30 @@
 	p := &Push{Op: op, Backend: b, Number: len(op.Pushes), SentAt: n.now, expect: n.predict(b, op), out: true,
 		alone: len(b.out) < 2}
 	op.Pushes, op.stage = append(op.Pushes, p), pushed
-	b.take(n.now, p)
-	n.abroad++
 	b.recent.add(n.now, n.t.OverloadFor, math.Max(op.work, op.cat.work.value/2))
 	// A backend that comes back from being skipped takes its next turn, not all those it missed.
 	n.round = math.Max(n.round, b.pass)
 	b.pass = math.Max(b.pass, n.round-1) + 1/n.size(b)
 	wait := 0.0
-	if op.cat.LateBenefit == 0 {
+	if op.cat.LateBenefit == 0 && !op.Streamed {
 		wait = math.Max(n.left(op), 0.1)
 	}
 	n.out = append(n.out, Decision{Kind: DoPush, Op: op, Push: p, Wait: wait})
+	if !op.Streamed { // else its client may take long to send it, which says nothing of the backend
+		n.begin(p)
+	}
+	return true
+}
+
+// begin has a push count at its backend, and be looked at again when it is out for longer than its like.
+func (n *Node) begin(p *Push) {
+	p.begun, n.abroad = true, n.abroad+1
+	p.Backend.take(n.now, p)
 	// 20 ms for a connection's set-up and some ticks; the bounds keep odd days from ending all patience or none.
 	patience := 20 + p.expect*math.Min(math.Max(n.stretch.get(4), 2), 8)
-	if patience < n.left(op) {
+	if patience < n.left(p.Op) {
 		n.at(due{at: n.now + patience, push: p})
 	}
-	return true
 }
 
 func (n *Node) revoke(p *Push) {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1083,3 +1083,46 @@
 	require.True(t, more)
 	assert.Equal(t, DoPush, x.Kind)
 }
+
+// A streamed op is pushed once. While it comes, nobody is blamed for its client's slowness; from its last byte on its push
+// is looked at like any other.
+func TestStreamedOps(t *testing.T) {
+	for how, want := range map[Ending]string{NoConnection: "nack:a", Reset: "nack:a", Answered: ""} {
+		d := sit(t, plain(), 3)
+		op := &Op{Hint: 10, HasHint: true, GiveUp: d.now + 60e3, Streamed: true}
+		d.ops["a"] = op
+		d.node.Arrived(d.now, op)
+		require.Equal(t, "push:a", d.pull())
+		assert.Empty(t, d.after(5000).pull(), "no copy")
+		b := op.Pushes[0].Backend
+		assert.Zero(t, d.node.distrust(b))
+		assert.Empty(t, b.out, "nor is anybody else kept from the backend")
+		assert.Zero(t, d.node.abroad)
+		if how == NoConnection { // before its last byte
+			d.end(op.Pushes[0], how)
+			assert.Equal(t, want, d.pull(), how)
+			assert.Zero(t, d.node.abroad)
+			continue
+		}
+		op.GiveUp = d.now + 2000
+		d.node.Sent(d.now, op.Pushes[0])
+		assert.Equal(t, 1, d.node.abroad)
+		assert.Empty(t, d.after(10).pull())
+		assert.Zero(t, d.node.distrust(b))
+		if how == Reset {
+			assert.Empty(t, d.after(1000).pull(), "overdue, and no copy of it could be made")
+			assert.Positive(t, d.node.distrust(b))
+		}
+		d.end(op.Pushes[0], how)
+		assert.Equal(t, want, d.pull(), how)
+		assert.Zero(t, d.node.abroad)
+	}
+	d := sit(t, plain(), 2)
+	op := &Op{Category: 1, Hint: 10, HasHint: true, GiveUp: d.now + 60e3, Streamed: true}
+	d.ops["once"] = op
+	d.node.Arrived(d.now, op)
+	d.pull()
+	d.node.Sent(d.now, op.Pushes[0])
+	d.end(op.Pushes[0], Reset)
+	assert.Equal(t, "dead:once", d.pull())
+}
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -320,3 +320,11 @@
 	n.crowd.add(p.Backend, n.now, wait)
 	p.Backend.met.see(p.SentAt, wait)
 }
+
+// processes is of how many the node is made up as far as budgets go.
+func (n *Node) processes() float64 {
+	if n.now < n.whole {
+		return float64(max(n.of, 1))
+	}
+	return 1
+}
--- a/balance/snapshot.go
+++ b/balance/snapshot.go
@@ -75,6 +75,7 @@
 	Stage                       int
 	Pushes                      []SnapPush
 	Excess                      float64
+	Streamed                    bool
 }
 
 type SnapPush struct {
@@ -82,6 +83,7 @@
 	SentAt, Expect               float64
 	Out, Revoked, Overdue, Alone bool
 	Ending                       Ending
+	Begun                        bool
 }
 
 // SnapDue is something that falls due: of an op, of one of its pushes, or of neither, where what it was for is over.
@@ -178,14 +180,14 @@
 	}
 	for _, o := range ops {
 		x := SnapOp{Ref: o.Ref, Category: o.Category, Tenant: o.Tenant, Hint: o.Hint, Arrived: o.Arrived, GiveUp: o.GiveUp, Work: o.work,
-			Estimate: o.estimate, HasHint: o.HasHint, Repeat: o.Repeat, Long: o.long, Excess: o.excess, Stage: int(o.stage)}
+			Estimate: o.estimate, HasHint: o.HasHint, Repeat: o.Repeat, Long: o.long, Excess: o.excess, Streamed: o.Streamed, Stage: int(o.stage)}
 		for _, p := range o.Pushes {
 			at, named := backendAt[p.Backend]
 			if !named {
 				return nil, fmt.Errorf("snapshot: op %d was pushed to backend %x, which the host did not name", o.Ref, p.Backend.Ref)
 			}
 			x.Pushes = append(x.Pushes, SnapPush{Backend: at, SentAt: p.SentAt, Expect: p.expect, Out: p.out, Revoked: p.revoked, Overdue: p.overdue,
-				Alone: p.alone, Ending: p.ending})
+				Alone: p.alone, Ending: p.ending, Begun: p.begun})
 		}
 		s.Ops = append(s.Ops, x)
 	}
@@ -269,18 +271,20 @@
 			return nil, nil, nil, errors.New("snapshot of an odd op")
 		}
 		o := &Op{Under: t, Ref: x.Ref, Category: x.Category, Tenant: x.Tenant, Hint: x.Hint, HasHint: x.HasHint, Repeat: x.Repeat, Arrived: x.Arrived,
-			GiveUp: x.GiveUp, cat: &t.Categories[x.Category], work: x.Work, long: x.Long, estimate: x.Estimate, excess: x.Excess, stage: stage(x.Stage)}
+			GiveUp: x.GiveUp, cat: &t.Categories[x.Category], work: x.Work, long: x.Long, estimate: x.Estimate, excess: x.Excess, Streamed: x.Streamed, stage: stage(x.Stage)}
 		for k, p := range x.Pushes {
 			if p.Backend < 0 || p.Backend >= len(backends) {
 				return nil, nil, nil, errors.New("snapshot of a push to nowhere")
 			}
 			o.Pushes = append(o.Pushes, &Push{Op: o, Backend: backends[p.Backend], Number: k, SentAt: p.SentAt, expect: p.Expect, out: p.Out,
-				revoked: p.Revoked, overdue: p.Overdue, alone: p.Alone, ending: p.Ending})
+				revoked: p.Revoked, overdue: p.Overdue, alone: p.Alone, ending: p.Ending, begun: p.Begun})
 		}
 		ops = append(ops, o)
 	}
 	for _, o := range ops {
-		n.abroad += o.out()
+		for _, p := range o.Pushes {
+			n.abroad += p.counted()
+		}
 	}
 	push := func(op, number int) (*Push, error) {
 		if op < 0 || op >= len(ops) || number < 0 || number >= len(ops[op].Pushes) {
--- a/balance/types.go
+++ b/balance/types.go
@@ -189,6 +189,7 @@
 	GiveUp   float64 // clock time at which the client gives up on this try
 	Pushes   []*Push
 	Under    *Terms // that it came under; the node's present ones where nil
+	Streamed bool   // it comes and goes on in pieces and is held nowhere: it can be pushed once
 
 	cat       *Category
 	work      float64
@@ -212,6 +213,14 @@
 	return n
 }
 
+// most is how many pushes it may have in all.
+func (o *Op) most() int {
+	if o.Streamed {
+		return min(o.Under.MaxPushes, 1)
+	}
+	return o.Under.MaxPushes
+}
+
 // target is when an answer stops earning all.
 func (o *Op) target() float64 { return min(o.GiveUp, o.Arrived+o.cat.TargetLatency) }
 
@@ -253,12 +262,21 @@
 
 	expect  float64 // predicted answer time
 	out     bool
+	begun   bool // it counts at its backend
 	revoked bool
 	overdue bool
 	alone   bool // sent with next to nothing else of this node's out there
 	ending  Ending
 }
 
+// counted is 1 while it counts at its backend and in the node's window.
+func (p *Push) counted() int {
+	if p.out && p.begun {
+		return 1
+	}
+	return 0
+}
+
 // overtaken tells that its backend has answered a push sent later: what is wrong is not the backend's.
 func (p *Push) overtaken() bool { return p.Backend.heard > p.SentAt }
 
@@ -269,6 +287,7 @@
 	Arrived(now float64, op *Op)
 	Left(now float64, op *Op)
 	Begun(now float64, p *Push)
+	Sent(now float64, p *Push)
 	Ended(now float64, p *Push, how Ending, elapsed float64, finished bool)
 	Reported(now float64, b *Backend, r Report)
 	Split(now float64, of int)
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -37,11 +37,12 @@
 	Snapshot  // the module's state at a batch's end, from which a replay may begin
 	Dropped   // the host let go of a backend
 	Split     // of how many processes the node is made up: Count
+	Sent      // a streamed push's last byte went out; Value is when its op's client gives up
 	Retuned   // new terms, in Data as of Begin; Ops has each category's former place, from 1 on, 0 where it had none
 )
 
 var kinds = [...]string{"", "begin", "listed", "list failed", "arrived", "left", "begun", "ended", "reported", "due", "shortened", "pulled",
-	"idle", "gap", "snapshot", "dropped", "split", "retuned"}
+	"idle", "gap", "snapshot", "dropped", "split", "sent", "retuned"}
 
 func (k Kind) String() string {
 	if int(k) < len(kinds) && k > 0 {
@@ -95,6 +96,7 @@
 	flagHint
 	flagRepeat
 	flagFinished
+	flagStreamed
 	flagEarlier // the op came under the terms before those in force
 )
 
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -162,6 +162,9 @@
 	if op.Repeat {
 		x.Flags |= flagRepeat
 	}
+	if op.Streamed {
+		x.Flags |= flagStreamed
+	}
 	if op.Under != nil && op.Under != r.begun.Terms {
 		x.Flags |= flagEarlier
 	}
@@ -185,6 +188,11 @@
 	r.inner.Begun(now, p)
 }
 
+func (r *Recorder) Sent(now float64, p *balance.Push) {
+	r.put(&Record{Kind: Sent, Now: now, Op: r.ops[p.Op], Push: p.Number, Value: p.Op.GiveUp})
+	r.inner.Sent(now, p)
+}
+
 func (r *Recorder) Ended(now float64, p *balance.Push, how balance.Ending, elapsed float64, finished bool) {
 	x := Record{Kind: Ended, Now: now, Op: r.ops[p.Op], Push: p.Number, Ending: how, Value: elapsed}
 	if finished {
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -225,11 +225,11 @@
 	op := r.ops[x.Op]
 	var push *balance.Push
 	switch x.Kind {
-	case Left, Shortened, Begun, Ended:
+	case Left, Shortened, Begun, Sent, Ended:
 		if op == nil {
 			return fmt.Errorf("record %d at %.3f: op %d never came", r.Claim.Records, x.Now, x.Op)
 		}
-		if x.Kind == Begun || x.Kind == Ended {
+		if x.Kind == Begun || x.Kind == Sent || x.Kind == Ended {
 			if x.Push >= len(op.Pushes) {
 				return r.differs(x, fmt.Sprintf("op %d has push %d", x.Op, x.Push), fmt.Sprintf("it has %d pushes", len(op.Pushes)))
 			}
@@ -253,7 +253,7 @@
 		r.node.ListFailed(x.Now)
 	case Arrived:
 		op = &balance.Op{Ref: x.Ref, Category: x.Category, Tenant: x.Tenant, Hint: x.Hint, HasHint: x.Flags&flagHint != 0,
-			Repeat: x.Flags&flagRepeat != 0, GiveUp: x.GiveUp}
+			Repeat: x.Flags&flagRepeat != 0, Streamed: x.Flags&flagStreamed != 0, GiveUp: x.GiveUp}
 		if op.Under = r.terms; x.Flags&flagEarlier != 0 && r.before != nil {
 			op.Under = r.before
 		}
@@ -268,6 +268,9 @@
 		op.GiveUp = x.Value
 	case Begun:
 		r.node.Begun(x.Now, push)
+	case Sent:
+		op.GiveUp = x.Value
+		r.node.Sent(x.Now, push)
 	case Ended:
 		r.node.Ended(x.Now, push, x.Ending, x.Value, x.Flags&flagFinished != 0)
 	case Reported:
--- a/internal/front/decode.go
+++ b/internal/front/decode.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"pearknot/internal/clock"
 	"pearknot/internal/node"
 	"pearknot/internal/terms"
 	"pearknot/internal/upstream"
@@ -27,6 +28,31 @@
 // longestTTL keeps odd times within what a clock can hold, in ms.
 const longestTTL = 3600e3
 
+const (
+	// A body must come at leastRate on the whole, which is half of what slow clients are known to manage, with a pause of
+	// bodyPause. longestBody is what the largest takes so, in ms.
+	leastRate   = 32 << 10 // bytes a second
+	bodyPause   = 2 * time.Second
+	longestBody = 1e3 * upstream.MostBody / leastRate
+)
+
+// slowBody reads a client's body within the time that such a one may take.
+type slowBody struct {
+	c     *http.ResponseController
+	from  io.Reader
+	begun time.Time
+	got   int64
+}
+
+func (s *slowBody) Read(b []byte) (int, error) {
+	_ = s.c.SetReadDeadline(s.begun.Add(bodyPause + time.Duration(s.got)*time.Second/leastRate))
+	n, err := s.from.Read(b)
+	if s.got += int64(n); err == io.EOF { // the limit must not end the watch for a client that leaves
+		_ = s.c.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
 // malformed is why an op is not taken.
 type malformed struct {
 	status int
@@ -64,11 +90,12 @@
 			return bad("odd %s %.40q", hintHeader, hinted)
 		}
 	}
-	tooLong := &malformed{http.StatusRequestEntityTooLarge, "body of more than 64 KiB"}
+	tooLong := &malformed{http.StatusRequestEntityTooLarge, "body of more than 32 MiB"}
 	if r.ContentLength > upstream.MostBody { // nothing of it is read
 		return nil, tooLong
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, upstream.MostBody))
+	slow := &slowBody{c: http.NewResponseController(w), from: http.MaxBytesReader(w, r.Body, upstream.MostBody), begun: time.Now()}
+	body, err := io.ReadAll(io.LimitReader(slow, upstream.MostHeld+1))
 	if over := (*http.MaxBytesError)(nil); errors.As(err, &over) {
 		return nil, tooLong
 	} else if err != nil {
@@ -77,14 +104,22 @@
 	if why := c.unclear(); why != "" { // its last bytes may have brought more
 		return bad("%s", why)
 	}
-	// The limit on reading must not end the watch for a client that leaves.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	// Of a body that is too large to hold the rest is passed on as it comes, and the op's time begins with its last byte.
+	var rest *upstream.Rest
+	least := min(float64(ttl), longestTTL)
+	if len(body) > upstream.MostHeld {
+		rest = &upstream.Rest{Size: r.ContentLength, TTL: clock.Span(least - onTheWay), From: slow}
+		least += longestBody
+	} else {
+		// The limit on reading must not end the watch for a client that leaves.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	}
 	now := f.clock.Now()
 	repeat, tenant := r.Header.Get(repeatHeader) == "1", tenant(told, r)
-	op := node.NewOp(upstream.NewMessage(r.Method, r.RequestURI, r.Host, r.Header, body))
+	op := node.NewOp(upstream.NewStreamed(r.Method, r.RequestURI, r.Host, r.Header, body, rest))
 	op.Under, op.Category, op.Tenant, op.Repeat = told.Terms, category, tenant, repeat
 	op.Hint, op.HasHint = hint/1e3, hinted != ""
-	op.GiveUp = now - c.wayHere() + min(float64(ttl), longestTTL)
+	op.GiveUp = now - c.wayHere() + least
 	return op, nil
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -38,6 +39,8 @@
 	// sooner, a client's op may be on its way, and fails with the connection if it is the first there.
 	idleAtLeast = 2 * time.Second
 
+	streamed = 16 << 10 // bytes of a long answer at a time
+
 	oddEvery = time.Second // between two log lines of malformed ops
 
 	// clientsStillCome is how long new connections come after SIGTERM at most, and how long a node without ops waits
@@ -277,7 +280,9 @@
 	c := r.Context().Value(clientKey{}).(*client)
 	var op *node.Op
 	defer func() { // net/http would end the connection, and lose an op taken
-		if fault := recover(); fault != nil {
+		if fault := recover(); fault == http.ErrAbortHandler { // net/http's way to end an answer that is not whole
+			panic(fault)
+		} else if fault != nil {
 			f.log.Error("front fault", "fault", fmt.Sprint(fault), "stack", string(debug.Stack()))
 			if op != nil {
 				f.node.Leave(op)
@@ -376,6 +381,10 @@
 		for name, values := range a.Reply.Header {
 			w.Header()[name] = values
 		}
+		if a.Reply.More != nil {
+			f.stream(w, c, a.Reply)
+			return
+		}
 		f.write(w, c, http.StatusOK, a.Reply.Body)
 	case node.Nacked:
 		if a.ComeBack > 0 {
@@ -388,11 +397,40 @@
 }
 
 func (f *Front) write(w http.ResponseWriter, c *client, status int, body []byte) {
+	f.head(w, c, status, int64(len(body)), writeWithin)
+	_, _ = w.Write(body) // a client that is gone is no fault
+}
+
+// head writes an answer's head; its body's size below 0 is not known.
+func (f *Front) head(w http.ResponseWriter, c *client, status int, size int64, within time.Duration) {
 	if c.answering() || f.draining.Load() || f.away.closing.Load() || f.budget.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWithin))
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(within))
+	if size >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
+	}
 	w.WriteHeader(status)
-	_, _ = w.Write(body) // a client that is gone is no fault
+}
+
+// stream passes a long answer on as it comes: its first bytes at once, and the rest no faster than the client takes it,
+// which may be slow but must not stop. What the backend does not finish is broken off, so that the client can tell.
+func (f *Front) stream(w http.ResponseWriter, c *client, reply *upstream.Reply) {
+	to := http.NewResponseController(w)
+	f.head(w, c, http.StatusOK, reply.More.Size, writeWithin)
+	part, buffer := reply.Body, make([]byte, streamed)
+	reply.Body = nil
+	for {
+		if _, err := w.Write(part); err != nil || to.Flush() != nil {
+			return // gone, or standing still
+		}
+		n, err := reply.More.Read(buffer)
+		if part = buffer[:n]; err == io.EOF && n == 0 {
+			return
+		} else if err != nil && err != io.EOF {
+			f.log.Debug("answer broken off", "error", err)
+			panic(http.ErrAbortHandler)
+		}
+		_ = to.SetWriteDeadline(time.Now().Add(writeWithin))
+	}
 }
--- a/internal/lab/policy/policy.go
+++ b/internal/lab/policy/policy.go
@@ -139,6 +139,9 @@
 // Retuned takes new terms, under which open ops go on too: a baseline keeps no more.
 func (p *plain) Retuned(now float64, t *balance.Terms, _ []int) { p.now, p.t = now, t }
 
+// Sent says nothing to a baseline either.
+func (p *plain) Sent(now float64, _ *balance.Push) { p.now = now }
+
 // Split says nothing to a baseline.
 func (p *plain) Split(now float64, _ int) { p.now = now }
 
--- a/internal/members/watch.go
+++ b/internal/members/watch.go
@@ -181,7 +181,7 @@
 	if _, err := io.WriteString(c, "GET "+target+" HTTP/1.1\r\nHost: "+w.Address+"\r\n\r\n"); err != nil {
 		return nil, false, err
 	}
-	answer, keep, err := upstream.ReadReply(r, false, mostList, func(int64) error { return nil })
+	answer, _, keep, err := upstream.ReadReply(r, false, mostList, mostList)
 	switch {
 	case err != nil:
 		return nil, false, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -382,6 +382,17 @@
 			}
 		})
 	})
+	if op.Streamed {
+		call.Sent = func(until time.Time) {
+			left := time.Until(until)
+			n.box.Put(func() {
+				if n.module == module && !op.answered {
+					op.GiveUp = n.now + float64(left.Microseconds())/1e3
+					n.module.Sent(n.now, p)
+				}
+			})
+		}
+	}
 	op.calls = append(op.calls, call)
 	op.out++
 	if peer := n.behind[p.Backend].peer; peer != nil {
@@ -402,7 +413,9 @@
 	} else {
 		out.Reply.Release()
 	}
-	n.module.Ended(n.now, p, out.Ending, n.now-p.SentAt, op.answered)
+	// The backend's work was done when its answer began: some take long to send it, and some to be read.
+	elapsed := max(n.now-p.SentAt-float64(out.First.Microseconds())/1e3, 0)
+	n.module.Ended(n.now, p, out.Ending, elapsed, op.answered)
 	n.traceEnded(op, p, out)
 	n.forget(op)
 }
@@ -420,7 +433,7 @@
 	if n.log.Enabled(context.Background(), slog.LevelDebug) {
 		n.log.Debug("push ended", "op", op.Ref, "category", op.Category, "work", op.Hint, "push", p.Number,
 			"backend", fmt.Sprintf("%x", p.Backend.Ref), "zone", p.Backend.Zone, "kind", p.Backend.Kind,
-			"sent_ms", p.SentAt-op.Arrived, "after_ms", n.now-p.SentAt, "at_ms", n.now, "ending", out.Ending.String())
+			"sent_ms", p.SentAt-op.Arrived, "after_ms", n.now-p.SentAt, "first_ms", float64(out.First.Microseconds())/1e3, "at_ms", n.now, "ending", out.Ending.String())
 	}
 }
 
--- a/internal/node/op.go
+++ b/internal/node/op.go
@@ -35,7 +35,11 @@
 }
 
 // NewOp makes an op; the front fills in what it knows of it.
-func NewOp(m *upstream.Message) *Op { return &Op{Message: m, answer: make(chan Answer, 1)} }
+func NewOp(m *upstream.Message) *Op {
+	op := &Op{Message: m, answer: make(chan Answer, 1)}
+	op.Streamed = m.Streamed()
+	return op
+}
 
 // Answer brings the op's one final answer, unless its client left first.
 func (o *Op) Answer() <-chan Answer { return o.answer }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -33,8 +33,6 @@
 
 	shedEvery   = 100 * time.Millisecond // while clients wait for a descriptor
 	idleShare   = 0.8                    // of the time after which a backend closes idle connections
-	longShare   = 16                     // of the memory, for long answers on their way
-	plenty      = 1 << 30                // bytes, where no limit is told
 	memoryShare = 0.7                    // of the limit, for the collector; the rest holds stacks and what the kernel books
 )
 
@@ -110,7 +108,7 @@
 		}
 		defer end()
 	}
-	peers := &upstream.Terms{Tell: terms.Tell, Budget: budget, Long: upstream.NewRoom(cmp.Or(p.memory, plenty) / longShare), Log: log}
+	peers := &upstream.Terms{Tell: terms.Tell, Budget: budget, Log: log}
 	retime := func(d *terms.Deployment) {
 		peers.ConnectTimeout.Set(clock.Span(d.ConnectTimeout))
 		peers.IdleFor.Set(clock.Span(idleShare * d.ConnectionIdle))
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 // Outcome is how a call ended.
 type Outcome struct {
 	Ending balance.Ending
+	First  time.Duration  // how long before its end the answer's first byte came, where there is one
 	Reply  *Reply         // where the backend answered at all
 	Report balance.Report // that came with the reply; without one it is not to be read
 }
@@ -20,13 +22,14 @@
 // may still go out is decided in one place, begin.
 type Call struct {
 	Message *Message
-	Done    func(Outcome) // called once; must not block
+	Done    func(Outcome)   // called once; must not block
+	Sent    func(time.Time) // takes when a streamed op's time is over, once its last byte has come; must not block
 
 	mu     sync.Mutex
 	until  time.Time
 	off    bool
 	conn   net.Conn           // while it is out there
-	cancel context.CancelFunc // of what it waits for beside its connection
+	cancel context.CancelFunc // of the connection that is to come up
 
 	afresh bool // on a fresh connection after a write that failed; the peer's
 }
@@ -88,17 +91,70 @@
 }
 
 // begin is passed right before the first byte: the op must live and have time. It tells how much.
-func (c *Call) begin(conn net.Conn) (ctx context.Context, left time.Duration, ok bool) {
+func (c *Call) begin(conn net.Conn) (left time.Duration, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	left = time.Until(c.until)
 	if c.off || left <= 0 {
-		return nil, 0, false
+		return 0, false
 	}
-	ctx, c.cancel = context.WithDeadline(context.Background(), c.until)
 	c.conn = conn
 	_ = conn.SetDeadline(c.until)
-	return ctx, left, true
+	if c.Message.rest != nil {
+		left = c.Message.rest.TTL
+	}
+	return left, true
+}
+
+// pass sends what still comes of the op's body, and has its time begin with the last byte. Which side broke it is told
+// apart: read is the client's fault, or the end of its patience.
+func (c *Call) pass(on net.Conn) (read, write error) {
+	rest, buffer := c.Message.rest, make([]byte, piece)
+	for {
+		n, err := rest.From.Read(buffer)
+		if n > 0 {
+			part := net.Buffers{buffer[:n]}
+			if rest.Size < 0 {
+				part = chunk(buffer[:n])
+			}
+			c.mu.Lock()
+			off := c.off
+			if !off {
+				_ = on.SetWriteDeadline(time.Now().Add(stall))
+			}
+			c.mu.Unlock()
+			if off {
+				return nil, net.ErrClosed
+			}
+			if _, err := part.WriteTo(on); err != nil {
+				return nil, err
+			}
+		}
+		switch err {
+		case nil:
+			continue
+		case io.EOF:
+		default:
+			return err, nil
+		}
+		break
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.off {
+		return nil, net.ErrClosed
+	}
+	if now := time.Now(); now.Add(rest.TTL).Before(c.until) {
+		c.until = now.Add(rest.TTL)
+	}
+	if c.Sent != nil { // told before the last byte can have an answer
+		c.Sent(c.until)
+	}
+	_ = on.SetDeadline(c.until)
+	if rest.Size < 0 {
+		_, write = io.WriteString(on, "0\r\n\r\n")
+	}
+	return nil, write
 }
 
 // end lets go of the connection and tells whether the call had been called off.
@@ -106,6 +162,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conn = nil
-	c.cancel()
 	return c.off
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"context"
 	"errors"
 	"net"
 	"os"
@@ -60,6 +59,7 @@
 	dropped fate = iota
 	kept
 	unwritten // broke before the last byte: the message may go once more
+	lent      // the rest of an answer is read from it
 )
 
 // exchange writes a call's message and reads the reply. It alone uses the connection meanwhile, and closes nothing.
@@ -67,48 +67,69 @@
 	if !p.open.Load() { // the list said so while the connection came up
 		return Outcome{Ending: balance.NotSent}, kept
 	}
-	ctx, left, ok := c.begin(on)
+	left, ok := c.begin(on)
 	if !ok {
 		return Outcome{Ending: balance.NotSent}, kept
 	}
-	message := c.Message.encode(float64(left.Microseconds()) / 1e3)
-	if n, err := message.WriteTo(on.Conn); err != nil { // an error is told only where bytes are left
-		c.end()
-		p.terms.Log.Debug("write broke", "backend", p.name, "written", n, "error", err)
-		return Outcome{Ending: balance.NoConnection}, unwritten
+	if out, fate := p.write(c, on, left); fate != kept {
+		return out, fate
 	}
-	held := int64(0)
-	reply, keep, err := ReadReply(on.r, c.Message.bare, mostAnswer, func(bytes int64) error {
-		err := p.terms.Long.free.Acquire(ctx, bytes)
-		if err == nil {
-			held = bytes
-		}
-		return err
-	})
+	first := on.r.begins()
+	reply, more, keep, err := ReadReply(on.r, c.Message.bare, MostBody, MostHeld)
 	off := c.end()
 	if err != nil {
-		if held > 0 {
-			p.terms.Long.back(held)
-		}
 		switch {
 		case off:
 			return Outcome{Ending: balance.Revoked}, dropped
-		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
+		case errors.Is(err, os.ErrDeadlineExceeded):
 			return Outcome{Ending: balance.TimedOut}, dropped
 		}
 		p.terms.Log.Debug("reply broke", "backend", p.name, "error", err, "reused", on.used,
 			"idle_ms", on.rested.Milliseconds())
 		return Outcome{Ending: balance.Reset}, dropped
 	}
-	reply.room, reply.held = p.terms.Long, held
 	report, odd := reply.load(p.terms.Tell)
 	if odd != "" {
 		p.odd.Do(func() { p.terms.Log.Warn("odd load report skipped", "backend", p.name, "report", odd) })
 	}
 	reply.Header.Del(loadReport) // it is for this node
 	fate := dropped
-	if keep {
+	switch {
+	case reply.More != nil:
+		s := reply.More
+		s.body, s.on, s.keep, s.most = more, on, keep, MostBody-int64(len(reply.Body))
+		s.back = func(keep bool) { p.box.Put(func() { p.returned(on, keep) }) }
+		_ = on.SetDeadline(time.Time{}) // the op's time ends with its first bytes
+		fate = lent
+	case keep:
 		fate = kept
 	}
-	return Outcome{reply.ending(), reply, report}, fate
+	return Outcome{Ending: reply.ending(), First: time.Since(first), Reply: reply, Report: report}, fate
+}
+
+// write sends the message; kept is that it is out whole.
+func (p *Peer) write(c *Call, on *conn, left time.Duration) (Outcome, fate) {
+	message := c.Message.encode(float64(left.Microseconds()) / 1e3)
+	n, err := message.WriteTo(on.Conn)
+	if err == nil && c.Message.rest != nil {
+		var read error
+		if read, err = c.pass(on); read != nil { // the client's doing: it never was whole, and the backend is well
+			c.end()
+			p.terms.Log.Debug("body broke", "backend", p.name, "error", read)
+			return Outcome{Ending: balance.NotSent}, dropped
+		}
+	}
+	if err == nil {
+		return Outcome{}, kept
+	}
+	// An error is told only where bytes are left.
+	off := c.end()
+	p.terms.Log.Debug("write broke", "backend", p.name, "written", n, "error", err)
+	switch {
+	case c.Message.rest == nil:
+		return Outcome{Ending: balance.NoConnection}, unwritten
+	case off:
+		return Outcome{Ending: balance.NotSent}, dropped
+	}
+	return Outcome{Ending: balance.NoConnection}, dropped // what has gone of the body is not held any more
 }
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -33,7 +33,6 @@
 	IdleFor        Span                                                // how long an idle connection is kept
 	Tell           func(r *balance.Report, name string, value float64) // puts a load report's value in its place
 	Budget         *sockets.Budget
-	Long           *Room
 	Log            *slog.Logger
 }
 
@@ -197,10 +196,18 @@
 
 // finish is where each call ends and its connection comes back.
 func (p *Peer) finish(c *Call, on *conn, out Outcome, fate fate) {
+	if fate != lent {
+		p.returned(on, fate == kept)
+	}
+	c.Done(out)
+}
+
+// returned takes a connection back with which a call has nothing more to do, or none where it had none.
+func (p *Peer) returned(on *conn, keep bool) {
 	p.calls--
 	switch {
 	case on == nil:
-	case fate == kept && p.open.Load() && on.address == p.address:
+	case keep && p.open.Load() && on.address == p.address:
 		on.used, on.since = true, time.Now()
 		if len(p.idle) == 0 {
 			p.reap.Reset(p.terms.IdleFor.Get())
@@ -209,7 +216,6 @@
 	default:
 		p.drop(on)
 	}
-	c.Done(out)
 }
 
 // shed closes the connections that have been idle for so long.
