--- /dev/null
+++ b/cmd/pearknot/bulk_test.go
@@ -0,0 +1,184 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const bulk = 24 << 20 // bytes, of which three are over the memory limit of the node below
+
+// Bodies and answers that together are far over the node's memory pass through at their clients' pace, whole, and nobody
+// else waits for them.
+func TestBulk(t *testing.T) {
+	block := bytes.Repeat([]byte("0123456789abcdef"), 4<<10)
+	w := start(t, 256, func(rw http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.Header.Get("X-Trace-Id"), "down") {
+			if r.Header.Get("X-Trace-Id") != "down-0" { // that one in chunks
+				rw.Header().Set("Content-Length", strconv.Itoa(bulk))
+			}
+			for range bulk / len(block) {
+				_, _ = rw.Write(block)
+			}
+			return
+		}
+		n, _ := io.Copy(io.Discard, r.Body)
+		fmt.Fprint(rw, n)
+	})
+	memory := func() int { // in kB
+		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", w.process.Process.Pid))
+		require.NoError(t, err)
+		_, rest, _ := strings.Cut(string(text), "VmHWM:")
+		kB, err := strconv.Atoi(strings.Fields(rest)[0])
+		require.NoError(t, err)
+		return kB
+	}
+	var all sync.WaitGroup
+	slow, begins := make(chan struct{}), make(chan struct{}, 1)
+	for k := range 6 {
+		begins <- struct{}{} // one after the other, so that none is nacked for the others
+		all.Go(func() {
+			r, _ := http.NewRequest("GET", "http://"+w.address+"/api", nil)
+			r.Header = http.Header{"X-Trace-Id": {fmt.Sprint("down-", k)}, "X-Qos": {"check"}, "X-Expires-In-Ms": {"1500"}}
+			answer, err := fresh().Do(r)
+			if !assert.NoError(t, err) {
+				return
+			}
+			defer answer.Body.Close()
+			first := make([]byte, 1000)
+			_, err = io.ReadFull(answer.Body, first)
+			assert.NoError(t, err, "the first bytes at once")
+			<-begins
+			<-slow // and then far beyond the op's time
+			n, err := io.Copy(io.Discard, answer.Body)
+			assert.NoError(t, err)
+			assert.Equal(t, int64(bulk-1000), n)
+		})
+		all.Go(func() {
+			r, _ := http.NewRequest("POST", "http://"+w.address+"/api", io.LimitReader(endless{}, bulk))
+			if r.ContentLength = bulk; k%2 == 0 {
+				r.ContentLength = -1
+			}
+			r.Header = http.Header{"X-Trace-Id": {fmt.Sprint("up-", k)}, "X-Qos": {"pay"}, "X-Expires-In-Ms": {"4000"}}
+			answer, err := fresh().Do(r)
+			if !assert.NoError(t, err) {
+				return
+			}
+			defer answer.Body.Close()
+			said, _ := io.ReadAll(answer.Body)
+			assert.Equal(t, strconv.Itoa(bulk), string(said))
+		})
+	}
+	client, begun, acked, k := fresh(), time.Now(), 0, 0
+	for ; time.Since(begun) < 2*time.Second; k++ {
+		asked := time.Now()
+		status, _, _, err := w.ask(client, "GET", fmt.Sprint("small-", k), "check", "2000")
+		require.NoError(t, err)
+		if status == 200 {
+			acked++
+		}
+		assert.Less(t, time.Since(asked), time.Second)
+	}
+	assert.Greater(t, acked, k*9/10)
+	close(slow)
+	all.Wait()
+	assert.Less(t, memory(), 64<<10, "of %d MB that went through", 12*bulk>>20)
+}
+
+type endless struct{}
+
+func (endless) Read(b []byte) (int, error) { return len(b), nil }
+
+// All forms that an op may have: those of one op are taken, whatever the pieces; those that may hide another are not.
+func TestFormsOfOps(t *testing.T) {
+	w := start(t, 256, func(rw http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(rw, "%d", len(body))
+	})
+	const head = "POST /api HTTP/1.1\r\nHost: s\r\nX-Qos: pay\r\nX-Expires-In-Ms: 4000\r\n"
+	big := strings.Repeat("x", 100_000)
+	for name, c := range map[string]struct {
+		sent   string
+		pause  bool // in the middle, within the time that a head or a body may take
+		status int
+		body   string
+	}{
+		"a length":               {head + "Content-Length: 4\r\n\r\npaid", false, 200, "4"},
+		"a slow head":            {head + "Content-Length: 4\r\n\r\npaid", true, 200, "4"},
+		"no body":                {head + "Content-Length: 0\r\n\r\n", false, 200, "0"},
+		"chunks of a byte":       {head + "Transfer-Encoding: chunked\r\n\r\n1;a=\"b\"\r\np\r\n1\r\na\r\n002\r\nid\r\n0\r\nX-Sum: 1\r\n\r\n", false, 200, "4"},
+		"chunks, slow":           {head + "Transfer-Encoding: chunked\r\n\r\n1\r\np\r\n3\r\naid\r\n0\r\n\r\n", true, 200, "4"},
+		"long":                   {head + "Content-Length: 100000\r\n\r\n" + big, false, 200, "100000"},
+		"long, slow":             {head + "Content-Length: 100000\r\n\r\n" + big, true, 200, "100000"},
+		"long, in chunks":        {head + "Transfer-Encoding: chunked\r\n\r\n186a0\r\n" + big + "\r\n0\r\n\r\n", false, 200, "100000"},
+		"continue":               {head + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\npaid", false, 200, "4"},
+		"1.0":                    {strings.Replace(head, "1.1", "1.0", 1) + "Content-Length: 4\r\n\r\npaid", false, 200, "4"},
+		"a length beside chunks": {head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false, 400, ""},
+		"two":                    {head + "Content-Length: 0\r\n\r\n" + head + "X-Trace-Id: p\r\nContent-Length: 0\r\n\r\n", false, 400, ""},
+		"too long":               {head + "Content-Length: 33554433\r\n\r\n", false, 413, ""},
+		"chunk without a size":   {head + "Transfer-Encoding: chunked\r\n\r\nno\r\n\r\n", false, 400, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			to, err := net.Dial("tcp", w.address)
+			require.NoError(t, err)
+			defer to.Close()
+			sent := strings.Replace(c.sent, "\r\n", "\r\nX-Trace-Id: "+strings.ReplaceAll(name, " ", "-")+"\r\n", 1)
+			if c.pause {
+				half := len(sent) / 2
+				_, err = io.WriteString(to, sent[:half])
+				require.NoError(t, err)
+				<-time.After(time.Second)
+				sent = sent[half:]
+			}
+			_, err = io.WriteString(to, sent)
+			require.NoError(t, err)
+			from := bufio.NewReader(to)
+			answer, err := http.ReadResponse(from, nil)
+			if err == nil && answer.StatusCode == 100 {
+				answer, err = http.ReadResponse(from, nil)
+			}
+			require.NoError(t, err)
+			said, err := io.ReadAll(answer.Body)
+			require.NoError(t, err)
+			assert.Equal(t, c.status, answer.StatusCode)
+			if c.status == 200 {
+				assert.Equal(t, c.body, string(said))
+			}
+		})
+	}
+}
+
+// An answer that its backend does not finish is told as not whole; it is the client's by then, and is not sent again.
+func TestBrokenOff(t *testing.T) {
+	for name, chunked := range map[string]bool{"a length": false, "chunks": true} {
+		w := start(t, 256, func(rw http.ResponseWriter, _ *http.Request) {
+			if !chunked {
+				rw.Header().Set("Content-Length", "1000000")
+			}
+			_, _ = rw.Write(make([]byte, 500_000))
+			_ = http.NewResponseController(rw).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		r, _ := http.NewRequest("GET", "http://"+w.address+"/api", nil)
+		r.Header = http.Header{"X-Trace-Id": {"a"}, "X-Qos": {"check"}, "X-Expires-In-Ms": {"2000"}}
+		answer, err := fresh().Do(r)
+		require.NoError(t, err, name)
+		_, err = io.Copy(io.Discard, answer.Body)
+		assert.Error(t, err, name)
+		_ = answer.Body.Close()
+		assert.Equal(t, 1, w.times("a"), name)
+	}
+}
