--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -159,11 +159,22 @@
 	Costly   = "costly"    // a share of one category's ops costs more by a factor
 	Lies     = "lies"      // load reports are wrong by a factor
 	Shrink   = "shrink"    // backends drain and go, and come back cold
+	Cordon   = "cordon"    // an operator takes backends out at all nodes, and puts them back; on sockets only, as the next two
+	Quiesce  = "quiesce"   // an operator sends nodes' clients away, and has them taken again
+	Upgrade  = "upgrade"   // a new process of nodes takes over, once
 )
 
 // Kinds lists them all.
 var Kinds = []string{Swallow, Errors, Pauses, Slow, Crash, Vanish, Cut, ListLate, ListDown, Nodes, Burst, Costly, Lies, Shrink}
 
+// Calls are further kinds, an operator's, which need real processes.
+var Calls = []string{Cordon, Quiesce, Upgrade}
+
+// Operated tells whether an operator's calls are among the troubles, for which nodes need a second address.
+func (e *Experiment) Operated() bool {
+	return slices.ContainsFunc(e.Trouble, func(t Trouble) bool { return slices.Contains(Calls, t.Kind) })
+}
+
 // Policies that may decide.
 var Policies = []string{"cda", "random", "rotation", "fewest", "two-choices", "all-seeing"}
 
@@ -295,7 +306,7 @@
 }
 
 func (e *Experiment) checkTrouble(c *checks, at string, t Trouble) {
-	c.oneOf(at+"kind", t.Kind, Kinds)
+	c.oneOf(at+"kind", t.Kind, slices.Concat(Kinds, Calls))
 	c.within(at+"at_s", t.At, 0, e.Seconds)
 	c.within(at+"for_s", t.For, 0, 1e6)
 	c.within(at+"share", t.Share, 0, 1)
@@ -308,7 +319,7 @@
 		c.must(slices.Contains(e.Fleet.Zones, t.Zone), at+"zone", "%q is not among the fleet's zones", t.Zone)
 	}
 	switch t.Kind {
-	case Swallow, Errors, Pauses, Slow, Crash, Vanish, Lies, Shrink, Nodes:
+	case Swallow, Errors, Pauses, Slow, Crash, Vanish, Lies, Shrink, Nodes, Cordon, Quiesce, Upgrade:
 		c.must(t.Share > 0 || t.Count > 0, at+"share", "give share or count above 0")
 	case Cut:
 		c.must(t.Zone != "" && len(e.Fleet.Zones) > 1, at+"zone", "give the zone that is cut off, of two at least")
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -131,7 +131,9 @@
 	}
 	for _, n := range w.nodes {
 		n.mu.Lock()
-		n.expect = true
+		if n.process != nil {
+			n.process.expect = true
+		}
 		n.mu.Unlock()
 	}
 	return w.finish(), err
@@ -180,6 +182,14 @@
 				return err
 			}
 		}
+		if w.e.Operated() {
+			if n.control, err = freeAddress(w.home); err != nil {
+				return err
+			}
+			if n.shared, err = os.MkdirTemp("", "pk"); err != nil { // short: a socket's path is bounded
+				return err
+			}
+		}
 		w.nodes = append(w.nodes, n)
 		if w.o.External != nil {
 			config, err := n.config(w.now())
@@ -329,6 +339,14 @@
 					}
 				})
 			}
+		case experiment.Cordon:
+			err = w.cordon(w.backends[k], s.On)
+		case experiment.Quiesce:
+			err = w.nodes[k].send(s.On)
+		case experiment.Upgrade:
+			if s.On {
+				err = w.nodes[k].upgrade()
+			}
 		}
 		if err != nil {
 			return err
@@ -354,6 +372,26 @@
 	return nil
 }
 
+// cordon takes a backend out at all nodes, or puts it back. To the judge a node has been told of a drain with its yes.
+func (w *world) cordon(b *backend, out bool) error {
+	line, state := fmt.Sprintf("uncordon s-%d", b.number), balance.Ready
+	if out {
+		line, state = fmt.Sprintf("cordon s-%d", b.number), balance.Draining
+	}
+	for _, n := range w.nodes {
+		if !out { // the node may push there before its yes is read here
+			w.tell(rules.Event{Kind: rules.ListTold, Node: n.number, Backend: b.number, State: state})
+		}
+		if err := n.call(line); err != nil {
+			return err
+		}
+		if out {
+			w.tell(rules.Event{Kind: rules.ListTold, Node: n.number, Backend: b.number, State: state})
+		}
+	}
+	return nil
+}
+
 func (w *world) crash(b *backend, on, silent bool) error {
 	b.mu.Lock()
 	up, draining, fallen := b.m.Up(), b.m.Draining(), b.m.Fallen()
@@ -433,6 +471,11 @@
 		wg.Go(func() { n.end(syscall.SIGTERM, endWithin) })
 	}
 	wg.Wait()
+	for _, n := range w.nodes {
+		if n.shared != "" {
+			_ = os.RemoveAll(n.shared)
+		}
+	}
 	if w.list != nil {
 		w.list.close()
 	}
--- a/internal/lab/loopback/loopback_test.go
+++ b/internal/lab/loopback/loopback_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"pearknot/balance"
 	"pearknot/internal/lab/experiment"
 	"pearknot/internal/lab/program"
 	"pearknot/internal/rules"
@@ -192,3 +193,32 @@
 	_, err = net.DialTimeout("tcp", address, time.Second)
 	assert.ErrorIs(t, err, syscall.ECONNREFUSED)
 }
+
+// Operators take backends out, send clients away and start new versions under load, one into the other: the auditor finds no
+// op lost, none run twice, and nothing new at a backend that was taken out.
+func TestOperated(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	e := small(t, 7, experiment.Trouble{Kind: experiment.Cordon, At: 1, For: 3, Count: 2},
+		experiment.Trouble{Kind: experiment.Upgrade, At: 2, Count: 1}, experiment.Trouble{Kind: experiment.Upgrade, At: 2.5, Count: 3},
+		experiment.Trouble{Kind: experiment.Quiesce, At: 4, For: 2, Count: 1}, experiment.Trouble{Kind: experiment.Upgrade, At: 5, Count: 3})
+	dir := t.TempDir()
+	drained := 0
+	run, err := Run(t.Context(), e, 1, Options{Command: []string{nodeProgram, "serve"}, Dir: dir,
+		Watch: func(e rules.Event) {
+			if e.Kind == rules.ListTold && e.State == balance.Draining {
+				drained++
+			}
+		}})
+	require.NoError(t, err)
+	assert.True(t, run.Rules.Kept, run.Rules.Breaches)
+	assert.Equal(t, 6, drained)
+	assert.Greater(t, run.Service, 0.9)
+	assert.Greater(t, run.Ops, 150)
+	for k := range 3 {
+		log, err := os.ReadFile(filepath.Join(dir, fmt.Sprintf("n%d.log", k)))
+		require.NoError(t, err)
+		assert.GreaterOrEqual(t, strings.Count(string(log), "following the process before"), 2)
+		assert.Equal(t, strings.Count(string(log), "following the process before"), strings.Count(string(log), "ended unanswered=0")-1, "and the last")
+	}
+	assert.Empty(t, left(t, dir))
+}
--- a/internal/lab/loopback/node.go
+++ b/internal/lab/loopback/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"pearknot/internal/console"
 	"pearknot/internal/lab/experiment"
 	"pearknot/internal/rules"
 )
@@ -24,6 +26,7 @@
 	followEvery = 50 * time.Millisecond
 	readyWithin = 10 * time.Second
 	endWithin   = 5 * time.Second // after SIGTERM; then it is killed
+	yesWithin   = 6 * time.Second // of a process that follows another
 )
 
 // node is one real process of the program.
@@ -36,20 +39,27 @@
 	list    *list
 	address string
 	secure  string   // where it serves TLS
+	control string   // where operators call; empty is nowhere
+	shared  string   // TMPDIR of its processes
 	more    []string // arguments
 	from    string   // where its list is
 	life    int
 
 	mu      sync.Mutex
-	process *exec.Cmd
-	ended   chan struct{} // closed when the process has
+	process *process
 	ready   bool
-	expect  bool          // its end is our doing
 	deadAt  float64       // -1 while it lives
 	cpu     time.Duration // of its processes that have ended
 	crashed func(error)
 }
 
+// process is one of a node's, of which there may be two for a while.
+type process struct {
+	*exec.Cmd
+	ended  chan struct{} // closed when it has
+	expect bool          // its end is our doing
+}
+
 // settings are those of the configuration, in the deployment's own form.
 func settings(e *experiment.Experiment, zone int) map[string]any {
 	effects := map[string]string{"redeliverable": "pure", "deduplicated": "token", "at-most-once": "side_effect"}
@@ -91,7 +101,7 @@
 	n.life++
 	e := n.hub.e
 	seed := strconv.FormatUint(uint64(n.number)*7919+uint64(n.life)*104729+n.hub.seed()*31+12345, 16)
-	data, err := json.MarshalIndent(map[string]any{"name": fmt.Sprintf("n%d", n.number), "listen": n.address, "discovery": n.from,
+	data, err := json.MarshalIndent(map[string]any{"name": fmt.Sprintf("n%d", n.number), "listen": n.address, "discovery": n.from, "control": n.control,
 		"seed": seed, "limits": map[string]any{"cores": e.Fleet.NodeCores, "memory_mb": e.Fleet.NodeMemory, "sockets": e.Fleet.NodeSockets},
 		"known": n.list.known(listAt, n.zone), "settings": settings(e, n.zone)}, "", " ")
 	return string(data), err
@@ -111,35 +121,119 @@
 	if err != nil {
 		return err
 	}
-	p := exec.Command(n.command[0], slices.Concat(n.command[1:], []string{"--config", file}, n.more)...)
+	p := &process{Cmd: exec.Command(n.command[0], slices.Concat(n.command[1:], []string{"--config", file}, n.more)...), ended: make(chan struct{})}
 	p.Stderr, p.Stdout = log, log
+	if n.shared != "" {
+		p.Env = append(os.Environ(), "TMPDIR="+n.shared)
+	}
 	// Should the lab itself be killed, its nodes end with it; a group of their own keeps a terminal's interrupt from them.
 	p.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := p.Start(); err != nil {
 		_ = log.Close()
 		return fmt.Errorf("node %d: %w", n.number, err)
 	}
-	ended := make(chan struct{})
 	n.mu.Lock()
-	n.process, n.ended, n.expect = p, ended, false
+	older := n.process
+	n.process = p
 	n.mu.Unlock()
 	go func() {
 		err := p.Wait()
 		_ = log.Close()
 		n.mu.Lock()
-		n.ready, n.deadAt = false, n.hub.now()
+		last, expected := n.process == p, p.expect
+		if last { // else another goes on as this node
+			n.ready, n.deadAt = false, n.hub.now()
+		}
 		n.cpu += p.ProcessState.UserTime() + p.ProcessState.SystemTime()
-		expected := n.expect
 		n.mu.Unlock()
-		if expected {
+		if expected && last {
 			n.hub.tell(rules.Event{Kind: rules.NodeKilled, Node: n.number})
 		}
-		close(ended)
+		close(p.ended)
 		if !expected {
 			n.crashed(fmt.Errorf("node %d ended by itself: %v, see %s", n.number, err, log.Name()))
 		}
 	}()
-	return n.untilReady(ended)
+	if older != nil && !older.over() {
+		return n.untilYes(p)
+	}
+	return n.untilReady(p.ended)
+}
+
+func (p *process) over() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// untilYes waits for a process that follows another: the node's health is the other's until then.
+func (n *node) untilYes(p *process) error {
+	for begun := time.Now(); time.Since(begun) < yesWithin; {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_, yes, err := console.Ask(ctx, n.control, "health")
+		cancel()
+		if err == nil && yes {
+			return nil
+		}
+		select {
+		case <-p.ended:
+			return fmt.Errorf("node %d: its next process ended before it was ready", n.number)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	return fmt.Errorf("node %d: its next process not ready within %v", n.number, yesWithin)
+}
+
+// upgrade starts the next process beside the one that runs, and ends that one when the next says yes.
+func (n *node) upgrade() error {
+	n.mu.Lock()
+	older := n.process
+	n.mu.Unlock()
+	var err error
+	if n.control, err = freeAddress(n.hub.home); err != nil {
+		return err
+	}
+	if err := n.start(n.hub.now()); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	older.expect = true
+	n.mu.Unlock()
+	_ = older.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-older.ended:
+		return nil
+	case <-time.After(endWithin):
+		return fmt.Errorf("node %d: its former process did not end within %v", n.number, endWithin)
+	}
+}
+
+// call makes an operator's call, whose answer is to be yes.
+func (n *node) call(line string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	answer, yes, err := console.Ask(ctx, n.control, line)
+	if err == nil && !yes {
+		err = errors.New(answer)
+	}
+	if err != nil {
+		return fmt.Errorf("node %d: %s: %w", n.number, line, err)
+	}
+	return nil
+}
+
+// send has clients go elsewhere, or come again: the front hears of it within that time.
+func (n *node) send(away bool) error {
+	if err := n.call(map[bool]string{true: "quiesce", false: "resume"}[away]); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	n.ready = !away
+	n.mu.Unlock()
+	return nil
 }
 
 func (n *node) untilReady(ended chan struct{}) error {
@@ -188,8 +282,10 @@
 // end asks the process to end, and kills it where it doesn't within a time.
 func (n *node) end(first syscall.Signal, within time.Duration) {
 	n.mu.Lock()
-	p, ended := n.process, n.ended
-	n.expect = true
+	p := n.process
+	if p != nil {
+		p.expect = true
+	}
 	n.mu.Unlock()
 	if p == nil {
 		return
@@ -197,13 +293,13 @@
 	_ = p.Process.Signal(first)
 	if within > 0 {
 		select {
-		case <-ended:
+		case <-p.ended:
 			return
 		case <-time.After(within):
 			_ = p.Process.Kill()
 		}
 	}
-	<-ended
+	<-p.ended
 }
 
 // open tells whether the front before the nodes still sends clients here.
--- a/internal/lab/trouble/trouble.go
+++ b/internal/lab/trouble/trouble.go
@@ -43,7 +43,7 @@
 
 func pick(e *experiment.Experiment, t experiment.Trouble, rng *rand.Rand) []int {
 	of, zone := e.Fleet.Backends, slices.Index(e.Fleet.Zones, t.Zone)
-	if t.Kind == experiment.Nodes {
+	if t.Kind == experiment.Nodes || t.Kind == experiment.Quiesce || t.Kind == experiment.Upgrade {
 		of = e.Fleet.Nodes
 	}
 	var all []int
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -5,6 +5,7 @@
 
 import (
 	"container/heap"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -37,6 +38,9 @@
 
 // Run plays one seed.
 func Run(e *experiment.Experiment, seed uint64, o Options) (measure.Run, error) {
+	if e.Operated() {
+		return measure.Run{}, errors.New("operators' calls and upgrades are of real processes: only on sockets")
+	}
 	h := newHost(e, seed, o)
 	if h.err != nil {
 		return measure.Run{}, h.err
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -29,6 +29,11 @@
 	for _, f := range files {
 		e, err := experiment.Read(f)
 		require.NoError(t, err)
+		if e.Operated() { // played on sockets
+			_, err := Run(e, 1, Options{})
+			assert.ErrorContains(t, err, "only on sockets")
+			continue
+		}
 		if e.Fleet.Nodes > 100 { // too long for here
 			continue
 		}
