--- a/balance/balance.go
+++ b/balance/balance.go
@@ -327,7 +327,8 @@
 	return d, true
 }
 
-// Split tells of how many processes the node is made up. What the other spent counts until its window has passed.
+// Split tells of how many processes the node is made up, among which its cold budgets are divided, and nothing else: one
+// of them has nearly all of its ops at any time. What the other spent counts until its window has passed.
 func (n *Node) Split(now float64, of int) {
 	n.now, n.of, n.whole = now, max(of, n.of), math.Inf(1)
 	if of == 1 {
@@ -335,10 +336,8 @@
 	}
 }
 
-// part is this process's of what all nodes together may.
-func (n *Node) part(whole float64) float64 {
-	return whole / float64(max(n.t.Nodes, 1)) / n.processes()
-}
+// part is this node's of what all nodes together may.
+func (n *Node) part(whole float64) float64 { return whole / float64(max(n.t.Nodes, 1)) }
 
 // decide places an op that has nothing out.
 func (n *Node) decide(op *Op) {
@@ -439,7 +438,7 @@
 // hold keeps a long without an idle backend and a short for which all have their most out. Where the wait is
 // foreseen to be too long the op is nacked at once: holding it would only delay that.
 func (n *Node) hold(op *Op) {
-	if time := n.holdTime(op); time > n.patienceOf(op) || time+op.work*n.paceOf(nil) > n.left(op) {
+	if time := n.holdTime(op, n.crossCost(op) < 0.5); time > n.patienceOf(op) || time+op.work*n.paceOf(nil) > n.left(op) {
 		n.giveUp(op)
 		return
 	}
@@ -450,14 +449,10 @@
 }
 
 // holdTime is the time an op would be held behind what is held already, at the rate at which its zone lately
-// does this node's work. Its own work counts only where others are held: heavy ops are no cause for nacks.
-func (n *Node) holdTime(op *Op) float64 {
-	rate, ahead := 0.0, 0.0
-	for _, b := range n.backends {
-		if n.isNear(b) && b.State == Ready && n.distrust(b) < shunAt {
-			rate += n.drain(b)
-		}
-	}
+// does this node's work, or others where it has none and the op may cross. Its own work counts only where others
+// are held: heavy ops are no cause for nacks.
+func (n *Node) holdTime(op *Op, cross bool) float64 {
+	rate, ahead := n.rate(cross), 0.0
 	for _, o := range n.held {
 		ahead += o.work
 	}
@@ -551,7 +546,7 @@
 	stay := 1.0 // what stays without a backend and for longer than it may wait is nacked: that is lost for sure
 	if near != nil {
 		stay = risk(n.predict(near, op))
-	} else if wait := n.holdTime(op); wait <= patience {
+	} else if wait := n.holdTime(op, false); wait <= patience {
 		stay = risk(wait + op.work*n.paceOf(nil))
 	}
 	if stay-risk(n.predict(far, op)) > n.crossCost(op) {
@@ -890,7 +885,7 @@
 	// Half a standard core until its kind's speed is known, one at most: what looks faster may be untrue.
 	known, window := paceKnown*math.Max(n.work.value, 1), n.t.FallMultiple*warm*n.t.OverloadFor
 	whole := window / math.Max(n.paces.kinds.of(b.Kind).blend(2*n.weight/b.Weight, known), 1)
-	part := coldSafety * n.part(whole)
+	part := coldSafety * n.part(whole) / n.processes()
 	// What the zone's warm backends take of this node's work is its part already: parts add up to what they do.
 	if z := n.warm.of(b.Zone); z.speed > 0 { // a slow machine stands less than fast ones take
 		part = math.Max(part, coldSafety*window*z.took/z.speed*b.Weight/n.paceOf(b)/n.processes())
@@ -898,7 +893,7 @@
 	// Many nodes' parts are less than an op each: one that has spent nothing draws a lot for a whole one.
 	spent := b.recent.within(n.now, n.t.OverloadFor)
 	return spent+work <= part ||
-		spent == 0 && work <= lotMost*whole && n.lot(b, n.t.OverloadFor) < lotShare*n.part(whole)/work
+		spent == 0 && work <= lotMost*whole && n.lot(b, n.t.OverloadFor)*n.processes() < lotShare*n.part(whole)/work
 }
 
 // send is the only way out for a push.
@@ -955,7 +950,7 @@
 	d := Decision{Kind: kind, Op: op}
 	if kind == DoNack && op.Under.ComeBack {
 		// About when half of what is held has gone: a repeat too late is lost, and all at once are a storm.
-		wait := math.Min(op.cat.TargetLatency, n.holdTime(op)) * (0.25 + 0.5*n.rng.unit())
+		wait := math.Min(op.cat.TargetLatency, n.holdTime(op, false)) * (0.25 + 0.5*n.rng.unit())
 		d.Wait = math.Min(op.Under.MaxComeBack, wait)
 	}
 	n.out = append(n.out, d)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -541,7 +541,7 @@
 	}
 	op := &Op{Under: d.node.t, cat: &d.node.t.Categories[0], work: 10, GiveUp: d.now + 4000, Arrived: d.now}
 	assert.Greater(t, d.node.predict(fresh, op), quiet+300)
-	assert.Greater(t, d.node.holdTime(op), 300.0)
+	assert.Greater(t, d.node.holdTime(op, false), 300.0)
 	d.after(60e3)
 	assert.InDelta(t, quiet, d.node.predict(fresh, op), 50, "and is forgotten")
 	d.node.crowd.add(fresh, d.now, 1000)
@@ -1126,3 +1126,39 @@
 	d.end(op.Pushes[0], Reset)
 	assert.Equal(t, "dead:once", d.pull())
 }
+
+// Where none of its zone's backends can be used, by the list or by hand, what may cross waits for room at the others; what
+// is not worth the way is nacked at once.
+func TestHeldForAnotherZone(t *testing.T) {
+	terms := plain()
+	terms.CrossPrice, terms.ByWork = 0.06, true
+	d := sit(t, terms, 0)
+	for k, zone := range []int{0, 1, 1} {
+		d.backends = append(d.backends, &Backend{Ref: uint64(k), Zone: zone})
+	}
+	d.list(Ready, 0, d.backends...)
+	d.seen()
+	d.node.value = mean{50, 50}
+	d.list(Draining, 0, d.backends[0])
+	var out []*Push
+	for _, b := range d.backends[1:] {
+		b.most = 1
+		out = append(out, d.busy(b), d.busy(b))
+	}
+	worth := d.arrive("worth", 0, 60)
+	assert.Empty(t, d.pull(), "held: both are full, and will not be for long")
+	assert.Equal(t, held, worth.stage)
+	d.arrive("dear", 0, 1)
+	assert.Equal(t, "nack:dear", d.pull())
+	d.after(5)
+	for _, p := range out {
+		d.end(p, Answered)
+	}
+	assert.Equal(t, "push:worth", d.pull())
+
+	d.list(Ready, 0, d.backends[0]) // its own zone is back
+	d.backends[0].most = 1
+	d.busy(d.backends[0])
+	d.busy(d.backends[0])
+	assert.Equal(t, d.node.rate(false), d.node.rate(true))
+}
