--- a/balance/balance.go
+++ b/balance/balance.go
@@ -139,7 +139,12 @@
 			b.pass = n.round + n.rng.unit() // the rotation starts at random
 		}
 		back := b.banned && !l.Banned // by hand: restarted meanwhile, which the list tells of late, if at all
-		if back {
+		switch {
+		case l.Banned && !b.banned:
+			b.outAt = now
+		case l.Started > b.outAt: // it has told
+			b.back = 0
+		case back:
 			b.back = now
 		}
 		if l.Started > b.Started || back { // a new process: what was learned of the old one's state is void
--- a/balance/snapshot.go
+++ b/balance/snapshot.go
@@ -63,7 +63,7 @@
 	Cores                                           float64
 	Met                                             [2]float64
 	Banned                                          bool
-	Back                                            float64
+	Back, OutAt                                     float64
 }
 
 type SnapOp struct {
@@ -158,7 +158,7 @@
 			Pace: [2]float64{b.pace.time, b.pace.work}, Tail: snapQuantile(b.tail), Flow: [3]float64{b.flow.done, b.flow.busy, b.flow.at},
 			Distrust: [2]float64{b.distrust.sum, b.distrust.at}, SpentAt: slices.Clone(b.recent.at), Spent: slices.Clone(b.recent.amount),
 			Waits: [3]float64{b.waits.sum, b.waits.count, b.waits.at}, Cores: b.cores,
-			Met: [2]float64{b.met.wait, b.met.at}, Banned: b.banned, Back: b.back}
+			Met: [2]float64{b.met.wait, b.met.at}, Banned: b.banned, Back: b.back, OutAt: b.outAt}
 		for _, p := range b.out {
 			if !whole {
 				break
@@ -264,7 +264,7 @@
 			pass: x.Pass, pace: pace{x.Pace[0], x.Pace[1]}, tail: quantile{x.Tail.Value, x.Tail.Seen}, flow: flow{x.Flow[0], x.Flow[1], x.Flow[2]},
 			distrust: fader{x.Distrust[0], x.Distrust[1]}, recent: spend{slices.Clone(x.SpentAt), slices.Clone(x.Spent)},
 			waits: recent{x.Waits[0], x.Waits[1], x.Waits[2]}, cores: x.Cores,
-			met: met{x.Met[0], x.Met[1]}, banned: x.Banned, back: x.Back})
+			met: met{x.Met[0], x.Met[1]}, banned: x.Banned, back: x.Back, outAt: x.OutAt})
 	}
 	for _, x := range s.Ops {
 		if x.Category < 0 || x.Category >= len(t.Categories) || x.Stage < 0 || x.Stage > int(ended) {
--- a/balance/types.go
+++ b/balance/types.go
@@ -106,7 +106,8 @@
 	recent    spend   // work sent in the last window, for the time when it may be cold
 	known     bool    // the node has it among its backends
 	banned    bool    // taken out by hand
-	back      float64 // when it was last put back by hand
+	outAt     float64 // when last
+	back      float64 // when it was put back, where nothing else tells of its restart
 }
 
 // take and drop keep count of what is out there; one dropped before it ends is not counted twice.
