--- a/balance/balance.go
+++ b/balance/balance.go
@@ -454,8 +454,8 @@
 }
 
 // holdTime is the time an op would be held behind what is held already, at the rate at which its zone lately
-// does this node's work, or others where it has none and the op may cross. Its own work counts only where others
-// are held: heavy ops are no cause for nacks.
+// does this node's work, or all zones where it may cross. Its own work counts only where others are held: heavy
+// ops are no cause for nacks.
 func (n *Node) holdTime(op *Op, cross bool) float64 {
 	rate, ahead := n.rate(cross), 0.0
 	for _, o := range n.held {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1143,8 +1143,8 @@
 	assert.Equal(t, "dead:once", d.pull())
 }
 
-// Where none of its zone's backends can be used, by the list or by hand, what may cross waits for room at the others; what
-// is not worth the way is nacked at once.
+// Where none of its zone's backends can be used, by the list or by hand, or hardly any, what may cross waits for room at the
+// others; what is not worth the way is nacked at once.
 func TestHeldForAnotherZone(t *testing.T) {
 	terms := plain()
 	terms.CrossPrice, terms.ByWork = 0.06, true
@@ -1172,9 +1172,10 @@
 	}
 	assert.Equal(t, "push:worth", d.pull())
 
-	d.list(Ready, 0, d.backends[0]) // its own zone is back
-	d.backends[0].most = 1
-	d.busy(d.backends[0])
-	d.busy(d.backends[0])
-	assert.Equal(t, d.node.rate(false), d.node.rate(true))
+	// Its own zone is back, with one backend that answers next to nothing: what may cross does not wait for that one.
+	d.list(Ready, 0, d.backends[0])
+	d.node.held = append(d.node.held, worth)
+	d.backends[0].flow = flow{done: 1, busy: 1e6, at: d.now}
+	may, mayNot := d.node.holdTime(worth, true), d.node.holdTime(worth, false)
+	assert.Less(t, 5*may, mayNot)
 }
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -329,20 +329,12 @@
 	return 1
 }
 
-// rate is the work that the backends of this node's zone lately did for it over time, or all where none of them can.
-func (n *Node) rate(all bool) (near float64) {
-	far := 0.0
+// rate is the work that the backends of this node's zone lately did for it over time, or those of all zones.
+func (n *Node) rate(all bool) (rate float64) {
 	for _, b := range n.backends {
-		switch {
-		case b.State != Ready || n.distrust(b) >= shunAt:
-		case n.isNear(b):
-			near += n.drain(b)
-		default:
-			far += n.drain(b)
+		if (all || n.isNear(b)) && b.State == Ready && n.distrust(b) < shunAt {
+			rate += n.drain(b)
 		}
 	}
-	if near == 0 && all {
-		return far
-	}
-	return near
+	return rate
 }
