--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -201,12 +201,15 @@
 	f.succeeded.Store(true)
 	f.leaving.Store(true)
 	f.draining.Store(true)
-	if err := steerAway(f.listener.TCPListener); err != nil {
-		f.log.Warn("new connections are not steered to the next process", "error", err)
-	}
-	f.listener.drain()
+	listeners := []*listener{f.listener}
 	if f.secure != nil {
-		f.secure.inner.drain()
+		listeners = append(listeners, f.secure.inner)
+	}
+	for _, l := range listeners {
+		if err := steerAway(l.TCPListener); err != nil {
+			f.log.Warn("new connections are not steered to the next process", "error", err)
+		}
+		l.drain()
 	}
 	begun, tick := time.Now(), time.NewTicker(awayTick)
 	defer tick.Stop()
--- a/internal/serve/pair.go
+++ b/internal/serve/pair.go
@@ -49,7 +49,7 @@
 	closed bool
 }
 
-// path is where the node's processes meet: a directory that both have to themselves.
+// handoverPath is where the node's processes meet: a directory that both have to themselves.
 func handoverPath(p *Place, log *slog.Logger) string {
 	dir := os.Getenv("TMPDIR")
 	if p.control == "" || dir == "" || strings.HasSuffix(p.listen, ":0") {
@@ -86,7 +86,7 @@
 	p.mu.Lock()
 	p.before = link
 	p.mu.Unlock()
-	p.budget.Limit(p.limit - int(olderShare*float64(p.limit)))
+	p.budget.Limit(p.limit - int(olderShare*float64(p.limit)) - console.Descriptors) // the other has a second address, too
 	p.remember(2)
 	if !reflect.DeepEqual(s.Zones, p.place.names.Zones) || !reflect.DeepEqual(s.Kinds, p.place.names.Kinds) {
 		p.log.Warn("what the process before has learned is of other zones or kinds and not taken")
@@ -208,7 +208,7 @@
 	for {
 		used := p.budget.Used() + onTheWay
 		p.budget.Limit(used)
-		to.Using(used)
+		to.Using(used + console.Descriptors)
 		select {
 		case <-ctx.Done():
 			return
