--- a/cmd/pearknot/call_test.go
+++ b/cmd/pearknot/call_test.go
@@ -90,6 +90,9 @@
 		defer answer.Body.Close()
 		return answer.StatusCode == http.StatusOK
 	}
+	slow, err := net.Dial("tcp", w.address) // one that takes its time for a head, and is not idle
+	require.NoError(t, err)
+	defer slow.Close()
 	closed := make(chan time.Time, 1)
 	idle, err := net.Dial("tcp", w.address)
 	require.NoError(t, err)
@@ -116,6 +119,17 @@
 	yes, _ := call("call", second, "quiesce")
 	require.Zero(t, yes)
 	assert.False(t, healthy())
+	_, err = io.WriteString(slow, "GET /api HTTP/1.1\r\nHost: s\r\nX-Trace-Id: slow\r\nX-Qos: check\r\n")
+	require.NoError(t, err)
+	told := make(chan int, 1)
+	time.AfterFunc(1200*time.Millisecond, func() {
+		_, _ = io.WriteString(slow, "X-Expires-In-Ms: 2000\r\n\r\n")
+		status := 0
+		if answer, err := http.ReadResponse(bufio.NewReader(slow), nil); err == nil {
+			status = answer.StatusCode
+		}
+		told <- status
+	})
 	pace := time.NewTicker(20 * time.Millisecond)
 	defer pace.Stop()
 	for k := 0; ; k++ { // in use, it is asked to close with an answer
@@ -127,6 +141,7 @@
 		require.Less(t, time.Since(begun), 3*time.Second)
 		<-pace.C
 	}
+	assert.Equal(t, 200, <-told)
 	assert.Less(t, (<-closed).Sub(begun), 3500*time.Millisecond)
 	require.Eventually(t, func() bool { // what comes later could not be gone in time
 		status, _, _, err := w.ask(fresh(), "GET", fmt.Sprint(time.Now()), "check", "2000")
--- a/internal/front/away.go
+++ b/internal/front/away.go
@@ -81,9 +81,9 @@
 		f.away.step(stop, time.Since(since))
 		switch passed := time.Since(since); {
 		case passed >= awayLast:
-			f.shed(awayTick)
+			f.shed(awayTick, false)
 		case passed >= awayHeard:
-			f.shed(awayIdle)
+			f.shed(awayIdle, false)
 		}
 	}
 }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -93,6 +93,13 @@
 	return n, err
 }
 
+// within tells whether a part of an op has come: net/http says so only once its head is whole, which may take seconds.
+func (c *client) within() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.framing.stage != between
+}
+
 // unclear tells why what was read can't be taken for one op with nothing around it.
 func (c *client) unclear() string {
 	c.mu.Lock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -181,7 +181,7 @@
 		}
 	}
 	f.draining.Store(true)
-	f.shed(0) // while those who come back still find the listener
+	f.shed(0, false) // while those who come back still find the listener
 	time.Sleep(quiet)
 	f.listener.drain()
 	if f.secure != nil {
@@ -218,7 +218,7 @@
 		if time.Since(begun) > awayLast {
 			idle = awayTick
 		}
-		f.shed(idle)
+		f.shed(idle, false)
 		select {
 		case <-tick.C:
 			continue
@@ -226,7 +226,7 @@
 		}
 		break
 	}
-	f.shed(0)
+	f.shed(0, true)
 	_ = f.server.Shutdown(ctx)
 	return f.open.Load()
 }
@@ -251,17 +251,18 @@
 // Shed closes clients' connections that have had no op for a while; what crosses that a client sends again on
 // another.
 func (f *Front) Shed() {
-	f.shed(idleAtLeast)
+	f.shed(idleAtLeast, true)
 	if f.secure != nil {
 		f.secure.shed(silentAtLeast)
 	}
 }
 
-func (f *Front) shed(idle time.Duration) {
+// shed closes connections that have had no op for so long, those with a part of one only where that is meant as well.
+func (f *Front) shed(idle time.Duration, parts bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c, since := range f.between {
-		if time.Since(since) >= idle {
+		if time.Since(since) >= idle && (parts || !c.(*client).within()) {
 			_ = c.Close()
 			delete(f.between, c)
 		}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -216,8 +216,10 @@
 	var unanswered int64
 	if next := both.succeeded(); next != nil {
 		log.Info("handing over to the next process")
-		go both.giveBack(last, next)
-		unanswered = f.HandOver(last)
+		whole, cancel := context.WithTimeout(over, clock.Span(left+margin*2/3)) // what streams has all the time there is
+		defer cancel()
+		go both.giveBack(whole, next)
+		unanswered = f.HandOver(whole)
 	} else {
 		unanswered = f.Drain(last, clock.Span(left-lastOps))
 	}
