Reading through: one place clears a body's read limit, no parameter that never differs

slowBody clears the limit at a body's end, so decode's own clearing was done twice on each op's path; head took a time that was always the same; TestUpgrades waited by a bare sleep and now waits for further ops.

--- a/cmd/pearknot/upgrade_test.go
+++ b/cmd/pearknot/upgrade_test.go
@@ -186,7 +186,7 @@
 	r.settled(200)
 	status, said := call("call", now.second, "cordon", "s-2")
 	require.Zero(t, status, said)
-	time.Sleep(50 * time.Millisecond) // what was on its way there
+	r.settled(100) // what was on its way there
 	out := r.backends[1].Load()
 	for range 3 {
 		next := r.launch(true)
--- a/internal/front/decode.go
+++ b/internal/front/decode.go
@@ -110,9 +110,6 @@
 	if len(body) > upstream.MostHeld {
 		rest = &upstream.Rest{Size: r.ContentLength, TTL: clock.Span(least - onTheWay), From: slow}
 		least += longestBody
-	} else {
-		// The limit on reading must not end the watch for a client that leaves.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
 	now := f.clock.Now()
 	repeat, tenant := r.Header.Get(repeatHeader) == "1", tenant(told, r)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -401,16 +401,16 @@
 }
 
 func (f *Front) write(w http.ResponseWriter, c *client, status int, body []byte) {
-	f.head(w, c, status, int64(len(body)), writeWithin)
+	f.head(w, c, status, int64(len(body)))
 	_, _ = w.Write(body) // a client that is gone is no fault
 }
 
 // head writes an answer's head; its body's size below 0 is not known.
-func (f *Front) head(w http.ResponseWriter, c *client, status int, size int64, within time.Duration) {
+func (f *Front) head(w http.ResponseWriter, c *client, status int, size int64) {
 	if c.answering() || f.draining.Load() || f.away.closing.Load() || f.budget.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(within))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWithin))
 	if size >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
 	}
@@ -421,7 +421,7 @@
 // which may be slow but must not stop. What the backend does not finish is broken off, so that the client can tell.
 func (f *Front) stream(w http.ResponseWriter, c *client, reply *upstream.Reply) {
 	to := http.NewResponseController(w)
-	f.head(w, c, http.StatusOK, reply.More.Size, writeWithin)
+	f.head(w, c, http.StatusOK, reply.More.Size)
 	part, buffer := reply.Body, make([]byte, streamed)
 	reply.Body = nil
 	for {
