Order for a key: ops of a category that keeps order run one at a time, as taken

Cause: nothing in the module knew of keys, so two ops of one key that a node took were out together, and a key was used again 5 to 110 ms after a push had ended without proof.

Change: the adapter passes on categories[].keepOrder, rules.settleAfterDoubt, rules.removalNotBinding, warmKeys, the connection's price, the node's number, and the op's key; internal/terms checks them, and left out they change nothing. Who waits is ended at once where those before it are foreseen to take too long, else when it could no longer be in time. The table holds no more keys than ops are open and rests run.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,6 +34,7 @@
 	mixPrior     = 8.0     // ops in the quotas' mix that count beside those seen
 	lotShare     = 0.3     // of the cold budget, on average, goes by lots; chance may bring three times that
 	lotMost      = 1. / 16 // of it that one lot may be, so that many must win at once to push a backend over
+	clockHair    = 1e-3    // ms; a clock may be rounded by as much
 	coldSafety   = 0.6     // share of the cold budget used; hints are rough, connections cost work too
 )
 
@@ -72,8 +73,9 @@
 	tracked  bool           // changes of the list come by themselves
 	askAt    float64        // when the list is asked for where they don't
 	failures int
-	of       int     // processes that this node was made up of
-	whole    float64 // from when it is one again
+	lines    map[uint64]*line // of the keys of ops in categories that keep order
+	of       int              // processes that this node was made up of
+	whole    float64          // from when it is one again
 
 	Asked func(op *Op, b *Backend, r Reason) // is told of each backend looked at; nil but where it is explained
 }
@@ -81,7 +83,7 @@
 // New starts a node; now is the host's clock.
 func New(t *Terms, now float64) *Node {
 	n := &Node{t: t, now: now, rng: newMWC(t.Seed), armed: math.Inf(1), sweepAt: now, weight: 1,
-		extra: extraMost / 2, window: math.Inf(1), askAt: math.Inf(1)}
+		extra: extraMost / 2, window: math.Inf(1), askAt: math.Inf(1), lines: map[uint64]*line{}}
 	n.weigh()
 	if t.MustAsk {
 		// Nodes restarted together must not call the list's one service together.
@@ -197,6 +199,9 @@
 	n.value.add(n.benefit(op))
 	n.work.add(op.work)
 	n.extra = math.Min(n.extra+extraShare, extraMost)
+	if c.KeepOrder && op.Key != 0 {
+		n.queue(op)
+	}
 	n.want(op)
 }
 
@@ -259,6 +264,10 @@
 		b.lingers = math.Max(b.lingers, now+op.work*n.paceOf(b))
 	}
 	n.idle = true
+	if op.line != nil && (how == TimedOut || how == Reset || how == Revoked) { // it may run on: the key's next waits
+		op.line.rest = math.Max(op.line.rest, now+op.Under.SettleAfterDoubt+clockHair)
+	}
+	n.unqueue(op)
 	if finished {
 		n.end(op)
 	} else if op.stage == pushed && op.out() == 0 {
@@ -284,7 +293,7 @@
 func (n *Node) Due(now float64) {
 	n.now = now
 	// A clock rounded to a hair before the time asked for counts: else no timer would ever be set again.
-	if now >= n.armed-1e-3 {
+	if now >= n.armed-clockHair {
 		n.armed = math.Inf(1)
 	}
 }
@@ -348,6 +357,8 @@
 func (n *Node) decide(op *Op) {
 	switch {
 	case op.stage == ended || op.stage == streaming || op.out() > 0:
+	case !n.hasTurn(op):
+		n.await(op)
 	case op.stage == pushed:
 		n.again(op)
 	case !n.place(op):
@@ -355,6 +366,29 @@
 	}
 }
 
+// hasTurn tells whether no earlier op of its key is open or out, nor, before its own first push, the key at rest.
+func (n *Node) hasTurn(op *Op) bool {
+	return op.line == nil || op.line.ops[0] == op && (len(op.Pushes) > 0 || n.now >= op.line.rest)
+}
+
+// await keeps an op until its turn among those of its key comes, which calls it up, or ends it out of turn: at once where
+// those before it are foreseen to take too long, else when it could no longer be in time.
+func (n *Node) await(op *Op) {
+	alone := op.work * n.paceOf(nil)
+	wait := math.Max(0, op.line.rest-n.now)
+	for _, o := range op.line.ops[:slices.Index(op.line.ops, op)] {
+		wait += o.work*n.paceOf(nil) + n.wait(n.t.Zone)
+		if len(o.Pushes) > 0 {
+			wait = math.Max(wait-n.now+o.Pushes[0].SentAt, 0)
+		}
+	}
+	if last := n.left(op) - alone; wait > last {
+		n.giveUp(op)
+	} else {
+		n.at(due{at: n.now + last, op: op})
+	}
+}
+
 // place sends an op on the ordinary path, if a backend has room for it.
 func (n *Node) place(op *Op) bool {
 	if op.long {
@@ -496,6 +530,10 @@
 
 func (n *Node) fallDue(d due) {
 	switch {
+	case d.line != nil:
+		n.turn(d.line)
+	case d.op != nil && d.op.stage == fresh:
+		n.giveUp(d.op) // its turn has not come in time
 	case d.op != nil && d.op.stage == held: // the late send: the backend with fewest own in flight
 		n.unhold(d.op)
 		if b := n.fewest(d.op); b == nil || !n.send(d.op, b) {
@@ -855,7 +893,7 @@
 	n.idle = true
 }
 
-// gate is the one that every push passes; it holds all four rules and tells by which a push may not go out.
+// gate is the one that every push passes; it holds all the rules and tells by which a push may not go out.
 func (n *Node) gate(op *Op, b *Backend) Reason {
 	switch {
 	case op.stage == ended || op.stage == streaming || op.GiveUp <= n.now || len(op.Pushes) >= op.most():
@@ -864,6 +902,8 @@
 		return NotReady
 	case op.out() > 0 && !op.Under.SecondCopies && !op.calledOff:
 		return OneCopy
+	case !n.hasTurn(op):
+		return OutOfTurn
 	}
 	if p := op.mayHaveRun(); p != nil {
 		switch first := p.Backend; {
@@ -973,4 +1013,5 @@
 		}
 	}
 	op.stage = ended
+	n.unqueue(op)
 }
--- a/balance/explain.go
+++ b/balance/explain.go
@@ -17,11 +17,13 @@
 	MayHaveRun               // rule 2: an earlier push may have run, and the category does not allow another there
 	NotReady                 // rule 3: it drains or is gone
 	ColdBudget               // rule 4: this node's part of its cold budget is spent
+	OutOfTurn                // rule 5: an earlier op of its key is not over, or the key rests
 	Held                     // of no backend: the op waits for one
 )
 
 var reasons = [...]string{"open", "tried before", "shunned", "full", "busy", "cold", "too dear a way", "hopeless", "op over (rule 1)",
-	"one copy", "may have run (rule 2)", "not ready (rule 3)", "cold budget (rule 4)", "held"}
+	"one copy", "may have run (rule 2)", "not ready (rule 3)", "cold budget (rule 4)",
+	"out of turn (rule 5)", "held"}
 
 func (r Reason) String() string { return reasons[r] }
 
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -223,6 +223,7 @@
 	seq  uint64
 	op   *Op   // a held op's late send
 	push *Push // a push's patience
+	line *line // a key's rest is over
 }
 
 type dues []due
--- a/balance/snapshot.go
+++ b/balance/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -35,6 +36,7 @@
 	Due                                                                    []SnapDue
 	Of                                                                     int
 	Whole                                                                  float64
+	Lines                                                                  []SnapLine
 }
 
 // SnapQuantile, SnapMean and the others below are parts of a Snapshot.
@@ -76,6 +78,7 @@
 	Pushes                      []SnapPush
 	Excess                      float64
 	Streamed                    bool
+	Key                         uint64
 }
 
 type SnapPush struct {
@@ -92,6 +95,14 @@
 	Seq  uint64
 	Op   int // -1 is none
 	Push int // -1 is none
+	Line int // from 1, 0 is none
+}
+
+// SnapLine is a key's ops that are not over, in their order, and until when the key rests.
+type SnapLine struct {
+	Key  uint64
+	Rest float64
+	Ops  []int
 }
 
 // Snapshot takes the node's state at a batch's end. The host names all ops that are not over, and all backends that it
@@ -180,7 +191,7 @@
 	}
 	for _, o := range ops {
 		x := SnapOp{Ref: o.Ref, Category: o.Category, Tenant: o.Tenant, Hint: o.Hint, Arrived: o.Arrived, GiveUp: o.GiveUp, Work: o.work,
-			Estimate: o.estimate, HasHint: o.HasHint, Repeat: o.Repeat, Long: o.long, Excess: o.excess, Streamed: o.Streamed, Stage: int(o.stage)}
+			Estimate: o.estimate, HasHint: o.HasHint, Repeat: o.Repeat, Long: o.long, Excess: o.excess, Streamed: o.Streamed, Stage: int(o.stage), Key: o.Key}
 		for _, p := range o.Pushes {
 			at, named := backendAt[p.Backend]
 			if !named {
@@ -191,7 +202,29 @@
 		}
 		s.Ops = append(s.Ops, x)
 	}
-	if !whole {
+	lineAt := map[*line]int{}
+	for _, key := range slices.Sorted(maps.Keys(n.lines)) {
+		l := n.lines[key]
+		x := SnapLine{Key: key, Rest: l.rest}
+		for _, o := range l.ops {
+			if !whole {
+				break
+			}
+			at, named := opAt[o]
+			if !named {
+				return nil, fmt.Errorf("snapshot: op %d in the line of its key was not named by the host", o.Ref)
+			}
+			x.Ops = append(x.Ops, at)
+		}
+		if whole || l.rest > n.now {
+			s.Lines = append(s.Lines, x)
+			lineAt[l] = len(s.Lines)
+		}
+	}
+	if !whole { // rests go over: what may still run there is out of the other process's sight
+		for i, l := range s.Lines {
+			s.Due = append(s.Due, SnapDue{At: l.Rest, Op: -1, Push: -1, Line: i + 1})
+		}
 		return s, nil
 	}
 	for _, o := range n.held {
@@ -202,7 +235,7 @@
 		s.Held = append(s.Held, at)
 	}
 	for _, d := range n.due {
-		x := SnapDue{At: d.at, Seq: d.seq, Op: -1, Push: -1}
+		x := SnapDue{At: d.at, Seq: d.seq, Op: -1, Push: -1, Line: lineAt[d.line]}
 		switch {
 		case d.op != nil && !d.op.Over():
 			if at, named := opAt[d.op]; named {
@@ -271,7 +304,7 @@
 			return nil, nil, nil, errors.New("snapshot of an odd op")
 		}
 		o := &Op{Under: t, Ref: x.Ref, Category: x.Category, Tenant: x.Tenant, Hint: x.Hint, HasHint: x.HasHint, Repeat: x.Repeat, Arrived: x.Arrived,
-			GiveUp: x.GiveUp, cat: &t.Categories[x.Category], work: x.Work, long: x.Long, estimate: x.Estimate, excess: x.Excess, Streamed: x.Streamed, stage: stage(x.Stage)}
+			GiveUp: x.GiveUp, Key: x.Key, cat: &t.Categories[x.Category], work: x.Work, long: x.Long, estimate: x.Estimate, excess: x.Excess, Streamed: x.Streamed, stage: stage(x.Stage)}
 		for k, p := range x.Pushes {
 			if p.Backend < 0 || p.Backend >= len(backends) {
 				return nil, nil, nil, errors.New("snapshot of a push to nowhere")
@@ -286,6 +319,18 @@
 			n.abroad += p.counted()
 		}
 	}
+	var lines []*line
+	for _, x := range s.Lines {
+		l := &line{key: x.Key, rest: x.Rest}
+		for _, at := range x.Ops {
+			if at < 0 || at >= len(ops) || ops[at].line != nil {
+				return nil, nil, nil, errors.New("snapshot of an odd line")
+			}
+			l.ops, ops[at].line = append(l.ops, ops[at]), l
+		}
+		lines = append(lines, l)
+		n.lines[x.Key] = l
+	}
 	push := func(op, number int) (*Push, error) {
 		if op < 0 || op >= len(ops) || number < 0 || number >= len(ops[op].Pushes) {
 			return nil, errors.New("snapshot names a push that it has not")
@@ -316,8 +361,10 @@
 	for _, x := range s.Due {
 		d := due{at: x.At, seq: x.Seq}
 		switch {
-		case math.IsNaN(x.At) || x.Op >= len(ops):
+		case math.IsNaN(x.At) || x.Op >= len(ops) || x.Line < 0 || x.Line > len(lines):
 			return nil, nil, nil, errors.New("snapshot of an odd due time")
+		case x.Line > 0:
+			d.line = lines[x.Line-1]
 		case x.Op >= 0 && x.Push >= 0:
 			if d.push, err = push(x.Op, x.Push); err != nil {
 				return nil, nil, nil, err
--- a/balance/types.go
+++ b/balance/types.go
@@ -31,6 +31,7 @@
 	TargetLatency float64
 	Benefit       float64
 	LateBenefit   float64 // share of the benefit left after the target latency
+	KeepOrder     bool    // its ops with one key run one at a time, as this node took them
 
 	work     mean    // of the hints
 	patience float64 // share of an op's time left that it may wait behind others
@@ -48,6 +49,7 @@
 	Seed          uint64
 	Zone          int
 	Nodes         int
+	Number        int // of this one among the nodes, from 0
 	Categories    []Category
 	Tenants       []Tenant
 	ExcessBenefit float64
@@ -66,6 +68,11 @@
 	WarmWithin   float64
 	FallMultiple float64
 	OverloadFor  float64
+
+	SettleAfterDoubt  float64 // a key rests so long after a push that may still run
+	RemovalNotBinding bool    // gone, or missing from the list, without draining is a hint and no order
+	WarmKeys          bool    // a backend that met a key lately has less work with it
+	ConnectionPrice   float64 // of open connections; above 0 backends take few of them
 }
 
 // State is what the list says of a backend.
@@ -186,6 +193,7 @@
 	Hint     float64
 	HasHint  bool
 	Repeat   bool
+	Key      uint64 // what it is about; 0 is none
 	Arrived  float64
 	GiveUp   float64 // clock time at which the client gives up on this try
 	Pushes   []*Push
@@ -199,7 +207,8 @@
 	excess    float64 // how likely it is beyond its tenant's share
 	stage     stage
 	queued    bool
-	calledOff bool // a look at where it could go once its push has ended
+	line      *line // of its key, where its category keeps order, until it is over
+	calledOff bool  // a look at where it could go once its push has ended
 }
 
 // Over tells whether the op has ended and nothing of it is out, so that the host may forget it.
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -67,6 +67,7 @@
 	Tenant   int
 	Hint     float64
 	GiveUp   float64
+	Key      uint64 // what an op is about, as it is: decisions follow from it
 	Count    uint64
 	Lines    []Line
 	Data     []byte   // of Begin and Snapshot, a Start as JSON; a log line of Pulled
@@ -114,7 +115,7 @@
 	fieldFlags
 	fieldCategory
 	fieldTenant
-	_ // what an op was about, in earlier builds
+	fieldKey
 	fieldHint
 	fieldGiveUp
 	fieldCount
@@ -150,6 +151,7 @@
 	number(fieldFlags, r.Flags)
 	number(fieldCategory, uint64(r.Category))
 	number(fieldTenant, uint64(r.Tenant))
+	number(fieldKey, r.Key)
 	float(fieldHint, r.Hint)
 	float(fieldGiveUp, r.GiveUp)
 	number(fieldCount, r.Count)
@@ -269,6 +271,8 @@
 			r.Category = small(x)
 		case fieldTenant:
 			r.Tenant = small(x)
+		case fieldKey:
+			r.Key = x
 		case fieldHint:
 			r.Hint = math.Float64frombits(x)
 		case fieldGiveUp:
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -155,7 +155,7 @@
 	r.lastOp++
 	r.ops[op] = r.lastOp
 	x := Record{Kind: Arrived, Now: now, Op: r.lastOp, Ref: r.hashed(op.Ref), Category: op.Category, Tenant: op.Tenant, Hint: op.Hint,
-		GiveUp: op.GiveUp}
+		GiveUp: op.GiveUp, Key: op.Key}
 	if op.HasHint {
 		x.Flags |= flagHint
 	}
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -253,7 +253,7 @@
 		r.node.ListFailed(x.Now)
 	case Arrived:
 		op = &balance.Op{Ref: x.Ref, Category: x.Category, Tenant: x.Tenant, Hint: x.Hint, HasHint: x.Flags&flagHint != 0,
-			Repeat: x.Flags&flagRepeat != 0, Streamed: x.Flags&flagStreamed != 0, GiveUp: x.GiveUp}
+			Repeat: x.Flags&flagRepeat != 0, Streamed: x.Flags&flagStreamed != 0, GiveUp: x.GiveUp, Key: x.Key}
 		if op.Under = r.terms; x.Flags&flagEarlier != 0 && r.before != nil {
 			op.Under = r.before
 		}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -224,7 +224,7 @@
 		marks := r.u16()
 		op.HasHint, op.Repeat = marks&1 != 0, marks&2 != 0
 		op.Hint, op.GiveUp = r.f64(), r.time()
-		r.u64() // what it is about, which nothing goes by
+		op.Key = r.u64()
 		op.Category, op.Tenant = int(r.u8()), int(r.u16())
 		if r.err == nil && i != nil && op.Category >= i.categories {
 			r.fail("category %d of %d", op.Category, i.categories)
--- a/internal/terms/shape.go
+++ b/internal/terms/shape.go
@@ -7,7 +7,8 @@
 type Shape int
 
 const (
-	// Pool is a bank of nodes that all clients reach; an op may have a second copy out, and there may be several zones.
+	// Pool is a bank of nodes that all clients reach; there may be several zones, and an op may have a second copy out where
+	// the settings say so.
 	Pool Shape = iota
 	// Beside is a node beside each client process: one push of an op at a time, one zone, no price of crossing.
 	Beside
@@ -30,7 +31,7 @@
 		}
 	}
 	switch {
-	case s == Pool && !d.Terms.SecondCopies, s == Beside && d.Terms.SecondCopies:
+	case s == Beside && d.Terms.SecondCopies:
 		mixed("bounds.secondCopies", fmt.Sprint(d.Terms.SecondCopies))
 	case s == Beside && len(d.Zones) != 1:
 		mixed("zones", fmt.Sprint(d.Zones))
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -153,6 +153,7 @@
 	t := &balance.Terms{
 		Zone:          int(p.number("az")),
 		Nodes:         int(p.within(1, mostNodes)("balancers")),
+		Number:        int(optional(p, "me", p.within(0, mostNodes), 0)),
 		ByWork:        p.text("benefitBy") == "work",
 		ExcessBenefit: optional(p, "excessBenefit", p.within(0, 1), 1),
 		CrossPrice:    optional(p, "prices.crossZone", p.number, 0),
@@ -167,6 +168,11 @@
 		WarmWithin:    p.number("rules.warmWithin"),
 		FallMultiple:  p.number("rules.fallMultiple"),
 		OverloadFor:   p.number("rules.overloadFor"),
+
+		SettleAfterDoubt:  optional(p, "rules.settleAfterDoubt", p.within(0, math.MaxFloat64), 0),
+		RemovalNotBinding: optional(p, "rules.removalNotBinding", p.flag, false),
+		WarmKeys:          optional(p, "familyInfo.warmKeys", p.flag, false),
+		ConnectionPrice:   optional(p, "prices.connection", p.within(0, math.MaxFloat64), 0),
 	}
 	d := &Deployment{
 		Terms:          t,
@@ -186,6 +192,7 @@
 			TargetLatency: p.above(at + "targetLatency"),
 			Benefit:       p.number(at + "benefit"),
 			LateBenefit:   optional(p, at+"overdueBenefit", p.within(0, 1), 0),
+			KeepOrder:     optional(p, at+"keepOrder", p.flag, false),
 		})
 		d.Categories = append(d.Categories, p.values[at+"name"])
 		d.LongestTTL = max(d.LongestTTL, p.above(at+"ttl"))
