A list that takes away more than half of the fleet without a drain is doubted

Change: judge counts what went without a drain among all that the list lately had; where it is more than half, serves lets those on, and a few failed connects shun each one that is really gone. A backend that drained and then went stays out, and less than half (a rack, a plain crash) is believed. What it remembers for that it lets go of after 60 s. The list's return is no restart: only a newer start time is. It covers an old or halved list as well; it would harm where over half of a fleet is really taken away without a drain, by up to a few refused connects a backend in each node. On sockets the connections to such a backend stay while the module remembers it. A refused connect is no longer taken for a full queue: it made waits of the whole target believed everywhere, which nacked ops while backends stood idle.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -65,6 +65,7 @@
 	paces    paces          // of all backends and by kind of machine
 	doubt    float64        // what distrust three in four backends show; a backend is judged against it
 	weight   float64        // mean weight of the ready backends
+	doubted  bool           // the list has taken away more than can have gone
 	crowd    crowd          // how long pushes lately waited, by zone
 	abroad   int            // pushes out in all
 	window   float64        // how many may be out in all
@@ -129,7 +130,7 @@
 	}
 	if full {
 		for _, b := range n.backends {
-			b.State = Gone
+			b.leave(now)
 		}
 	}
 	for _, l := range lines {
@@ -152,10 +153,14 @@
 		if l.Started > b.Started || back { // a new process: what was learned of the old one's state is void
 			b.flow, b.most, b.distrust, b.lingers, b.restUntil = flow{}, 1+n.part(mostFirst), fader{}, 0, 0
 		}
+		if l.State == Gone {
+			b.leave(now)
+		}
 		b.Zone, b.Cell, b.Kind, b.State, b.Started = l.Zone, l.Cell, l.Kind, l.State, l.Started
 		if b.banned = l.Banned; b.banned { // whatever the list says
 			b.State = min(b.State, Draining)
 		}
+		b.drained = b.State == Draining || b.drained && b.State == Gone
 		b.Weight = l.Weight
 		if !(b.Weight > 0) || math.IsInf(b.Weight, 0) {
 			b.Weight = 1
@@ -164,6 +169,26 @@
 	n.sweep()
 }
 
+// judge tells whether the list is to be doubted, where what it takes away without a drain is a hint: more than half of what
+// it lately had. So much does not go at once, and a fleet that had gone would show: connects fail, and shun each of them.
+func (n *Node) judge() {
+	gone, had := 0, 0
+	for _, b := range n.backends {
+		if !b.drained && (b.State == Ready || n.now-b.goneAt < n.t.rememberFor()) {
+			had++
+			if b.State == Gone {
+				gone++
+			}
+		}
+	}
+	n.doubted = n.t.RemovalNotBinding && 2*gone > had
+}
+
+// serves tells whether a backend may get something: a ready one, and one that has gone while the list is doubted.
+func (n *Node) serves(b *Backend) bool {
+	return b.State == Ready || b.State == Gone && n.doubted && !b.drained && n.now-b.goneAt < n.t.rememberFor()
+}
+
 // ListFailed takes a failed call for the list; the old list still holds.
 func (n *Node) ListFailed(now float64) {
 	n.now, n.tracked = now, false
@@ -241,7 +266,7 @@
 		n.waited(p, elapsed-op.work*n.paceOf(b))
 	case how == TimedOut && !p.overdue && !p.overtaken():
 		n.waited(p, elapsed)
-	case how == Rejected || how == NoConnection: // a queue as long as can be, or the zone is cut off
+	case how == Rejected: // a queue as long as can be
 		n.waited(p, math.Inf(1))
 	}
 	switch how {
@@ -603,7 +628,7 @@
 func (n *Node) inTurn(op *Op, near bool, patience float64) *Backend {
 	out, room := 0.0, 0.0
 	for _, b := range n.backends {
-		if b.State == Ready && n.isNear(b) == near {
+		if n.serves(b) && n.isNear(b) == near {
 			out, room = out+float64(len(b.out)), room+n.size(b)
 		}
 	}
@@ -858,13 +883,14 @@
 
 // sweep is the periodic look at what backends are against their fellows, and lets go of those long gone.
 func (n *Node) sweep() {
-	n.backends = slices.DeleteFunc(n.backends, func(b *Backend) bool { return b.past(n.now, n.t.OverloadFor) })
+	n.backends = slices.DeleteFunc(n.backends, func(b *Backend) bool { return b.past(n.now, n.t) })
+	n.judge()
 	n.stirred = len(n.held) > 0
 	doubts, tails := make([]float64, 0, len(n.backends)), make([]float64, 0, len(n.backends))
 	clear(n.warm)
 	weight := 0.0
 	for _, b := range n.backends {
-		if b.State != Ready {
+		if !n.serves(b) {
 			continue
 		}
 		z := n.warm.of(b.Zone)
@@ -898,7 +924,7 @@
 	switch {
 	case op.stage == ended || op.stage == streaming || op.GiveUp <= n.now || len(op.Pushes) >= op.most():
 		return OpOver
-	case b.State != Ready: // at once on being told: no grace is needed
+	case !n.serves(b): // at once on being told: no grace is needed
 		return NotReady
 	case op.out() > 0 && !op.Under.SecondCopies && !op.calledOff:
 		return OneCopy
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -333,7 +333,7 @@
 // rate is the work that the backends of this node's zone lately did for it over time, or those of all zones.
 func (n *Node) rate(all bool) (rate float64) {
 	for _, b := range n.backends {
-		if (all || n.isNear(b)) && b.State == Ready && n.distrust(b) < shunAt {
+		if (all || n.isNear(b)) && n.serves(b) && n.distrust(b) < shunAt {
 			rate += n.drain(b)
 		}
 	}
--- a/balance/snapshot.go
+++ b/balance/snapshot.go
@@ -37,6 +37,7 @@
 	Of                                                                     int
 	Whole                                                                  float64
 	Lines                                                                  []SnapLine
+	Doubted                                                                bool
 }
 
 // SnapQuantile, SnapMean and the others below are parts of a Snapshot.
@@ -66,6 +67,8 @@
 	Met                                             [2]float64
 	Banned                                          bool
 	Back, OutAt                                     float64
+	GoneAt                                          float64
+	Drained                                         bool
 }
 
 type SnapOp struct {
@@ -143,7 +146,7 @@
 		backendAt[b] = i
 	}
 	s := &Snapshot{Now: n.now, Armed: n.armed, SweepAt: n.sweepAt, Round: n.round, Extra: n.extra, Doubt: n.doubt, Weight: n.weight, AskAt: n.askAt, Window: n.window, Heard: n.heard,
-		Tracked: n.tracked, Stirred: n.stirred, Idle: n.idle, Failures: n.failures, Of: n.of, Whole: n.whole, Seq: n.seq, Chance: [2]uint64{n.rng.x, n.rng.carry},
+		Tracked: n.tracked, Stirred: n.stirred, Idle: n.idle, Failures: n.failures, Of: n.of, Whole: n.whole, Doubted: n.doubted, Seq: n.seq, Chance: [2]uint64{n.rng.x, n.rng.carry},
 		Hints: slices.Clone(n.cutoff.ring), HintNext: n.cutoff.next, Stretch: snapQuantile(n.stretch),
 		Value: SnapMean{n.value.value, n.value.seen}, Work: SnapMean{n.work.value, n.work.seen},
 		Service: SnapMean{n.service.value, n.service.seen}, PaceAll: [2]float64{n.paces.all.time, n.paces.all.work},
@@ -169,7 +172,7 @@
 			Pace: [2]float64{b.pace.time, b.pace.work}, Tail: snapQuantile(b.tail), Flow: [3]float64{b.flow.done, b.flow.busy, b.flow.at},
 			Distrust: [2]float64{b.distrust.sum, b.distrust.at}, SpentAt: slices.Clone(b.recent.at), Spent: slices.Clone(b.recent.amount),
 			Waits: [3]float64{b.waits.sum, b.waits.count, b.waits.at}, Cores: b.cores,
-			Met: [2]float64{b.met.wait, b.met.at}, Banned: b.banned, Back: b.back, OutAt: b.outAt}
+			Met: [2]float64{b.met.wait, b.met.at}, Banned: b.banned, Back: b.back, OutAt: b.outAt, GoneAt: b.goneAt, Drained: b.drained}
 		for _, p := range b.out {
 			if !whole {
 				break
@@ -262,7 +265,7 @@
 	}
 	n = New(t, s.Now)
 	n.armed, n.sweepAt, n.round, n.extra, n.doubt, n.weight, n.askAt = s.Armed, s.SweepAt, s.Round, s.Extra, s.Doubt, s.Weight, s.AskAt
-	n.window, n.heard, n.of, n.whole = s.Window, s.Heard, s.Of, s.Whole
+	n.window, n.heard, n.of, n.whole, n.doubted = s.Window, s.Heard, s.Of, s.Whole, s.Doubted
 	n.tracked, n.stirred, n.idle, n.failures, n.seq = s.Tracked, s.Stirred, s.Idle, s.Failures, s.Seq
 	if s.Chance != [2]uint64{} {
 		n.rng = mwc{s.Chance[0], s.Chance[1]}
@@ -297,7 +300,7 @@
 			pass: x.Pass, pace: pace{x.Pace[0], x.Pace[1]}, tail: quantile{x.Tail.Value, x.Tail.Seen}, flow: flow{x.Flow[0], x.Flow[1], x.Flow[2]},
 			distrust: fader{x.Distrust[0], x.Distrust[1]}, recent: spend{slices.Clone(x.SpentAt), slices.Clone(x.Spent)},
 			waits: recent{x.Waits[0], x.Waits[1], x.Waits[2]}, cores: x.Cores,
-			met: met{x.Met[0], x.Met[1]}, banned: x.Banned, back: x.Back, outAt: x.OutAt})
+			met: met{x.Met[0], x.Met[1]}, banned: x.Banned, back: x.Back, outAt: x.OutAt, goneAt: x.GoneAt, drained: x.Drained})
 	}
 	for _, x := range s.Ops {
 		if x.Category < 0 || x.Category >= len(t.Categories) || x.Stage < 0 || x.Stage > int(ended) {
--- a/balance/types.go
+++ b/balance/types.go
@@ -112,6 +112,8 @@
 	pass      float64 // its place in the rotation
 	recent    spend   // work sent in the last window, for the time when it may be cold
 	known     bool    // the node has it among its backends
+	goneAt    float64 // when the list first said so
+	drained   bool    // it was told to drain, and has not been ready since
 	banned    bool    // taken out by hand
 	outAt     float64 // when last
 	back      float64 // when it was put back, where nothing else tells of its restart
@@ -149,13 +151,32 @@
 	}
 }
 
+// leave takes the word that a backend is gone, by its line or by its missing.
+func (b *Backend) leave(now float64) {
+	if b.State != Gone {
+		b.State, b.goneAt = Gone, now
+	}
+}
+
 // past lets go of a backend that is gone for good: each decision would look at all there ever were. Until its cold
 // budget's window has passed, what it was sent counts, should it come back.
-func (b *Backend) past(now, window float64) bool {
-	b.known = b.State != Gone || len(b.out) > 0 || b.recent.within(now, window) > 0
+func (b *Backend) past(now float64, t *Terms) bool {
+	b.known = b.State != Gone || len(b.out) > 0 || b.recent.within(now, t.OverloadFor) > 0 || now-b.goneAt < t.rememberFor()
 	return !b.known
 }
 
+// goneFor is how long a backend that has gone is remembered where the list may be wrong, in ms: a list that is wrong for
+// longer is repaired by people, and what comes and goes meanwhile does not add up.
+const goneFor = 60e3
+
+// rememberFor is how long a backend is remembered that went without a drain.
+func (t *Terms) rememberFor() float64 {
+	if t.RemovalNotBinding {
+		return goneFor
+	}
+	return 0
+}
+
 // Known tells whether the node keeps the backend; of one that is gone for good the host may let go too.
 func (b *Backend) Known() bool { return b.known }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -293,7 +293,8 @@
 	}
 	n.module.Listed(n.now, lines, list.Whole, cached)
 	for name, b := range n.backends {
-		if b.peer == nil && !b.Known() {
+		if !b.Known() && b.member.State == balance.Gone {
+			n.close(b)
 			delete(n.backends, name)
 			delete(n.behind, b.Backend)
 			if f, ok := n.module.(follower); ok {
@@ -316,7 +317,8 @@
 		Started: m.Started, Banned: n.names.banned[m.Name]}
 }
 
-// tell passes an entry on to the backend's actor, which lives while the list names the backend.
+// tell passes an entry on to the backend's actor, which lives while the list names the backend, or, where a list that does
+// not is no proof, while the module remembers it. By then the module still has the state before.
 func (n *Node) tell(b *backend, m members.Member) {
 	b.member = m
 	switch {
@@ -325,7 +327,14 @@
 			b.peer = upstream.NewPeer(m.Name, n.peers)
 		}
 		b.peer.Tell(m.Address, m.State == balance.Ready && !n.names.banned[m.Name])
-	case b.peer != nil:
+	case b.peer != nil && (b.State == balance.Draining || !n.told.Terms.RemovalNotBinding):
+		n.close(b)
+	}
+}
+
+// close ends a backend's actor.
+func (n *Node) close(b *backend) {
+	if b.peer != nil {
 		b.peer.Close()
 		b.peer = nil
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -118,6 +118,24 @@
 	assert.Equal(t, []int{1, 1}, <-left)
 }
 
+// Where a list is no proof, a backend that it no longer names keeps its connections until the module has forgotten it; one
+// that drained does not.
+func TestAListThatIsNoProofClosesNothing(t *testing.T) {
+	n, _ := start(t, "127.0.0.1:1")
+	n.box.Put(func() { n.told.Terms.RemovalNotBinding = true })
+	drained := members.Member{Name: "drained", Address: "127.0.0.1:1", State: balance.Ready, Weight: 1}
+	n.Listed(&members.List{Members: []members.Member{drained}})
+	drained.State = balance.Draining
+	n.Listed(&members.List{Members: []members.Member{drained}})
+	n.Listed(&members.List{Whole: true})
+	kept := make(chan []bool)
+	n.box.Put(func() {
+		d := n.backends["drained"]
+		kept <- []bool{n.backends["s"].peer != nil, d != nil && d.peer != nil}
+	})
+	assert.Equal(t, []bool{true, false}, <-kept)
+}
+
 type quiet struct {
 	address string
 	got     chan net.Conn
