Each node connects to a part of the fleet where connections have a price; shorter queues

Change: where connections have a price, allot gives each node four backends of its own zone and two beyond by its number on a ring (even without agreement; in half of the numbers too); who is shunned or refuses is replaced by the next, and asked again after 1, 2, 4, 8 s. An open connection is worth a sixteenth of an op's time. Pushes by all nodes that are never too many: 3 a backend, were 10. Patience by benefit from 0.1 to 0.4 of the time, was 0.7, and bounded by the target of a category of the same benefit too. Four samples of the usual beside a zone's waits, were two: one rejection met by a new node nacked the next op. Ops held and rate in a report give that backend's queue. It covers squeezed connections as well; it would harm where a node's four are all slow but not shunned.

Estimates moved to measure.go.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,7 +24,7 @@
 	slot         = 4e3     // ms; long enough to see a few answers, short enough to try all in half a minute
 	leastFar     = 0.2     // share of the far backends that a node uses at a time at least
 	mostFirst    = 3.0     // pushes queued on a backend of which nothing is known, by all nodes together
-	leastOut     = 10.0    // pushes on each backend by all nodes together that are not too many for any
+	leastOut     = 3.0     // pushes on each backend by all nodes together that are not too many for any
 	paceKnown    = 3.0     // mean ops' work that counts as the kind's against a backend's own pace
 	blemish      = 0.6     // distrust from which one gets nothing that can't be sent again: an error lately
 	shunAt       = 2.0     // distrust from which a backend gets no traffic: two clear failures in a row
@@ -34,6 +34,10 @@
 	mixPrior     = 8.0     // ops in the quotas' mix that count beside those seen
 	lotShare     = 0.3     // of the cold budget, on average, goes by lots; chance may bring three times that
 	lotMost      = 1. / 16 // of it that one lot may be, so that many must win at once to push a backend over
+	ownNear      = 4       // backends to connect to: what comes to a node is seen often at each, and tables stay half empty
+	ownFar       = 2       // of those that cost a crossing
+	joinSteps    = 2       // thirty-seconds of an op's time that a new connection counts for: it costs both ends
+	refusedFor   = 1e3     // ms; a backend that refused a connection is asked again later and later
 	clockHair    = 1e-3    // ms; a clock may be rounded by as much
 	coldSafety   = 0.6     // share of the cold budget used; hints are rough, connections cost work too
 )
@@ -112,10 +116,10 @@
 	}
 	for i := range t.Categories { // under overload the benefit that a unit of work earns decides who may wait
 		c := &t.Categories[i]
-		share := 0.1 + 0.6*c.Benefit/math.Max(most, 1e-9)
+		share := 0.1 + 0.3*c.Benefit/math.Max(most, 1e-9)
 		c.patience = share
 		for _, o := range t.Categories { // by a longer target the lesser would stay on in the way of the greater
-			if o.Benefit > c.Benefit {
+			if o.Benefit >= c.Benefit {
 				c.patience = math.Min(c.patience, share*o.TargetLatency/c.TargetLatency)
 			}
 		}
@@ -277,13 +281,20 @@
 			n.yield(b, 0)
 			n.suspect(b, 1)
 		}
-	case Failed, NoConnection, Reset:
+	case NoConnection: // it is down, or has as many connections as it takes: either way not soon
+		b.refused = math.Min(b.refused+1, 4)
+		if n.t.ConnectionPrice > 0 {
+			b.restUntil = now + refusedFor*math.Exp2(b.refused-1)*(0.5+n.rng.unit())
+		}
+		n.suspect(b, 1)
+	case Failed, Reset:
 		n.suspect(b, 1)
 	case Rejected: // tells of load, not of a fault; so quick an ending would draw more
 		n.yield(b, 0)
 		n.ease(true)
 		b.restUntil = now + n.work.value*n.paceOf(b)
 	}
+	b.joined = how != NoConnection && how != Reset && (b.joined || how == Answered || how == Rejected)
 	if how == TimedOut || how == Revoked {
 		// Work given up on may go on: the backend is not idle before it could be done.
 		b.lingers = math.Max(b.lingers, now+op.work*n.paceOf(b))
@@ -311,6 +322,9 @@
 	if r.Held >= 0 && r.Waiting >= 0 {
 		b.cores = math.Max(b.cores, r.Held-r.Waiting)
 		n.crowd.add(b, now, r.Waiting*n.work.value*n.paceOf(b)/math.Max(b.cores, 1))
+	} else if r.Held >= 0 && r.Rate >= 0 && r.Service >= 0 { // beyond what its rate keeps at work; a guess, for itself alone
+		b.cores = math.Max(b.cores, math.Max(1, r.Rate*r.Service/1e3))
+		b.waits.add(now, math.Max(0, r.Held-b.cores)*n.work.value*n.paceOf(b)/b.cores)
 	}
 }
 
@@ -686,7 +700,11 @@
 // slowFor is how many thirty-seconds of its time left an op takes at a backend, alone and behind what lately
 // waited there, all at most: heavy ops earn the most, and a slow machine may not do one in time.
 func (n *Node) slowFor(b *Backend, op *Op) int {
-	return int(math.Min(32*(op.work*n.paceOf(b)+b.lately(n.now, n.wait(b.Zone)))/n.leftToTarget(op), 32))
+	join := 0.0
+	if n.t.ConnectionPrice > 0 && !b.joined {
+		join = joinSteps
+	}
+	return int(math.Min(join+32*(op.work*n.paceOf(b)+b.lately(n.now, n.wait(b.Zone)))/n.leftToTarget(op), 32))
 }
 
 // fewest is the backend for a late send: fewest own in flight, own zone first among equals.
@@ -755,24 +773,32 @@
 	return math.Max((b.workOut+op.work)/n.drain(b), alone+b.flow.unseen(n.now)*n.wait(b.Zone))
 }
 
-// wait is how long pushes lately waited in a zone. One hardly known counts half as crowded as the rest: taken
-// for empty, all nodes would try it as soon as the fleet is crowded; for just as crowded, none ever would.
-func (n *Node) wait(zone int) float64 {
-	return n.crowd.zones.of(zone).mean(n.now, 0.5*n.crowd.all.mean(n.now, 0, 4), 2)
-}
-
-// drain is the work a backend lately did for this node per millisecond with any there. It holds what others
-// send, slowness, and silence: with pushes out and no answers it falls by itself.
-func (n *Node) drain(b *Backend) float64 {
-	return b.flow.rate(n.now, len(b.out) > 0, 1/n.paceOf(b))
-}
-
 // open tells whether this node uses a backend in this slot of time. All nodes cross at once in a burst: soft
 // shares bound the far backends, to others in each slot, more of them where answers come promptly.
 func (n *Node) open(b *Backend) bool {
+	if n.t.ConnectionPrice > 0 {
+		return b.own
+	}
 	return n.isNear(b) || n.lot(b, slot) <= max(leastFar, n.part(mostFirst), b.most-1)
 }
 
+// allot picks the part of the fleet that is this node's to connect to, where connections have a price: backends take few,
+// and nodes times backends would be far too many. By the node's number on a ring that is the same at all nodes the parts
+// spread evenly without agreement; who is shunned or refuses is replaced by the next as long as it does.
+func (n *Node) allot() {
+	for side, want := range [...]int{ownFar, ownNear} {
+		ring := n.ring(side == 1)
+		for s := 0; want > 0 && s < 2*len(ring); s++ {
+			_, at := math.Modf(float64(n.t.Number)*0.6180339887 + float64(s)*0.7548776662) // both far from any fraction
+			b := ring[int(at*float64(len(ring)))]
+			if !b.own && n.serves(b) && n.distrust(b) < shunAt && (b.refused == 0 || b.restUntil <= n.now) {
+				want--
+			}
+			b.own = true
+		}
+	}
+}
+
 // ease lowers or raises how many pushes the node may have out in all. Many nodes of few ops each reach no cap
 // of any backend, and hear of a queue too late to keep from feeding it: what is not answered yet holds back
 // the next. Two at least, so that a silent backend doesn't stop a node.
@@ -796,16 +822,6 @@
 	return float64(len(b.out)) >= max(math.Floor(b.most+math.Min(n.part(mostFirst), 0.99)), 1)
 }
 
-// paceOf is a backend's time for a unit of work, its kind's until its own is known, that of all for none.
-// Machines of one weight may differ threefold; where nodes are many, only their kind's pace can be known.
-func (n *Node) paceOf(b *Backend) float64 {
-	known := paceKnown * math.Max(n.work.value, 1)
-	if b == nil {
-		return n.paces.all.blend(1, known) // a standard core's, before any answer
-	}
-	return b.pace.blend(n.paces.kinds.of(b.Kind).blend(n.paceOf(nil), known), known)
-}
-
 // size is what share of the rotation a backend gets: its weight and speed against the mean, less while it is
 // cold or distrusted.
 func (n *Node) size(b *Backend) float64 {
@@ -866,6 +882,7 @@
 	} else if float64(len(b.out)+1) >= b.most {
 		b.most += math.Min(b.most/4, 1/b.most)
 	}
+	b.refused = 0
 	n.stretch.add(math.Max(elapsed, 0.1)/math.Max(p.expect, 1), 0.95, 0.02)
 	if !p.overdue {
 		b.distrust.set(n.now, b.distrust.get(n.now, distrustHalf)*0.8)
@@ -885,6 +902,9 @@
 func (n *Node) sweep() {
 	n.backends = slices.DeleteFunc(n.backends, func(b *Backend) bool { return b.past(n.now, n.t) })
 	n.judge()
+	if n.t.ConnectionPrice > 0 {
+		n.allot()
+	}
 	n.stirred = len(n.held) > 0
 	doubts, tails := make([]float64, 0, len(n.backends)), make([]float64, 0, len(n.backends))
 	clear(n.warm)
--- /dev/null
+++ b/balance/connect_test.go
@@ -0,0 +1,88 @@
+package balance
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func scarce(number, nodes int) *Terms {
+	t := plain()
+	t.Number, t.Nodes, t.ConnectionPrice, t.CrossPrice = number, nodes, 0.06, 0.08
+	return t
+}
+
+func (d *desk) own() (own []*Backend) {
+	for _, b := range d.backends {
+		if b.own {
+			own = append(own, b)
+		}
+	}
+	return own
+}
+
+// Reported: 332 nodes and 244 backends of 22 connections each: seven in ten pushes got none. Each node has its part, and
+// the parts spread evenly, in a zone's half of the nodes too.
+func TestPartsOfTheFleetSpreadEvenly(t *testing.T) {
+	for _, zones := range []int{1, 2} {
+		at := map[uint64]int{}
+		for number := range 300 {
+			if number%zones > 0 {
+				continue
+			}
+			d := sit(t, scarce(number, 300), 200)
+			require.Len(t, d.own(), ownNear)
+			for _, b := range d.own() {
+				at[b.Ref]++
+			}
+		}
+		mean := 300.0 / float64(zones) * ownNear / 200
+		for ref := range uint64(200) {
+			assert.InDelta(t, mean, at[ref], 0.5*mean+1, "backend %d", ref)
+		}
+	}
+	d := sit(t, plain(), 200)
+	assert.Empty(t, d.own(), "without a price all are open")
+	assert.True(t, d.node.open(d.backends[0]))
+}
+
+// A backend that refuses connections is replaced by the next on the ring for as long as it does, is asked again later and
+// later, and does not make others' ops look hopeless.
+func TestWhoRefusesConnectionsIsReplaced(t *testing.T) {
+	d := sit(t, scarce(3, 300), 200)
+	own := d.own()
+	for k, b := range own[:2] {
+		for range k + 1 {
+			d.node.Ended(d.now, d.busy(b), NoConnection, 0, true)
+			b.restUntil = 0
+		}
+		b.restUntil = d.now + 1e3
+	}
+	d.after(sweepEvery + 1).pull()
+	require.Len(t, d.own(), ownNear+2)
+	for range 20 {
+		op := d.arrive("op", 1, 10)
+		require.Equal(t, "push:op", d.pull())
+		require.NotContains(t, own[:2], op.Pushes[0].Backend)
+		d.now += 5
+		d.end(op.Pushes[0], Answered)
+		d.pull()
+	}
+	for _, b := range own[:2] {
+		b.restUntil, b.refused, b.distrust = 0, 0, fader{}
+	}
+	d.node.sweep()
+	require.ElementsMatch(t, own, d.own())
+}
+
+// What a report says it holds beyond what its rate keeps at work waits there.
+func TestQueuesFromOpsHeldAndRate(t *testing.T) {
+	d := sit(t, plain(), 2)
+	d.seen()
+	d.node.Reported(d.now, d.backends[0], Report{Service: 50, Held: 9, Waiting: Untold, Rate: 20})
+	d.node.Reported(d.now, d.backends[1], Report{Service: 50, Held: 1, Waiting: Untold, Rate: 20})
+	assert.Greater(t, d.backends[0].lately(d.now, 0), 100.0)
+	assert.Zero(t, d.backends[1].lately(d.now, 0))
+	assert.Zero(t, d.node.wait(0), "a guess of one says nothing of the others")
+}
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -1,7 +1,9 @@
 package balance
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -276,6 +278,17 @@
 	return float64((x^x>>29)>>11) / (1 << 53)
 }
 
+// ring gives one side's backends in an order that is the same at all nodes and has to do with nothing else, owned by none.
+func (n *Node) ring(near bool) (side []*Backend) {
+	for _, b := range n.backends {
+		if n.isNear(b) == near {
+			b.own, side = false, append(side, b)
+		}
+	}
+	slices.SortFunc(side, func(a, b *Backend) int { return cmp.Compare(mix(a.Ref, 1), mix(b.Ref, 1)) })
+	return side
+}
+
 // lot is this node's own draw for a backend, another in each span of time.
 func (n *Node) lot(b *Backend, span float64) float64 {
 	return mix(b.Ref+uint64(n.now/span+mix(n.t.Seed, b.Ref))<<48, n.t.Seed)
@@ -339,3 +352,25 @@
 	}
 	return rate
 }
+
+// paceOf is a backend's time for a unit of work, its kind's until its own is known, that of all for none.
+// Machines of one weight may differ threefold; where nodes are many, only their kind's pace can be known.
+func (n *Node) paceOf(b *Backend) float64 {
+	known := paceKnown * math.Max(n.work.value, 1)
+	if b == nil {
+		return n.paces.all.blend(1, known) // a standard core's, before any answer
+	}
+	return b.pace.blend(n.paces.kinds.of(b.Kind).blend(n.paceOf(nil), known), known)
+}
+
+// drain is the work a backend lately did for this node per millisecond with any there. It holds what others
+// send, slowness, and silence: with pushes out and no answers it falls by itself.
+func (n *Node) drain(b *Backend) float64 {
+	return b.flow.rate(n.now, len(b.out) > 0, 1/n.paceOf(b))
+}
+
+// wait is how long pushes lately waited in a zone. One hardly known counts half as crowded as the rest: taken
+// for empty, all nodes would try it as soon as the fleet is crowded; for just as crowded, none ever would.
+func (n *Node) wait(zone int) float64 {
+	return n.crowd.zones.of(zone).mean(n.now, 0.5*n.crowd.all.mean(n.now, 0, 4), 4)
+}
--- a/balance/types.go
+++ b/balance/types.go
@@ -112,6 +112,9 @@
 	pass      float64 // its place in the rotation
 	recent    spend   // work sent in the last window, for the time when it may be cold
 	known     bool    // the node has it among its backends
+	joined    bool    // a connection there has lately served
+	own       bool    // it is in the part of the fleet that the node connects to
+	refused   float64 // connects refused in a row
 	goneAt    float64 // when the list first said so
 	drained   bool    // it was told to drain, and has not been ready since
 	banned    bool    // taken out by hand
@@ -360,10 +363,11 @@
 	Service float64 // mean service time
 	Held    float64 // ops it has
 	Waiting float64 // of those, the ones not yet at work
+	Rate    float64 // ops done a second
 }
 
 // NoReport is one that tells nothing.
-func NoReport() Report { return Report{Untold, Untold, Untold} }
+func NoReport() Report { return Report{Untold, Untold, Untold, Untold} }
 
 // Told tells whether it says anything.
 func (r Report) Told() bool { return r != NoReport() }
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -649,7 +649,7 @@
 
 // A report keeps what is not told apart from an idle backend's zeros; one of an earlier build told a service time alone.
 func TestReportsRoundTrip(t *testing.T) {
-	for _, load := range []balance.Report{{Service: 3, Held: balance.Untold, Waiting: balance.Untold}, {Service: balance.Untold, Held: 0, Waiting: 0}} {
+	for _, load := range []balance.Report{{Service: 3, Held: balance.Untold, Waiting: balance.Untold, Rate: 7}, {Service: balance.Untold, Held: 0, Waiting: 0}} {
 		r := Record{Kind: Reported, Now: 1, Backend: 2, Load: load}
 		got, err := Decode(r.Append(nil))
 		require.NoError(t, err)
@@ -659,7 +659,7 @@
 	old = protowire.AppendFixed64(protowire.AppendTag(old, fieldValue, protowire.Fixed64Type), math.Float64bits(31.5))
 	got, err := Decode(old)
 	require.NoError(t, err)
-	assert.Equal(t, balance.Report{Service: 31.5, Held: balance.Untold, Waiting: balance.Untold}, got.Load)
+	assert.Equal(t, balance.Report{Service: 31.5, Held: balance.Untold, Waiting: balance.Untold, Rate: balance.Untold}, got.Load)
 }
 
 // A ban, a second process and new terms are replayed as they came, also for an op that came under the earlier terms.
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -172,7 +172,7 @@
 // load gives a report's values; what is not told is below 0, and differs from an idle backend's zeros.
 func (r *Record) load() (b []byte) {
 	if r.Kind == Reported {
-		for _, x := range []float64{r.Load.Service, r.Load.Held, r.Load.Waiting} {
+		for _, x := range []float64{r.Load.Service, r.Load.Held, r.Load.Waiting, r.Load.Rate} {
 			b = protowire.AppendFixed64(b, math.Float64bits(x))
 		}
 	}
@@ -180,8 +180,12 @@
 }
 
 func unpackLoad(b []byte) (load balance.Report, err error) {
-	for _, x := range []*float64{&load.Service, &load.Held, &load.Waiting} {
+	load = balance.NoReport()
+	for _, x := range []*float64{&load.Service, &load.Held, &load.Waiting, &load.Rate} {
 		bits, size := protowire.ConsumeFixed64(b)
+		if len(b) == 0 && x == &load.Rate { // earlier builds told none
+			break
+		}
 		if size < 0 {
 			return load, errOdd
 		}
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -37,6 +37,8 @@
 		r.Service = value
 	case "concurrent":
 		r.Held = value
+	case "tps":
+		r.Rate = value
 	case "depth":
 		r.Waiting = value
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -156,7 +156,7 @@
 		ok+"Endpoint-Load-Metrics: TEXT mean_ms=much\r\n\r\nhi")
 	p, _ := peer(t, b.Addr().String())
 	out := <-send(p, time.Minute)
-	assert.Equal(t, balance.Report{Service: 31.5, Held: 2, Waiting: balance.Untold}, out.Report)
+	assert.Equal(t, balance.Report{Service: 31.5, Held: 2, Waiting: balance.Untold, Rate: balance.Untold}, out.Report)
 	assert.Empty(t, out.Reply.Header["Endpoint-Load-Metrics"])
 	m := <-b.got
 	assert.Equal(t, []any{"POST", "/api?x=%20y", "service", "7", int64(4)},
