Keys at home, ops that met a reset not sent on, windows that start with the least

The failure shows at backends that are not its cause: what each of them had in common was the ops, since the next backend fell right after such an op came again, by a further push of the node's or by its client's repeat; a plain crash stops by itself.

Change: (1) bringHome gives a key the backend that rendezvous hashing by weight and warmth finds at every node; another counts for a quarter of the op's time. (2) fell: while resets are under 10 s old, an op that met one is not sent on, and repeats of what clients send again are nacked at once; first tries go on, so that no category is shut out. A backend that answers within a second of a reset had a broken connection, which switches this off. It covers plain crashes (little is lost there) and would harm where connections break and nothing follows to show it. (3) A window starts with the least, and what was given up on counts as out for as long again.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,9 +34,12 @@
 	mixPrior     = 8.0     // ops in the quotas' mix that count beside those seen
 	lotShare     = 0.3     // of the cold budget, on average, goes by lots; chance may bring three times that
 	lotMost      = 1. / 16 // of it that one lot may be, so that many must win at once to push a backend over
-	ownNear      = 4       // backends to connect to: what comes to a node is seen often at each, and tables stay half empty
+	ownNear      = 4       // backends to connect to: each is heard of often, and tables stay half empty
 	ownFar       = 2       // of those that cost a crossing
-	joinSteps    = 2       // thirty-seconds of an op's time that a new connection counts for: it costs both ends
+	fallenFor    = 10e3    // ms; how long a fall is held against repeats: until a backend is back and half warm
+	restartFor   = 1e3     // ms; a process that fell answers nothing for longer
+	awaySteps    = 8       // of them for another backend than the key's home: it does all the work anew
+	joinSteps    = 2       // thirty-seconds of an op's time for a new connection: it costs both ends
 	refusedFor   = 1e3     // ms; a backend that refused a connection is asked again later and later
 	clockHair    = 1e-3    // ms; a clock may be rounded by as much
 	coldSafety   = 0.6     // share of the cold budget used; hints are rough, connections cost work too
@@ -78,6 +81,8 @@
 	tracked  bool           // changes of the list come by themselves
 	askAt    float64        // when the list is asked for where they don't
 	failures int
+	fellAt   float64          // when a push last ended in a reset
+	aloneAt  float64          // when a backend last answered right after one: connections break by themselves
 	lines    map[uint64]*line // of the keys of ops in categories that keep order
 	of       int              // processes that this node was made up of
 	whole    float64          // from when it is one again
@@ -88,7 +93,8 @@
 // New starts a node; now is the host's clock.
 func New(t *Terms, now float64) *Node {
 	n := &Node{t: t, now: now, rng: newMWC(t.Seed), armed: math.Inf(1), sweepAt: now, weight: 1,
-		extra: extraMost / 2, window: math.Inf(1), askAt: math.Inf(1), lines: map[uint64]*line{}}
+		extra: extraMost / 2, window: math.Inf(1), askAt: math.Inf(1), lines: map[uint64]*line{},
+		fellAt: math.Inf(-1), aloneAt: math.Inf(-1)}
 	n.weigh()
 	if t.MustAsk {
 		// Nodes restarted together must not call the list's one service together.
@@ -97,7 +103,7 @@
 	return n
 }
 
-// Retuned takes new terms; from tells for each category its former place, or -1. Ops keep those that they came under.
+// Retuned takes new terms; from tells each category's former place, or -1. Ops keep those they came under.
 func (n *Node) Retuned(now float64, t *Terms, from []int) {
 	for i, k := range from {
 		if k >= 0 && k < len(n.t.Categories) && i < len(t.Categories) {
@@ -173,8 +179,8 @@
 	n.sweep()
 }
 
-// judge tells whether the list is to be doubted, where what it takes away without a drain is a hint: more than half of what
-// it lately had. So much does not go at once, and a fleet that had gone would show: connects fail, and shun each of them.
+// judge tells whether to doubt the list, where what it takes away without a drain is a hint: more than half
+// of what it lately had does not go at once, and if it had, failed connects would shun each of them.
 func (n *Node) judge() {
 	gone, had := 0, 0
 	for _, b := range n.backends {
@@ -188,7 +194,7 @@
 	n.doubted = n.t.RemovalNotBinding && 2*gone > had
 }
 
-// serves tells whether a backend may get something: a ready one, and one that has gone while the list is doubted.
+// serves tells whether a backend may get something: ready, or gone by a list that is doubted.
 func (n *Node) serves(b *Backend) bool {
 	return b.State == Ready || b.State == Gone && n.doubted && !b.drained && n.now-b.goneAt < n.t.rememberFor()
 }
@@ -248,7 +254,7 @@
 	}
 }
 
-// Sent takes the moment at which a streamed op's last byte has come and gone on: from then on its time counts.
+// Sent takes the moment at which a streamed op's last byte has come and gone on: now its time counts.
 func (n *Node) Sent(now float64, p *Push) {
 	n.now = now
 	if p.Op.stage == pushed && p.out {
@@ -263,8 +269,13 @@
 	op, b := p.Op, p.Backend
 	n.stirred = true
 	b.drop(now, p)
-	n.abroad -= p.counted()
+	counted := p.counted()
 	p.out, p.ending = false, how
+	if counted > 0 && (how == TimedOut || how == Revoked) { // its work may go on, perhaps for as long again
+		n.at(due{at: now + elapsed, lingers: true})
+	} else {
+		n.abroad -= counted
+	}
 	switch {
 	case how == Answered:
 		n.waited(p, elapsed-op.work*n.paceOf(b))
@@ -288,6 +299,9 @@
 		}
 		n.suspect(b, 1)
 	case Failed, Reset:
+		if how == Reset {
+			b.brokeAt, n.fellAt = now, now
+		}
 		n.suspect(b, 1)
 	case Rejected: // tells of load, not of a fault; so quick an ending would draw more
 		n.yield(b, 0)
@@ -300,7 +314,7 @@
 		b.lingers = math.Max(b.lingers, now+op.work*n.paceOf(b))
 	}
 	n.idle = true
-	if op.line != nil && (how == TimedOut || how == Reset || how == Revoked) { // it may run on: the key's next waits
+	if op.line != nil && (how == TimedOut || how == Reset || how == Revoked) { // it may run on
 		op.line.rest = math.Max(op.line.rest, now+op.Under.SettleAfterDoubt+clockHair)
 	}
 	n.unqueue(op)
@@ -322,7 +336,7 @@
 	if r.Held >= 0 && r.Waiting >= 0 {
 		b.cores = math.Max(b.cores, r.Held-r.Waiting)
 		n.crowd.add(b, now, r.Waiting*n.work.value*n.paceOf(b)/math.Max(b.cores, 1))
-	} else if r.Held >= 0 && r.Rate >= 0 && r.Service >= 0 { // beyond what its rate keeps at work; a guess, for itself alone
+	} else if r.Held >= 0 && r.Rate >= 0 && r.Service >= 0 { // beyond what its rate keeps at work: a guess
 		b.cores = math.Max(b.cores, math.Max(1, r.Rate*r.Service/1e3))
 		b.waits.add(now, math.Max(0, r.Held-b.cores)*n.work.value*n.paceOf(b)/b.cores)
 	}
@@ -380,8 +394,8 @@
 	return d, true
 }
 
-// Split tells of how many processes the node is made up, among which its cold budgets are divided, and nothing else: one
-// of them has nearly all of its ops at any time. What the other spent counts until its window has passed.
+// Split tells of how many processes the node is made up, among which its cold budgets alone are divided: one
+// has nearly all of its ops at any time. What the other spent counts until its window has passed.
 func (n *Node) Split(now float64, of int) {
 	n.now, n.of, n.whole = now, max(of, n.of), math.Inf(1)
 	if of == 1 {
@@ -400,18 +414,21 @@
 		n.await(op)
 	case op.stage == pushed:
 		n.again(op)
+	case op.Repeat && op.cat.Effect != AtMostOnce && n.fell():
+		n.tell(op, nil, Fallen)
+		n.giveUp(op)
 	case !n.place(op):
 		n.hold(op)
 	}
 }
 
-// hasTurn tells whether no earlier op of its key is open or out, nor, before its own first push, the key at rest.
+// hasTurn tells whether no earlier op of its key is open or out, nor, before its first push, the key at rest.
 func (n *Node) hasTurn(op *Op) bool {
 	return op.line == nil || op.line.ops[0] == op && (len(op.Pushes) > 0 || n.now >= op.line.rest)
 }
 
-// await keeps an op until its turn among those of its key comes, which calls it up, or ends it out of turn: at once where
-// those before it are foreseen to take too long, else when it could no longer be in time.
+// await keeps an op until it is called up by its turn among those of its key, or ends it out of turn: at once
+// where those before it are foreseen to take too long, else when it could no longer be in time.
 func (n *Node) await(op *Op) {
 	alone := op.work * n.paceOf(nil)
 	wait := math.Max(0, op.line.rest-n.now)
@@ -430,6 +447,7 @@
 
 // place sends an op on the ordinary path, if a backend has room for it.
 func (n *Node) place(op *Op) bool {
+	n.bringHome(op)
 	if op.long {
 		return n.placeLong(op)
 	}
@@ -437,13 +455,36 @@
 	return b != nil && n.send(op, b)
 }
 
+// fell tells whether ops may bring down whatever backend begins them. Then one that met a reset is not sent
+// on, nor are clients' repeats: each would take one more. First tries go on. A reset after which the backend
+// answers at once was its connection's alone.
+func (n *Node) fell() bool { return n.now-n.fellAt < fallenFor && n.now-n.aloneAt >= fallenFor }
+
+// bringHome finds the backend where an op's key is at home, the same at nodes that see the same fleet: one
+// that met a key lately has less work with it. A cold one's keys wander off and come back.
+func (n *Node) bringHome(op *Op) {
+	op.home = nil
+	if !n.t.WarmKeys || op.Key == 0 {
+		return
+	}
+	best := math.Inf(1)
+	for _, b := range n.backends {
+		x := -math.Log(mix(op.Key, b.Ref)) / (b.Weight * n.warmth(b))
+		if x < best && n.serves(b) && n.distrust(b) < shunAt {
+			op.home, best = b, x
+		}
+	}
+}
+
 // again answers the failure of all an op's pushes so far: another backend within the budget, or the end.
 func (n *Node) again(op *Op) {
 	cost := 1.0
 	if op.mayHaveRun() == nil { // no work for the backends yet: a fleet replaced in bulk turns many away
 		cost = 0
 	}
-	if n.left(op) > 0 && n.extra >= cost {
+	felled := n.fell() && slices.ContainsFunc(op.Pushes, func(p *Push) bool { return p.ending == Reset })
+	if !felled && n.left(op) > 0 && n.extra >= cost {
+		n.bringHome(op)
 		if b := n.rotate(op); b != nil && n.predict(b, op) < n.left(op) && n.send(op, b) {
 			n.extra -= cost
 			return
@@ -452,19 +493,6 @@
 	n.giveUp(op)
 }
 
-// left is the time in which an answer still earns something.
-func (n *Node) left(op *Op) float64 {
-	if op.cat.LateBenefit == 0 {
-		return op.target() - n.now
-	}
-	return op.GiveUp - n.now
-}
-
-// leftToTarget is the time in which an answer earns all, or what little is left where that has passed.
-func (n *Node) leftToTarget(op *Op) float64 {
-	return math.Max(1, op.target()-n.now)
-}
-
 // placeLong sends a long to a backend with none of this node's work in flight, picked at random; own zone
 // first, others where the op's benefit pays for the way.
 func (n *Node) placeLong(op *Op) bool {
@@ -516,7 +544,8 @@
 // hold keeps a long without an idle backend and a short for which all have their most out. Where the wait is
 // foreseen to be too long the op is nacked at once: holding it would only delay that.
 func (n *Node) hold(op *Op) {
-	if time := n.holdTime(op, n.crossCost(op) < 0.5); time > n.patienceOf(op) || time+op.work*n.paceOf(nil) > n.left(op) {
+	time := n.holdTime(op, n.crossCost(op) < 0.5)
+	if time > n.patienceOf(op) || time+op.work*n.paceOf(nil) > n.left(op) {
 		n.giveUp(op)
 		return
 	}
@@ -526,23 +555,6 @@
 	n.at(due{at: n.now + (1-lateShare)*n.leftToTarget(op), op: op})
 }
 
-// holdTime is the time an op would be held behind what is held already, at the rate at which its zone lately
-// does this node's work, or all zones where it may cross. Its own work counts only where others are held: heavy
-// ops are no cause for nacks.
-func (n *Node) holdTime(op *Op, cross bool) float64 {
-	rate, ahead := n.rate(cross), 0.0
-	for _, o := range n.held {
-		ahead += o.work
-	}
-	if ahead > 0 {
-		ahead += op.work
-	}
-	if rate == 0 {
-		return math.Inf(1)
-	}
-	return ahead/rate + n.wait(n.t.Zone)
-}
-
 // release gives backends that turned idle the held longs, and those with room again the held shorts, smallest
 // estimate first.
 func (n *Node) release() {
@@ -580,6 +592,8 @@
 		}
 	case d.push != nil && d.push.out:
 		n.overdue(d.push)
+	case d.lingers:
+		n.abroad, n.idle = n.abroad-1, true
 	}
 }
 
@@ -700,11 +714,14 @@
 // slowFor is how many thirty-seconds of its time left an op takes at a backend, alone and behind what lately
 // waited there, all at most: heavy ops earn the most, and a slow machine may not do one in time.
 func (n *Node) slowFor(b *Backend, op *Op) int {
-	join := 0.0
+	extra := 0.0
 	if n.t.ConnectionPrice > 0 && !b.joined {
-		join = joinSteps
+		extra = joinSteps
 	}
-	return int(math.Min(join+32*(op.work*n.paceOf(b)+b.lately(n.now, n.wait(b.Zone)))/n.leftToTarget(op), 32))
+	if op.home != nil && op.home != b {
+		extra += awaySteps
+	}
+	return int(math.Min(extra+32*(op.work*n.paceOf(b)+b.lately(n.now, n.wait(b.Zone)))/n.leftToTarget(op), 32))
 }
 
 // fewest is the backend for a late send: fewest own in flight, own zone first among equals.
@@ -765,14 +782,6 @@
 	return share * n.leftToTarget(op)
 }
 
-// predict is the answer time expected of a backend: the work this node has there and the new op's at the rate
-// at which it lately drained such work, and never less than the op alone takes. What this node has not lately
-// seen of it is taken from the zone: each of many nodes hears of one backend once in a minute.
-func (n *Node) predict(b *Backend, op *Op) float64 {
-	alone := op.work * n.paceOf(b)
-	return math.Max((b.workOut+op.work)/n.drain(b), alone+b.flow.unseen(n.now)*n.wait(b.Zone))
-}
-
 // open tells whether this node uses a backend in this slot of time. All nodes cross at once in a burst: soft
 // shares bound the far backends, to others in each slot, more of them where answers come promptly.
 func (n *Node) open(b *Backend) bool {
@@ -782,14 +791,14 @@
 	return n.isNear(b) || n.lot(b, slot) <= max(leastFar, n.part(mostFirst), b.most-1)
 }
 
-// allot picks the part of the fleet that is this node's to connect to, where connections have a price: backends take few,
-// and nodes times backends would be far too many. By the node's number on a ring that is the same at all nodes the parts
-// spread evenly without agreement; who is shunned or refuses is replaced by the next as long as it does.
+// allot picks the part of the fleet that this node connects to, where connections have a price: backends take
+// few. By the node's number on a ring that is the same at all nodes the parts spread evenly without
+// agreement; who is shunned or refuses is replaced by the next as long as it does.
 func (n *Node) allot() {
-	for side, want := range [...]int{ownFar, ownNear} {
+	for side, want := range [...]int{ownFar, ownNear} { // steps far from any fraction: no two numbers meet
 		ring := n.ring(side == 1)
 		for s := 0; want > 0 && s < 2*len(ring); s++ {
-			_, at := math.Modf(float64(n.t.Number)*0.6180339887 + float64(s)*0.7548776662) // both far from any fraction
+			_, at := math.Modf(float64(n.t.Number)*0.6180339887 + float64(s)*0.7548776662)
 			b := ring[int(at*float64(len(ring)))]
 			if !b.own && n.serves(b) && n.distrust(b) < shunAt && (b.refused == 0 || b.restUntil <= n.now) {
 				want--
@@ -799,11 +808,14 @@
 	}
 }
 
+// leastWindow is two pushes at least, so that a silent backend doesn't stop a node.
+func (n *Node) leastWindow() float64 { return math.Max(2, n.part(leastOut*float64(len(n.backends)))) }
+
 // ease lowers or raises how many pushes the node may have out in all. Many nodes of few ops each reach no cap
 // of any backend, and hear of a queue too late to keep from feeding it: what is not answered yet holds back
-// the next. Two at least, so that a silent backend doesn't stop a node.
+// the next.
 func (n *Node) ease(queued bool) {
-	least := math.Max(2, n.part(leastOut*float64(len(n.backends))))
+	least := n.leastWindow()
 	switch {
 	case queued:
 		n.window = math.Max(least, 0.8*math.Min(n.window, float64(n.abroad+1)))
@@ -822,12 +834,6 @@
 	return float64(len(b.out)) >= max(math.Floor(b.most+math.Min(n.part(mostFirst), 0.99)), 1)
 }
 
-// size is what share of the rotation a backend gets: its weight and speed against the mean, less while it is
-// cold or distrusted.
-func (n *Node) size(b *Backend) float64 {
-	return math.Max(b.Weight/n.weight*n.warmth(b)/(1+n.distrust(b))*n.paceOf(nil)/n.paceOf(b), 1e-3)
-}
-
 // warmth is the share of its capacity that a backend is sure to have.
 func (n *Node) warmth(b *Backend) float64 {
 	started := math.Max(b.Started, b.back)
@@ -837,11 +843,6 @@
 	return 1
 }
 
-// distrust is the fading score against the fellows': what all show is not the backend's fault.
-func (n *Node) distrust(b *Backend) float64 {
-	return math.Max(0, b.distrust.get(n.now, distrustHalf)-n.doubt)
-}
-
 func (n *Node) suspect(b *Backend, by float64) {
 	before := n.distrust(b)
 	b.distrust.set(n.now, math.Min(b.distrust.get(n.now, distrustHalf)+by, 3*shunAt))
@@ -883,6 +884,9 @@
 		b.most += math.Min(b.most/4, 1/b.most)
 	}
 	b.refused = 0
+	if n.now-b.brokeAt < restartFor {
+		n.aloneAt = n.now
+	}
 	n.stretch.add(math.Max(elapsed, 0.1)/math.Max(p.expect, 1), 0.95, 0.02)
 	if !p.overdue {
 		b.distrust.set(n.now, b.distrust.get(n.now, distrustHalf)*0.8)
@@ -901,6 +905,9 @@
 // sweep is the periodic look at what backends are against their fellows, and lets go of those long gone.
 func (n *Node) sweep() {
 	n.backends = slices.DeleteFunc(n.backends, func(b *Backend) bool { return b.past(n.now, n.t) })
+	if math.IsInf(n.window, 1) && len(n.backends) > 0 { // all nodes may start at once, unaware
+		n.window = n.leastWindow()
+	}
 	n.judge()
 	if n.t.ConnectionPrice > 0 {
 		n.allot()
--- a/balance/explain.go
+++ b/balance/explain.go
@@ -18,12 +18,13 @@
 	NotReady                 // rule 3: it drains or is gone
 	ColdBudget               // rule 4: this node's part of its cold budget is spent
 	OutOfTurn                // rule 5: an earlier op of its key is not over, or the key rests
+	Fallen                   // of no backend: a client's repeat, after a backend fell under a push
 	Held                     // of no backend: the op waits for one
 )
 
 var reasons = [...]string{"open", "tried before", "shunned", "full", "busy", "cold", "too dear a way", "hopeless", "op over (rule 1)",
 	"one copy", "may have run (rule 2)", "not ready (rule 3)", "cold budget (rule 4)",
-	"out of turn (rule 5)", "held"}
+	"out of turn (rule 5)", "a repeat, and a backend fell", "held"}
 
 func (r Reason) String() string { return reasons[r] }
 
--- /dev/null
+++ b/balance/fall_test.go
@@ -0,0 +1,119 @@
+package balance
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func (d *desk) repeat(name string, category int) *Op {
+	op := &Op{Category: category, Hint: 10, HasHint: true, GiveUp: d.now + 4000, Repeat: true}
+	d.ops[name] = op
+	d.node.Arrived(d.now, op)
+	return op
+}
+
+// Reported: ops that bring down whatever backend begins them took two or three each, by further pushes and by their clients'
+// repeats, until a third of a fleet was down or cold.
+func TestOpsThatBringBackendsDownAreNotSentOn(t *testing.T) {
+	d := sit(t, plain(), 5)
+	a := d.arrive("a", 0, 10)
+	require.Equal(t, "push:a", d.pull())
+	d.after(5).end(a.Pushes[0], Reset)
+	require.Equal(t, "nack:a", d.pull(), "not sent on")
+	d.repeat("again", 0)
+	require.Equal(t, "nack:again", d.pull())
+	d.repeat("marked", 3)
+	require.Equal(t, "nack:marked", d.pull())
+	d.repeat("once", 1) // comes again only where it never ran
+	require.Equal(t, "push:once", d.pull())
+	d.arrive("first", 0, 10) // no category is shut out
+	require.Equal(t, "push:first", d.pull())
+	d.end(d.ops["once"].Pushes[0], Answered)
+	d.end(d.ops["first"].Pushes[0], Answered)
+	d.after(fallenFor).pull()
+	d.repeat("later", 0)
+	require.Equal(t, "push:later", d.pull(), "no longer than the evidence lasts")
+}
+
+// The twins: where a backend answers right after a reset its connection broke, not the backend; and a plain crash, which
+// ends at once, leaves first tries alone.
+func TestBrokenConnectionsAreNoFall(t *testing.T) {
+	d := sit(t, plain(), 1)
+	a := d.arrive("a", 0, 10)
+	d.arrive("b", 0, 10)
+	require.Equal(t, "push:a push:b", d.pull())
+	d.after(5).end(a.Pushes[0], Reset)
+	require.Equal(t, "nack:a", d.pull())
+	d.after(5).end(d.ops["b"].Pushes[0], Answered)
+	d.repeat("again", 0)
+	require.Equal(t, "push:again", d.pull())
+	other := &Backend{Ref: 9}
+	d.list(Ready, 0, other)
+	d.end(d.ops["again"].Pushes[0], Reset)
+	require.Equal(t, "push:again", d.pull(), "sent on")
+	require.Equal(t, other, d.ops["again"].Pushes[1].Backend)
+}
+
+// A key's ops meet at one backend, the same at all nodes, while it serves and has room.
+func TestKeysHaveAHome(t *testing.T) {
+	homes := map[uint64]map[uint64]bool{}
+	for seed := range uint64(5) {
+		terms := plain()
+		terms.Seed, terms.WarmKeys = seed, true
+		d := sit(t, terms, 10)
+		for key := range uint64(20) {
+			op := d.about(key+1, "op", 0)
+			d.pull()
+			if homes[key] == nil {
+				homes[key] = map[uint64]bool{}
+			}
+			homes[key][op.Pushes[0].Backend.Ref] = true
+			d.after(5).end(op.Pushes[0], Answered)
+			d.pull()
+		}
+		op := d.about(3, "op", 0)
+		d.pull()
+		home := op.Pushes[0].Backend
+		d.end(op.Pushes[0], Answered)
+		d.list(Draining, 0, home)
+		op = d.about(3, "op", 0)
+		d.pull()
+		require.NotEqual(t, home, op.Pushes[0].Backend, "a home that drains is none")
+	}
+	all := map[uint64]bool{}
+	for key, at := range homes {
+		require.Len(t, at, 1, "key %d", key)
+		for ref := range at {
+			all[ref] = true
+		}
+	}
+	require.Greater(t, len(all), 5, "keys spread")
+}
+
+// What was given up on may still run: it counts in the node's window for as long again as it was out, and a snapshot
+// keeps that.
+func TestWhatWasGivenUpOnCountsForAsLongAgain(t *testing.T) {
+	d := sit(t, plain(), 3)
+	op := d.arrive("a", 1, 10)
+	d.pull()
+	require.Equal(t, 1, d.node.abroad)
+	d.after(400).end(op.Pushes[0], TimedOut)
+	d.pull()
+	require.Equal(t, 1, d.node.abroad)
+	s, err := d.node.Snapshot(nil, d.backends)
+	require.NoError(t, err)
+	n, _, _, err := Restore(plain(), s)
+	require.NoError(t, err)
+	for _, node := range []*Node{d.node, n} {
+		node.Due(d.now + 399)
+		for _, more := node.Next(); more; _, more = node.Next() {
+		}
+		assert.Equal(t, 1, node.abroad)
+		node.Due(d.now + 401)
+		for _, more := node.Next(); more; _, more = node.Next() {
+		}
+		assert.Zero(t, node.abroad)
+	}
+}
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -221,11 +221,12 @@
 
 // due is something that falls due at a time; equal times keep the order in which they were set.
 type due struct {
-	at   float64
-	seq  uint64
-	op   *Op   // a held op's late send
-	push *Push // a push's patience
-	line *line // a key's rest is over
+	at      float64
+	seq     uint64
+	op      *Op   // a held op's late send
+	push    *Push // a push's patience
+	line    *line // a key's rest is over
+	lingers bool  // what was given up on is believed done
 }
 
 type dues []due
@@ -374,3 +375,52 @@
 func (n *Node) wait(zone int) float64 {
 	return n.crowd.zones.of(zone).mean(n.now, 0.5*n.crowd.all.mean(n.now, 0, 4), 4)
 }
+
+// left is the time in which an answer still earns something.
+func (n *Node) left(op *Op) float64 {
+	if op.cat.LateBenefit == 0 {
+		return op.target() - n.now
+	}
+	return op.GiveUp - n.now
+}
+
+// leftToTarget is the time in which an answer earns all, or what little is left where that has passed.
+func (n *Node) leftToTarget(op *Op) float64 {
+	return math.Max(1, op.target()-n.now)
+}
+
+// predict is the answer time expected of a backend: the work this node has there and the new op's at the rate
+// at which it lately drained such work, and never less than the op alone takes. What this node has not lately
+// seen of it is taken from the zone: each of many nodes hears of one backend once in a minute.
+func (n *Node) predict(b *Backend, op *Op) float64 {
+	alone := op.work * n.paceOf(b)
+	return math.Max((b.workOut+op.work)/n.drain(b), alone+b.flow.unseen(n.now)*n.wait(b.Zone))
+}
+
+// distrust is the fading score against the fellows': what all show is not the backend's fault.
+func (n *Node) distrust(b *Backend) float64 {
+	return math.Max(0, b.distrust.get(n.now, distrustHalf)-n.doubt)
+}
+
+// holdTime is the time an op would be held behind what is held already, at the rate at which its zone lately
+// does this node's work, or all zones where it may cross. Its own work counts only where others are held: heavy
+// ops are no cause for nacks.
+func (n *Node) holdTime(op *Op, cross bool) float64 {
+	rate, ahead := n.rate(cross), 0.0
+	for _, o := range n.held {
+		ahead += o.work
+	}
+	if ahead > 0 {
+		ahead += op.work
+	}
+	if rate == 0 {
+		return math.Inf(1)
+	}
+	return ahead/rate + n.wait(n.t.Zone)
+}
+
+// size is what share of the rotation a backend gets: its weight and speed against the mean, less while it is
+// cold or distrusted.
+func (n *Node) size(b *Backend) float64 {
+	return math.Max(b.Weight/n.weight*n.warmth(b)/(1+n.distrust(b))*n.paceOf(nil)/n.paceOf(b), 1e-3)
+}
--- a/balance/snapshot.go
+++ b/balance/snapshot.go
@@ -38,6 +38,7 @@
 	Whole                                                                  float64
 	Lines                                                                  []SnapLine
 	Doubted                                                                bool
+	FellAt, AloneAt                                                        float64
 }
 
 // SnapQuantile, SnapMean and the others below are parts of a Snapshot.
@@ -68,7 +69,8 @@
 	Banned                                          bool
 	Back, OutAt                                     float64
 	GoneAt                                          float64
-	Drained                                         bool
+	Drained, Joined, Own                            bool
+	Refused, BrokeAt                                float64
 }
 
 type SnapOp struct {
@@ -99,6 +101,8 @@
 	Op   int // -1 is none
 	Push int // -1 is none
 	Line int // from 1, 0 is none
+
+	Lingers bool
 }
 
 // SnapLine is a key's ops that are not over, in their order, and until when the key rests.
@@ -146,7 +150,7 @@
 		backendAt[b] = i
 	}
 	s := &Snapshot{Now: n.now, Armed: n.armed, SweepAt: n.sweepAt, Round: n.round, Extra: n.extra, Doubt: n.doubt, Weight: n.weight, AskAt: n.askAt, Window: n.window, Heard: n.heard,
-		Tracked: n.tracked, Stirred: n.stirred, Idle: n.idle, Failures: n.failures, Of: n.of, Whole: n.whole, Doubted: n.doubted, Seq: n.seq, Chance: [2]uint64{n.rng.x, n.rng.carry},
+		Tracked: n.tracked, Stirred: n.stirred, Idle: n.idle, Failures: n.failures, Of: n.of, Whole: n.whole, Doubted: n.doubted, FellAt: n.fellAt, AloneAt: n.aloneAt, Seq: n.seq, Chance: [2]uint64{n.rng.x, n.rng.carry},
 		Hints: slices.Clone(n.cutoff.ring), HintNext: n.cutoff.next, Stretch: snapQuantile(n.stretch),
 		Value: SnapMean{n.value.value, n.value.seen}, Work: SnapMean{n.work.value, n.work.seen},
 		Service: SnapMean{n.service.value, n.service.seen}, PaceAll: [2]float64{n.paces.all.time, n.paces.all.work},
@@ -172,7 +176,7 @@
 			Pace: [2]float64{b.pace.time, b.pace.work}, Tail: snapQuantile(b.tail), Flow: [3]float64{b.flow.done, b.flow.busy, b.flow.at},
 			Distrust: [2]float64{b.distrust.sum, b.distrust.at}, SpentAt: slices.Clone(b.recent.at), Spent: slices.Clone(b.recent.amount),
 			Waits: [3]float64{b.waits.sum, b.waits.count, b.waits.at}, Cores: b.cores,
-			Met: [2]float64{b.met.wait, b.met.at}, Banned: b.banned, Back: b.back, OutAt: b.outAt, GoneAt: b.goneAt, Drained: b.drained}
+			Met: [2]float64{b.met.wait, b.met.at}, Banned: b.banned, Back: b.back, OutAt: b.outAt, GoneAt: b.goneAt, Drained: b.drained, Joined: b.joined, Own: b.own, Refused: b.refused, BrokeAt: b.brokeAt}
 		for _, p := range b.out {
 			if !whole {
 				break
@@ -238,7 +242,7 @@
 		s.Held = append(s.Held, at)
 	}
 	for _, d := range n.due {
-		x := SnapDue{At: d.at, Seq: d.seq, Op: -1, Push: -1, Line: lineAt[d.line]}
+		x := SnapDue{At: d.at, Seq: d.seq, Op: -1, Push: -1, Line: lineAt[d.line], Lingers: d.lingers}
 		switch {
 		case d.op != nil && !d.op.Over():
 			if at, named := opAt[d.op]; named {
@@ -266,6 +270,7 @@
 	n = New(t, s.Now)
 	n.armed, n.sweepAt, n.round, n.extra, n.doubt, n.weight, n.askAt = s.Armed, s.SweepAt, s.Round, s.Extra, s.Doubt, s.Weight, s.AskAt
 	n.window, n.heard, n.of, n.whole, n.doubted = s.Window, s.Heard, s.Of, s.Whole, s.Doubted
+	n.fellAt, n.aloneAt = s.FellAt, s.AloneAt
 	n.tracked, n.stirred, n.idle, n.failures, n.seq = s.Tracked, s.Stirred, s.Idle, s.Failures, s.Seq
 	if s.Chance != [2]uint64{} {
 		n.rng = mwc{s.Chance[0], s.Chance[1]}
@@ -300,7 +305,8 @@
 			pass: x.Pass, pace: pace{x.Pace[0], x.Pace[1]}, tail: quantile{x.Tail.Value, x.Tail.Seen}, flow: flow{x.Flow[0], x.Flow[1], x.Flow[2]},
 			distrust: fader{x.Distrust[0], x.Distrust[1]}, recent: spend{slices.Clone(x.SpentAt), slices.Clone(x.Spent)},
 			waits: recent{x.Waits[0], x.Waits[1], x.Waits[2]}, cores: x.Cores,
-			met: met{x.Met[0], x.Met[1]}, banned: x.Banned, back: x.Back, outAt: x.OutAt, goneAt: x.GoneAt, drained: x.Drained})
+			met: met{x.Met[0], x.Met[1]}, banned: x.Banned, back: x.Back, outAt: x.OutAt, goneAt: x.GoneAt, drained: x.Drained, joined: x.Joined, own: x.Own, refused: x.Refused,
+			brokeAt: x.BrokeAt})
 	}
 	for _, x := range s.Ops {
 		if x.Category < 0 || x.Category >= len(t.Categories) || x.Stage < 0 || x.Stage > int(ended) {
@@ -362,7 +368,10 @@
 		n.held = append(n.held, ops[at])
 	}
 	for _, x := range s.Due {
-		d := due{at: x.At, seq: x.Seq}
+		d := due{at: x.At, seq: x.Seq, lingers: x.Lingers}
+		if x.Lingers {
+			n.abroad++
+		}
 		switch {
 		case math.IsNaN(x.At) || x.Op >= len(ops) || x.Line < 0 || x.Line > len(lines):
 			return nil, nil, nil, errors.New("snapshot of an odd due time")
--- a/balance/types.go
+++ b/balance/types.go
@@ -112,6 +112,7 @@
 	pass      float64 // its place in the rotation
 	recent    spend   // work sent in the last window, for the time when it may be cold
 	known     bool    // the node has it among its backends
+	brokeAt   float64 // when a push there last ended in a reset
 	joined    bool    // a connection there has lately served
 	own       bool    // it is in the part of the fleet that the node connects to
 	refused   float64 // connects refused in a row
@@ -230,6 +231,7 @@
 	estimate  float64 // its order among held ops
 	excess    float64 // how likely it is beyond its tenant's share
 	stage     stage
+	home      *Backend // where its key is, if anywhere
 	queued    bool
 	line      *line // of its key, where its category keeps order, until it is over
 	calledOff bool  // a look at where it could go once its push has ended
--- a/internal/capture/explain.go
+++ b/internal/capture/explain.go
@@ -61,7 +61,11 @@
 		return
 	}
 	if b == nil {
-		e.looked = append(e.looked, "    waits: no backend may have it now")
+		text := "    waits: no backend may have it now"
+		if r == balance.Fallen {
+			text = "    not looked for: " + r.String()
+		}
+		e.looked = append(e.looked, text)
 		return
 	}
 	x, number := n.Belief(op, b), e.refs[b]
