Repeats wait a tenth in a crowd; the lab plays order, empty lists, stuck reports, falls, squeezes

The load that keeps a crowd a crowd is clients' repeats, which by then have little time left.

Change: a repeat's patience for waits behind others is a tenth of a first try's, was 0.8. In a calm it is like any other. It covers every storm of repeats; it would harm where clients give up on a first try for reasons of their own while the fleet is crowded. The lab's categories can keep order and ops carry keys; new troubles list-empty, stuck, fell and squeeze in virtual time with an experiment each; internal/rules judges order as a fifth rule and takes gone for no drain where that does not bind.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -777,7 +777,7 @@
 func (n *Node) patienceOf(op *Op) float64 {
 	share := op.cat.patience * n.within(op)
 	if op.Repeat {
-		share *= 0.8 // part of its time is gone already
+		share *= 0.1 // its time is gone for the most part, and in a crowd repeats are what keeps it one
 	}
 	return share * n.leftToTarget(op)
 }
--- a/balance/fall_test.go
+++ b/balance/fall_test.go
@@ -117,3 +117,19 @@
 		assert.Zero(t, node.abroad)
 	}
 }
+
+// In a crowd clients' repeats are what keeps it one: they wait behind others for a tenth of what first tries do.
+func TestRepeatsWaitLess(t *testing.T) {
+	d := sit(t, plain(), 2)
+	d.seen()
+	for range 40 {
+		d.node.crowd.add(d.backends[0], d.now, 150)
+	}
+	d.arrive("first", 0, 10)
+	d.repeat("again", 0)
+	require.Equal(t, "push:first nack:again", d.pull())
+	calm := sit(t, plain(), 2)
+	calm.seen()
+	calm.repeat("again", 0)
+	require.Equal(t, "push:again", calm.pull(), "without a crowd they are like the others")
+}
--- a/internal/lab/clients/clients.go
+++ b/internal/lab/clients/clients.go
@@ -20,6 +20,8 @@
 	Work     float64 // ms of a standard core
 	Hint     float64
 	HasHint  bool
+	Key      uint64  // 0 is none
+	Fells    bool    // it brings down the backend that begins it
 	At       float64 // when it was to be sent first
 }
 
@@ -106,6 +108,10 @@
 	case "misleading": // of some other op
 		op.Hint, op.HasHint = other, true
 	}
+	if s.e.Clients.Keys > 0 { // half of the ops are about a sixteenth of the keys
+		op.Key = 1 + uint64(math.Pow(rng.Float64(), 4)*float64(s.e.Clients.Keys))
+	}
+	op.Fells = s.state.Fells(op.Category) > 0 && rng.Float64() < s.state.Fells(op.Category)
 	if chance, factor := s.state.Costly(op.Category); costly < chance { // which no hint foresees
 		op.Work *= factor
 	}
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -99,6 +99,7 @@
 	Leave        float64     `toml:"leave"`   // share of tries left before their time
 	Hints        string      `toml:"hints"`   // exact, rough, absent, misleading
 	HintNoise    float64     `toml:"hint_noise"`
+	Keys         int         `toml:"keys"`         // that ops are about, the first the most popular; 0 is none
 	DeadNodeMs   float64     `toml:"dead_node_ms"` // for so long clients go on being sent to a dead node
 }
 
@@ -115,6 +116,7 @@
 	TTLMs      float64 `toml:"ttl_ms"`
 	Benefit    float64 `toml:"benefit"`
 	Late       float64 `toml:"late_benefit"`
+	KeepOrder  bool    `toml:"keep_order"` // ops with one key run one at a time
 }
 
 // Rules are the figures of the rules and the bounds on a node.
@@ -126,6 +128,10 @@
 	ComeBack      bool    `toml:"come_back"`
 	MaxComeBackMs float64 `toml:"max_come_back_ms"`
 	BenefitByWork bool    `toml:"benefit_by_work"`
+
+	SettleMs          float64 `toml:"settle_ms"`           // a key rests so long after a push that may still run
+	RemovalNotBinding bool    `toml:"removal_not_binding"` // gone without a drain is a hint
+	ConnectionPrice   float64 `toml:"connection_price"`
 }
 
 // Trouble is one thing that goes wrong, for a while, for some.
@@ -141,6 +147,7 @@
 	EveryMs  float64 `toml:"every_ms"`
 	PauseMs  float64 `toml:"pause_ms"`
 	Category string  `toml:"category"`
+	Machine  string  `toml:"machine"` // only that kind of backend
 }
 
 // The kinds of trouble.
@@ -164,6 +171,22 @@
 	Upgrade  = "upgrade"   // a new process of nodes takes over, once
 )
 
+// Further kinds, of virtual time alone: on sockets backends and their list have no such faults.
+const (
+	ListEmpty = "list-empty" // the list calls every backend gone while all serve
+	Stuck     = "stuck"      // backends run slower by a factor, and their reports stay as they were
+	Fell      = "fell"       // a chance of one category's ops bring down the backend that begins them, for pause_ms
+	Squeeze   = "squeeze"    // backends close idle connections and take so many at most, by factor
+)
+
+// Models lists them.
+var Models = []string{ListEmpty, Stuck, Fell, Squeeze}
+
+// Modelled tells whether troubles are among them that only virtual time can play.
+func (e *Experiment) Modelled() bool {
+	return slices.ContainsFunc(e.Trouble, func(t Trouble) bool { return slices.Contains(Models, t.Kind) })
+}
+
 // Kinds lists them all.
 var Kinds = []string{Swallow, Errors, Pauses, Slow, Crash, Vanish, Cut, ListLate, ListDown, Nodes, Burst, Costly, Lies, Shrink}
 
@@ -249,7 +272,7 @@
 		"clients.retry_wait_ms": e.Clients.RetryWaitMs, "clients.hint_noise": e.Clients.HintNoise,
 		"clients.dead_node_ms": e.Clients.DeadNodeMs, "rules.drain_grace_ms": e.Rules.DrainGraceMs,
 		"rules.max_come_back_ms": e.Rules.MaxComeBackMs, "fleet.connect_ms": e.Fleet.ConnectMs, "fleet.idle_ms": e.Fleet.IdleMs,
-		"backend.warm_within_ms": e.Backend.WarmWithinMs, "backend.overload_for_ms": e.Backend.OverloadForMs,
+		"rules.settle_ms": e.Rules.SettleMs, "rules.connection_price": e.Rules.ConnectionPrice, "backend.warm_within_ms": e.Backend.WarmWithinMs, "backend.overload_for_ms": e.Backend.OverloadForMs,
 		"fleet.ask_within_ms": e.Fleet.AskWithinMs, "clients.day_seconds": e.Clients.DaySeconds, "fleet.node_cores": e.Fleet.NodeCores}
 	for _, key := range slices.Sorted(maps.Keys(plain)) { // of several faults always the same is told
 		c.within(key, plain[key], 0, 1e9)
@@ -260,6 +283,7 @@
 	c.within("backend.crowd_factor", e.Backend.CrowdFactor, 1, 1e3)
 	c.within("clients.day_amplitude", e.Clients.DayAmplitude, 0, 1)
 	c.within("clients.leave", e.Clients.Leave, 0, 1)
+	c.must(e.Clients.Keys >= 0 && e.Clients.Keys <= 1e6, "clients.keys", "%d is not 0 to 1000000", e.Clients.Keys)
 	c.must(e.Clients.Retries >= 0 && e.Clients.Retries <= 20, "clients.retries", "%d is not 0 to 20", e.Clients.Retries)
 	c.must(len(e.Clients.GiveUp) == 2 && e.Clients.GiveUp[0] > 0 && e.Clients.GiveUp[0] <= e.Clients.GiveUp[1] &&
 		e.Clients.GiveUp[1] <= 1, "clients.give_up", "%v is not from and to within 0 to 1", e.Clients.GiveUp)
@@ -306,7 +330,7 @@
 }
 
 func (e *Experiment) checkTrouble(c *checks, at string, t Trouble) {
-	c.oneOf(at+"kind", t.Kind, slices.Concat(Kinds, Calls))
+	c.oneOf(at+"kind", t.Kind, slices.Concat(Kinds, Calls, Models))
 	c.within(at+"at_s", t.At, 0, e.Seconds)
 	c.within(at+"for_s", t.For, 0, 1e6)
 	c.within(at+"share", t.Share, 0, 1)
@@ -315,26 +339,33 @@
 	c.within(at+"every_ms", t.EveryMs, 0, 1e9)
 	c.within(at+"pause_ms", t.PauseMs, 0, 1e9)
 	c.must(t.Count >= 0, at+"count", "%d is below 0", t.Count)
+	if t.Machine != "" {
+		c.must(slices.ContainsFunc(e.Machines, func(m Machine) bool { return m.Name == t.Machine }), at+"machine", "%q is not among the machines", t.Machine)
+	}
 	if t.Zone != "" {
 		c.must(slices.Contains(e.Fleet.Zones, t.Zone), at+"zone", "%q is not among the fleet's zones", t.Zone)
 	}
 	switch t.Kind {
-	case Swallow, Errors, Pauses, Slow, Crash, Vanish, Lies, Shrink, Nodes, Cordon, Quiesce, Upgrade:
+	case Swallow, Errors, Pauses, Slow, Crash, Vanish, Lies, Shrink, Nodes, Cordon, Quiesce, Upgrade, Stuck, Squeeze:
 		c.must(t.Share > 0 || t.Count > 0, at+"share", "give share or count above 0")
 	case Cut:
 		c.must(t.Zone != "" && len(e.Fleet.Zones) > 1, at+"zone", "give the zone that is cut off, of two at least")
-	case Costly:
+	case Costly, Fell:
 		c.must(slices.ContainsFunc(e.Category, func(k Category) bool { return k.Name == t.Category }), at+"category",
 			"%q is not among the categories", t.Category)
 	}
 	switch t.Kind {
-	case Slow, Burst, Costly, Lies, ListLate:
+	case Slow, Burst, Costly, Lies, ListLate, Stuck, Squeeze:
 		c.must(t.Factor > 0, at+"factor", "give it above 0")
 	case Pauses:
 		c.must(t.EveryMs > 0 && t.PauseMs > 0 && t.PauseMs < t.EveryMs, at+"pause_ms", "give it and a longer every_ms")
 	}
 	switch t.Kind {
-	case Errors, Costly:
+	case Fell:
+		c.must(t.PauseMs > 0, at+"pause_ms", "give it above 0")
+	}
+	switch t.Kind {
+	case Errors, Costly, Fell:
 		c.must(t.Chance > 0, at+"chance", "give it above 0")
 	}
 }
@@ -369,7 +400,8 @@
 	all := make([]balance.Category, 0, len(e.Category))
 	for _, k := range e.Category {
 		all = append(all, balance.Category{Effect: k.effect(), Group: balance.Group(max(slices.Index(groups, k.Group), 0)),
-			Remembered: k.RememberMs, TargetLatency: k.TargetMs, Benefit: k.Benefit, LateBenefit: k.Late})
+			Remembered: k.RememberMs, TargetLatency: k.TargetMs, Benefit: k.Benefit, LateBenefit: k.Late,
+			KeepOrder: k.KeepOrder})
 	}
 	return all
 }
@@ -382,14 +414,16 @@
 		ByWork: e.Rules.BenefitByWork, CrossPrice: e.Fleet.CrossPrice, MaxPushes: e.Rules.MaxPushes,
 		SecondCopies: e.Rules.SecondCopies, Cancel: e.Rules.Cancel, ComeBack: e.Rules.ComeBack,
 		MaxComeBack: e.Rules.MaxComeBackMs, MustAsk: e.List.MustAsk, AskWithin: e.Fleet.AskWithinMs, ColdFrom: e.Backend.ColdFrom,
-		WarmWithin: e.Backend.WarmWithinMs, FallMultiple: e.Backend.FallMultiple, OverloadFor: e.Backend.OverloadForMs}
+		WarmWithin: e.Backend.WarmWithinMs, FallMultiple: e.Backend.FallMultiple, OverloadFor: e.Backend.OverloadForMs,
+		SettleAfterDoubt: e.Rules.SettleMs, RemovalNotBinding: e.Rules.RemovalNotBinding, ConnectionPrice: e.Rules.ConnectionPrice}
 }
 
 // Auditor judges the experiment; slack is what the host sees late, in ms.
 func (e *Experiment) Auditor(slack float64) *rules.Auditor {
 	return rules.New(rules.Terms{Categories: e.Categories(), MaxPushes: e.Rules.MaxPushes, SecondCopies: e.Rules.SecondCopies,
 		DrainGrace: e.Rules.DrainGraceMs, ColdFrom: e.Backend.ColdFrom, WarmWithin: e.Backend.WarmWithinMs,
-		FallMultiple: e.Backend.FallMultiple, OverloadFor: e.Backend.OverloadForMs, Slack: slack})
+		FallMultiple: e.Backend.FallMultiple, OverloadFor: e.Backend.OverloadForMs,
+		SettleAfterDoubt: e.Rules.SettleMs, RemovalNotBinding: e.Rules.RemovalNotBinding, Slack: slack})
 }
 
 // MeanWork is that of an op, in ms of a standard core.
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -79,6 +80,9 @@
 
 // Run plays one seed. It returns when the experiment is over, ctx ends, or something of the lab's own failed.
 func Run(ctx context.Context, e *experiment.Experiment, seed uint64, o Options) (run measure.Run, err error) {
+	if e.Modelled() {
+		return run, errors.New("a list that empties, reports that stand still, ops that fell backends and squeezed connections: only in virtual time")
+	}
 	c := clock.New()
 	// Until the load begins all times are long before the run's: nothing of the start counts in it.
 	w := &world{o: o, random: seed, dir: o.Dir, failed: make(chan error, 64), switches: trouble.Schedule(e, seed),
--- a/internal/lab/machine/machine.go
+++ b/internal/lab/machine/machine.go
@@ -53,6 +53,7 @@
 	Every   float64 // it stands still every so often ...
 	Pause   float64 // ... for so long
 	Lie     float64 // factor on what it reports; 0 is none
+	Stuck   bool    // what it reports stays as it was
 }
 
 const (
@@ -383,7 +384,7 @@
 
 // Report is what its answers tell of its load, as old and rough as its kind has it.
 func (m *Machine) Report(now float64) Report {
-	if now-m.told >= m.kind.ReportAge && m.seen > 0 {
+	if now-m.told >= m.kind.ReportAge && m.seen > 0 && !m.trouble.Stuck {
 		m.told = now
 		m.reported = Report{m.service * math.Exp(m.kind.ReportNoise*m.rng.NormFloat64()), m.InHand()}
 		if m.trouble.Lie > 0 {
--- a/internal/lab/trouble/trouble.go
+++ b/internal/lab/trouble/trouble.go
@@ -48,7 +48,7 @@
 	}
 	var all []int
 	for k := range of {
-		if zone < 0 || k%len(e.Fleet.Zones) == zone {
+		if (zone < 0 || k%len(e.Fleet.Zones) == zone) && (t.Machine == "" || e.Machines[e.MachineOf(k)].Name == t.Machine) {
 			all = append(all, k)
 		}
 	}
@@ -104,6 +104,7 @@
 	hit(experiment.Swallow, func(experiment.Trouble) { m.Swallow = true })
 	hit(experiment.Errors, func(t experiment.Trouble) { m.Errors = 1 - (1-m.Errors)*(1-t.Chance) })
 	hit(experiment.Slow, func(t experiment.Trouble) { m.Slow = max(m.Slow, 1) * t.Factor })
+	hit(experiment.Stuck, func(t experiment.Trouble) { m.Slow, m.Stuck = max(m.Slow, 1)*t.Factor, true })
 	hit(experiment.Pauses, func(t experiment.Trouble) { m.Every, m.Pause = t.EveryMs, t.PauseMs })
 	hit(experiment.Lies, func(t experiment.Trouble) { m.Lie = t.Factor })
 	return m
@@ -137,6 +138,42 @@
 	return chance, factor
 }
 
+// Fells is the chance that an op of a category brings down the backend that begins it.
+func (s *State) Fells(category int) (chance float64) {
+	s.each(experiment.Fell, func(t experiment.Trouble, _ []int) {
+		if s.e.Category[category].Name == t.Category {
+			chance = t.Chance
+		}
+	})
+	return chance
+}
+
+// DownFor is how long a backend that was brought down stays so, in ms.
+func (s *State) DownFor() (ms float64) {
+	for _, t := range s.e.Trouble { // an op may come again after the trouble's end
+		if t.Kind == experiment.Fell {
+			ms = t.PauseMs
+		}
+	}
+	return ms
+}
+
+// Connections is how many a backend takes at most; 0 is no limit.
+func (s *State) Connections(b int) (most int) {
+	s.each(experiment.Squeeze, func(t experiment.Trouble, targets []int) {
+		if slices.Contains(targets, b) {
+			most = max(int(t.Factor), 1)
+		}
+	})
+	return most
+}
+
+// Emptied tells whether the list calls every backend gone.
+func (s *State) Emptied() (empty bool) {
+	s.each(experiment.ListEmpty, func(experiment.Trouble, []int) { empty = true })
+	return empty
+}
+
 // Cut tells whether two zones have no way to each other.
 func (s *State) Cut(a, b int) (cut bool) {
 	if a == b {
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -351,10 +351,10 @@
 	c := t.of
 	o := &op{node: n, try: t}
 	o.Ref, o.Category, o.Hint, o.HasHint = clients.TryID(c.ID, t.number), c.Category, c.Hint, c.HasHint
-	o.Repeat, o.GiveUp = t.number > 0, sent+patience-marginMs
+	o.Repeat, o.GiveUp, o.Key = t.number > 0, sent+patience-marginMs, c.Key
 	t.op = o
 	n.ops[o.Ref] = o
-	h.tell(rules.Event{Kind: rules.OpTaken, Node: n.number, Op: o.Ref, Category: c.Category, GiveUp: sent + patience})
+	h.tell(rules.Event{Kind: rules.OpTaken, Node: n.number, Op: o.Ref, Category: c.Category, Key: c.Key, GiveUp: sent + patience})
 	n.module.Arrived(h.now, &o.Op)
 	h.pull(n)
 }
@@ -369,6 +369,7 @@
 	n.version = version
 	seed := rand.New(rand.NewPCG(h.seed, uint64(n.number)<<20+uint64(n.life)+5)).Uint64()
 	terms := h.e.Terms(n.zone, seed)
+	terms.Number = n.number
 	n.module, h.err = policy.New(h.e.Policy, terms, h.now, h.sight(n))
 	if h.err != nil {
 		return
@@ -431,8 +432,10 @@
 }
 
 func (h *host) see(n *node, b int, s balance.State, started float64) {
-	n.view[b] = s
-	if s == balance.Gone {
+	if s != balance.Gone || n.view[b] != balance.Ready || !h.e.Rules.RemovalNotBinding { // else the module decides
+		n.view[b] = s
+	}
+	if n.view[b] == balance.Gone {
 		n.pools[b] = nil
 	}
 	h.tell(rules.Event{Kind: rules.ListTold, Node: n.number, Backend: b, State: s, Started: started})
@@ -559,6 +562,8 @@
 		h.at(h.now+2*way, func() {
 			if !c.ended && (t.life != life || !t.Up()) {
 				h.end(c, balance.NoConnection)
+			} else if most := h.state.Connections(t.number); most > 0 && !c.ended && h.connections(t) >= most {
+				h.end(c, balance.NoConnection)
 			} else if !c.ended {
 				c.life = life
 				h.begin(c)
@@ -567,6 +572,19 @@
 	}
 }
 
+// connections counts those that a backend has, in use or idle.
+func (h *host) connections(t *backend) int {
+	open := len(t.inHand)
+	for _, n := range h.nodes {
+		for _, c := range n.pools[t.number] {
+			if c.life == t.life && h.now-c.since < idleShare*h.e.Fleet.IdleMs {
+				open++
+			}
+		}
+	}
+	return open
+}
+
 // begin is the one gate before a push's first byte, as the node on sockets has it.
 func (h *host) begin(c *push) {
 	n, t := c.op.node, c.target
@@ -620,6 +638,11 @@
 	for _, id := range t.Begun() {
 		if c := t.inHand[id]; c != nil {
 			h.tell(rules.Event{Kind: rules.PushRan, Op: c.op.Ref, Push: c.p.Number, Backend: t.number})
+			if c.op.try.of.Fells {
+				h.crash(t, true, false)
+				h.at(h.now+h.state.DownFor(), func() { h.comeBack(t) })
+				return
+			}
 		}
 	}
 	t.wake++
@@ -801,7 +824,7 @@
 	t := h.e.Trouble[w.Index]
 	h.state.Put(w)
 	switch t.Kind {
-	case experiment.Swallow, experiment.Errors, experiment.Slow, experiment.Pauses, experiment.Lies:
+	case experiment.Swallow, experiment.Errors, experiment.Slow, experiment.Pauses, experiment.Lies, experiment.Stuck:
 		for _, k := range w.Targets {
 			h.backends[k].Put(h.now, h.state.Machine(k))
 			h.turnOf(h.backends[k])
@@ -826,6 +849,21 @@
 				h.start(n, old, version)
 			}
 		}
+	case experiment.ListEmpty:
+		for _, b := range h.backends {
+			s := balance.Gone
+			if !w.On && b.Up() {
+				s = balance.Ready
+			}
+			h.roll.Set(h.now, 0, roll.Entry{Backend: b.number, State: s, Started: b.Started()})
+		}
+		h.publishLater()
+	case experiment.Squeeze:
+		for _, n := range h.nodes {
+			for _, k := range w.Targets {
+				n.pools[k] = nil
+			}
+		}
 	case experiment.ListDown:
 		for _, n := range h.nodes {
 			if w.On && n.alive && n.watching {
@@ -843,6 +881,9 @@
 }
 
 func (h *host) lists(t *backend, s balance.State) {
+	if h.state.Emptied() { // the list learns of it when it is right again
+		return
+	}
 	h.roll.Set(h.now, h.state.Lag(), roll.Entry{Backend: t.number, State: s, Started: t.Started()})
 	h.publishLater()
 }
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"path/filepath"
 	"runtime"
 	"testing"
@@ -186,3 +187,13 @@
 	}
 	assert.Greater(t, busy/float64(len(r.Windows)*10), 0.3)
 }
+
+// The auditor sees order from outside: policies that know nothing of keys break it on the same ops.
+func TestOrderIsJudged(t *testing.T) {
+	e := shipped(t, "list-empty")
+	e.Seconds, e.Clients.Keys, e.Policy, e.Trouble = 10, 20, "random", nil
+	r, err := Run(e, 1, Options{})
+	require.NoError(t, err)
+	require.False(t, r.Rules.Kept)
+	assert.Contains(t, fmt.Sprint(r.Rules.Breaches), "order kept")
+}
--- a/internal/rules/events.go
+++ b/internal/rules/events.go
@@ -1,5 +1,5 @@
-// Package rules judges whether the four rules were kept: no op lost, no effect twice, nothing new to a backend
-// after its drain grace, no cold backend pushed over. It does no I/O and knows nothing of the program judged: a
+// Package rules judges whether the rules were kept: no op lost, no effect twice, nothing new to a backend after its
+// drain grace, no cold backend pushed over, and the ops of one key in their order where a category keeps it. It does no I/O and knows nothing of the program judged: a
 // host tells it what was seen from outside, event by event, and it answers with the breaches, each with the
 // events that prove it. What the rules say stands in docs/lab.md.
 package rules
@@ -15,7 +15,7 @@
 type Kind uint8
 
 const (
-	// OpTaken: a live node has an op's last byte. Node, Op, Category, GiveUp.
+	// OpTaken: a live node has an op's last byte. Node, Op, Category, Key, GiveUp.
 	OpTaken Kind = iota
 	// OpAnswered: the op's final answer. Node, Op, Final; where acked, Push or AnyPush.
 	OpAnswered
@@ -75,6 +75,7 @@
 	Zone     int
 	Cell     int
 	Op       uint64
+	Key      uint64  // what the op is about; 0 is none
 	GiveUp   float64 // when the op's TTL ends
 	Work     float64 // ms of a standard core
 	Started  float64 // 0 is long ago
@@ -107,7 +108,7 @@
 	return b.String()
 }
 
-// Rule is one of the four.
+// Rule is one of the five.
 type Rule uint8
 
 const (
@@ -115,10 +116,11 @@
 	NoEffectTwice Rule = 2
 	DrainsKept    Rule = 3
 	ColdStarts    Rule = 4
+	OrderKept     Rule = 5
 )
 
 func (r Rule) String() string {
-	return [...]string{"", "no op lost", "no effect twice", "drains kept", "cold starts"}[r]
+	return [...]string{"", "no op lost", "no effect twice", "drains kept", "cold starts", "order kept"}[r]
 }
 
 // Breach is one rule broken once, with the events that prove it, oldest first.
@@ -147,5 +149,8 @@
 	WarmWithin   float64
 	FallMultiple float64 // of what it can do at that moment
 	OverloadFor  float64
-	Slack        float64 // for what the host sees late: 0 in virtual time
+	// SettleAfterDoubt is how long a key rests after a push that may still run; RemovalNotBinding, that only draining binds.
+	SettleAfterDoubt  float64
+	RemovalNotBinding bool
+	Slack             float64 // for what the host sees late: 0 in virtual time
 }
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math"
+	"slices"
 
 	"pearknot/balance"
 )
@@ -26,14 +27,26 @@
 	ops      map[uint64]*op
 	due      dues
 	backends map[int]*backend
-	told     map[pair]Event // of backends that drain or are gone: the news, as each node first had it
+	told     map[pair]Event   // of backends that drain or are gone: the news, as each node first had it
+	lines    map[lineOf]*line // of the keys of ops that keep order
 	breaches []Breach
-	counts   [5]int
+	counts   [6]int
 	taken    int
 }
 
 type pair struct{ node, backend int }
 
+type lineOf struct {
+	node int
+	key  uint64
+}
+
+// line is a key's ops at one node that are not over, in the order taken, and until when the key rests.
+type line struct {
+	ops  []*op
+	rest float64
+}
+
 type op struct {
 	id       uint64
 	node     int
@@ -48,6 +61,7 @@
 	quiet    float64 // when the latest push ended, or the op came
 	pushes   []push
 	events   []Event
+	line     *line
 }
 
 type push struct {
@@ -73,7 +87,7 @@
 
 // New makes an auditor.
 func New(t Terms) *Auditor {
-	return &Auditor{t: t, now: math.Inf(-1), ops: map[uint64]*op{}, backends: map[int]*backend{}, told: map[pair]Event{}}
+	return &Auditor{t: t, now: math.Inf(-1), ops: map[uint64]*op{}, backends: map[int]*backend{}, told: map[pair]Event{}, lines: map[lineOf]*line{}}
 }
 
 // Feed takes an event. One that is older than the latest counts as it stands, but turns no clock back.
@@ -88,6 +102,7 @@
 		if o := a.ops[e.Op]; o != nil && !o.closed {
 			o.note(e)
 			o.closed, o.left = true, true
+			o.passOn()
 		}
 	case PushBegun:
 		a.begin(e)
@@ -102,6 +117,7 @@
 		}
 		if e.State == balance.Ready {
 			delete(a.told, at)
+		} else if e.State == balance.Gone && a.t.RemovalNotBinding { // without a drain it binds nobody, after one that does
 		} else if _, known := a.told[at]; !known {
 			a.told[at] = e // told again is no new grace
 		}
@@ -120,6 +136,14 @@
 				o.closed, o.left = true, true
 			}
 		}
+		for at := range a.lines { // what the node had taken is void
+			if at.node == e.Node {
+				for _, o := range a.lines[at].ops {
+					o.line = nil
+				}
+				delete(a.lines, at)
+			}
+		}
 		for _, b := range a.backends {
 			delete(b.toldBy, e.Node)
 		}
@@ -146,7 +170,7 @@
 func (a *Auditor) Count(r Rule) int { return a.counts[r] }
 
 // Kept tells that no rule was broken.
-func (a *Auditor) Kept() bool { return a.counts == [5]int{} }
+func (a *Auditor) Kept() bool { return a.counts == [6]int{} }
 
 // Taken is the number of ops judged.
 func (a *Auditor) Taken() int { return a.taken }
@@ -159,8 +183,8 @@
 	if a.Kept() {
 		return fmt.Sprintf("rules kept: %d ops judged", a.taken)
 	}
-	return fmt.Sprintf("rules broken: no op lost %d, no effect twice %d, drains kept %d, cold starts %d, of %d ops judged",
-		a.counts[NoOpLost], a.counts[NoEffectTwice], a.counts[DrainsKept], a.counts[ColdStarts], a.taken)
+	return fmt.Sprintf("rules broken: no op lost %d, no effect twice %d, drains kept %d, cold starts %d, order kept %d, of %d ops judged",
+		a.counts[NoOpLost], a.counts[NoEffectTwice], a.counts[DrainsKept], a.counts[ColdStarts], a.counts[OrderKept], a.taken)
 }
 
 func (a *Auditor) breach(r Rule, evidence []Event, format string, args ...any) {
@@ -183,6 +207,7 @@
 	if !o.closed {
 		a.breach(NoOpLost, o.events, "op %d has no final answer by its TTL's end at %.1f", o.id, o.giveUp)
 	}
+	o.leave() // what is out of it can't be followed any more
 	if a.ops[o.id] == o {
 		delete(a.ops, o.id)
 	}
@@ -197,13 +222,58 @@
 		a.breach(NoOpLost, []Event{e}, "op %d of category %d, which the terms don't name", e.Op, e.Category)
 		return
 	}
-	a.taken++
+	if a.taken++; a.taken%1024 == 0 {
+		for at, l := range a.lines {
+			if len(l.ops) == 0 && l.rest < a.now {
+				delete(a.lines, at)
+			}
+		}
+	}
 	o := &op{id: e.Op, node: e.Node, category: e.Category, taken: e.At, quiet: e.At, giveUp: e.GiveUp}
 	o.note(e)
 	a.ops[e.Op] = o
+	if a.t.Categories[e.Category].KeepOrder && e.Key != 0 {
+		at := lineOf{e.Node, e.Key}
+		if a.lines[at] == nil {
+			a.lines[at] = &line{}
+		}
+		o.line = a.lines[at]
+		o.line.ops = append(o.line.ops, o)
+	}
 	heap.Push(&a.due, o)
 }
 
+// passOn gives the turn on once an op is over: answered, or its client gone, with nothing out.
+func (o *op) passOn() {
+	out := false
+	for _, p := range o.pushes {
+		out = out || p.out
+	}
+	if o.closed && !out {
+		o.leave()
+	}
+}
+
+func (o *op) leave() {
+	if o.line != nil {
+		o.line.ops = slices.DeleteFunc(o.line.ops, func(x *op) bool { return x == o })
+		o.line = nil
+	}
+}
+
+// inOrder judges a push by those of its key that were taken before it. A key's rest is for the ops after the one that was
+// in doubt: that one may go again at once.
+func (a *Auditor) inOrder(o *op, e Event) {
+	switch {
+	case o.line == nil:
+	case o.line.ops[0] != o:
+		a.breach(OrderKept, append(slices.Clone(o.line.ops[0].events), o.events...), "op %d pushed while op %d of its key, taken earlier, is not over",
+			o.id, o.line.ops[0].id)
+	case len(o.pushes) == 0 && e.At < o.line.rest-a.t.Slack:
+		a.breach(OrderKept, o.events, "op %d pushed %.1f ms before the end of its key's rest", o.id, o.line.rest-e.At)
+	}
+}
+
 func (o *op) note(e Event) {
 	if len(o.events) < mostEvidence {
 		o.events = append(o.events, e)
@@ -235,6 +305,7 @@
 		return
 	}
 	o.closed, o.answered, o.finalAt = true, true, e.At
+	defer o.passOn()
 	if e.At > o.giveUp+a.t.Slack {
 		a.breach(NoOpLost, o.events, "op %d %s %.1f ms after its TTL's end", e.Op, e.Final, e.At-o.giveUp)
 	}
@@ -283,6 +354,7 @@
 		a.breach(NoEffectTwice, o.events, "op %d pushed %d times, %d allowed", e.Op, len(o.pushes)+1, a.t.MaxPushes)
 	}
 	a.again(o, e)
+	a.inOrder(o, e)
 	o.pushes = append(o.pushes, push{number: e.Push, backend: e.Backend, at: e.At, out: true})
 	if len(o.pushes) > mostEvidence {
 		o.pushes = o.pushes[1:]
@@ -333,6 +405,10 @@
 		if p := &o.pushes[i]; p.number == e.Push && p.out {
 			p.out, p.ending = false, e.Ending
 			o.quiet = e.At
+			if o.line != nil && (e.Ending == balance.TimedOut || e.Ending == balance.Reset || e.Ending == balance.Revoked) {
+				o.line.rest = math.Max(o.line.rest, e.At+a.t.SettleAfterDoubt)
+			}
+			o.passOn()
 			return
 		}
 	}
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -29,11 +29,12 @@
 // host is a stream of events as a host would tell them: backends 1 and 2 in zone 0, 3 in zone 1, all long warm.
 type host struct {
 	*Auditor
-	now float64
+	now  float64
+	open []uint64 // ops that leave at the end, where they are not answered
 }
 
 func newHost(t Terms) *host {
-	h := &host{New(t), 10e3}
+	h := &host{Auditor: New(t), now: 10e3}
 	for b, zone := range []int{0, 0, 0, 1} {
 		h.at(0, Event{Kind: BackendStarted, Backend: b, Zone: zone, Cell: b, Speed: 1})
 	}
@@ -51,6 +52,15 @@
 	return h.at(0, Event{Kind: OpTaken, Op: op, Category: category, GiveUp: h.now + 1000})
 }
 
+// about takes an op of a category that keeps order, and answers whatever is left open.
+func (h *host) about(op, key uint64) *host {
+	h.t.Categories = append(h.t.Categories[:0:0], h.t.Categories...)
+	h.t.Categories[everywhere].KeepOrder, h.t.SettleAfterDoubt = true, 200
+	h.at(0, Event{Kind: OpTaken, Op: op, Category: everywhere, Key: key, GiveUp: h.now + 1000})
+	h.open = append(h.open, op)
+	return h
+}
+
 func (h *host) push(after float64, op uint64, number, backend int) *host {
 	return h.at(after, Event{Kind: PushBegun, Op: op, Push: number, Backend: backend, Work: 10})
 }
@@ -67,7 +77,10 @@
 	return h.at(after, Event{Kind: ListTold, Node: node, Backend: backend, State: s})
 }
 
-func (h *host) done() [5]int {
+func (h *host) done() [6]int {
+	for _, op := range h.open {
+		h.at(0, Event{Kind: OpLeft, Op: op})
+	}
 	h.now += 1e5
 	h.Finish(h.now)
 	return h.counts
@@ -99,6 +112,26 @@
 		{"no answer", NoOpLost,
 			func(h *host) { h.take(1, any0).push(0, 1, 0, 1).end(5, 1, 0, balance.Answered) },
 			func(h *host) { h.take(1, any0).push(0, 1, 0, 1).at(5, Event{Kind: OpLeft, Op: 1}) }},
+		{"pushed out of turn", OrderKept,
+			func(h *host) { h.about(1, 7).about(2, 7).push(0, 2, 0, 1).at(5, Event{Kind: OpLeft, Op: 1}) },
+			func(h *host) { h.about(1, 7).about(2, 8).push(0, 2, 0, 1).at(5, Event{Kind: OpLeft, Op: 1}) }},
+		{"pushed while an answered op still has a push out", OrderKept,
+			func(h *host) { h.about(1, 7).push(0, 1, 0, 1).final(5, 1, Nacked).about(2, 7).push(0, 2, 0, 1) },
+			func(h *host) {
+				h.about(1, 7).push(0, 1, 0, 1).final(5, 1, Nacked).end(0, 1, 0, balance.Failed).about(2, 7).push(0, 2, 0, 1)
+			}},
+		{"pushed before the key has rested", OrderKept,
+			func(h *host) {
+				h.about(1, 7).push(0, 1, 0, 1).end(5, 1, 0, balance.TimedOut).final(0, 1, Nacked).about(2, 7).push(199, 2, 0, 1)
+			},
+			func(h *host) {
+				h.about(1, 7).push(0, 1, 0, 1).end(5, 1, 0, balance.TimedOut).final(0, 1, Nacked).about(2, 7).push(200, 2, 0, 1)
+			}},
+		{"the key's rest is for the ops after it", OrderKept,
+			func(h *host) {
+				h.about(1, 7).push(0, 1, 0, 1).end(5, 1, 0, balance.Reset).final(0, 1, Nacked).about(2, 7).push(50, 2, 0, 1)
+			},
+			func(h *host) { h.about(1, 7).push(0, 1, 0, 1).end(5, 1, 0, balance.Reset).push(50, 1, 1, 2) }},
 		{"node killed elsewhere", NoOpLost,
 			func(h *host) { h.take(1, any0).at(5, Event{Kind: NodeKilled, Node: 1}) },
 			func(h *host) { h.take(1, any0).at(5, Event{Kind: NodeKilled, Node: 0}) }},
@@ -207,7 +240,7 @@
 			assert.Contains(t, h.Verdict(), "broken")
 			h = newHost(terms())
 			c.sound(h)
-			assert.Equal(t, [5]int{}, h.done(), h.Breaches())
+			assert.Equal(t, [6]int{}, h.done(), h.Breaches())
 			assert.Contains(t, h.Verdict(), "kept")
 		})
 	}
@@ -232,7 +265,7 @@
 		h.take(k, int(k%4)).push(0.2, k, 0, int(k%4)).end(0.2, k, 0, balance.Answered).final(0, k, Acked)
 		require.LessOrEqual(t, h.Open(), 2600)
 	}
-	assert.Equal(t, [5]int{}, h.done())
+	assert.Equal(t, [6]int{}, h.done())
 	assert.Zero(t, h.Open())
 	assert.Empty(t, h.due)
 	h.take(1, any0)
@@ -358,3 +391,19 @@
 		assert.Equal(t, c.breach, h.done()[NoOpLost], "%v", c)
 	}
 }
+
+// Where removal does not bind, gone alone is no drain; what drained and then went is.
+func TestGoneWithoutADrain(t *testing.T) {
+	for binding, want := range map[bool]int{true: 1, false: 0} {
+		rule := terms()
+		rule.RemovalNotBinding = !binding
+		h := newHost(rule)
+		h.told(0, 0, 1, balance.Gone).take(1, any0).push(600, 1, 0, 1).end(5, 1, 0, balance.Answered).final(0, 1, Acked)
+		assert.Equal(t, want, h.done()[DrainsKept])
+	}
+	rule := terms()
+	rule.RemovalNotBinding = true
+	h := newHost(rule)
+	h.told(0, 0, 1, balance.Draining).told(100, 0, 1, balance.Gone).take(1, any0).push(600, 1, 0, 1).end(5, 1, 0, balance.Answered).final(0, 1, Acked)
+	assert.Equal(t, 1, h.done()[DrainsKept])
+}
