--- a/balance/balance.go
+++ b/balance/balance.go
@@ -279,7 +279,7 @@
 	switch {
 	case how == Answered:
 		n.waited(p, elapsed-op.work*n.paceOf(b))
-	case how == TimedOut && !p.overdue && !p.overtaken():
+	case how == TimedOut && !p.overtaken():
 		n.waited(p, elapsed)
 	case how == Rejected: // a queue as long as can be
 		n.waited(p, math.Inf(1))
@@ -298,10 +298,12 @@
 			b.restUntil = now + refusedFor*math.Exp2(b.refused-1)*(0.5+n.rng.unit())
 		}
 		n.suspect(b, 1)
-	case Failed, Reset:
-		if how == Reset {
-			b.brokeAt, n.fellAt = now, now
+	case Reset:
+		b.brokeAt, n.fellAt = now, now
+		if !n.breaks() {
+			n.suspect(b, 1)
 		}
+	case Failed:
 		n.suspect(b, 1)
 	case Rejected: // tells of load, not of a fault; so quick an ending would draw more
 		n.yield(b, 0)
@@ -456,9 +458,11 @@
 }
 
 // fell tells whether ops may bring down whatever backend begins them. Then one that met a reset is not sent
-// on, nor are clients' repeats: each would take one more. First tries go on. A reset after which the backend
-// answers at once was its connection's alone.
-func (n *Node) fell() bool { return n.now-n.fellAt < fallenFor && n.now-n.aloneAt >= fallenFor }
+// on, nor are clients' repeats: each would take one more. First tries go on.
+func (n *Node) fell() bool { return n.now-n.fellAt < fallenFor && !n.breaks() }
+
+// breaks tells that connections lately broke by themselves: the backend answered right after a reset.
+func (n *Node) breaks() bool { return n.now-n.aloneAt < fallenFor }
 
 // bringHome finds the backend where an op's key is at home, the same at nodes that see the same fleet: one
 // that met a key lately has less work with it. A cold one's keys wander off and come back.
@@ -609,7 +613,7 @@
 		p.Backend.drop(n.now, p)
 		n.idle = true
 	} else {
-		n.waited(p, n.now-p.SentAt) // seconds before a time-out would tell
+		p.Backend.met.see(p.SentAt, n.now-p.SentAt) // of itself alone: the silence of a few is no crowd
 		n.suspect(p.Backend, 0.5)
 	}
 	// Where one push is out at most it must end first, and its work goes on there: only where others answer
--- a/balance/fall_test.go
+++ b/balance/fall_test.go
@@ -54,6 +54,9 @@
 	d.end(d.ops["again"].Pushes[0], Reset)
 	require.Equal(t, "push:again", d.pull(), "sent on")
 	require.Equal(t, other, d.ops["again"].Pushes[1].Backend)
+	before := d.node.distrust(other)
+	d.end(d.ops["again"].Pushes[1], Reset)
+	require.Equal(t, before, d.node.distrust(other), "and blamed on the connection: a few backends reset a tenth each and stay")
 }
 
 // A key's ops meet at one backend, the same at all nodes, while it serves and has room.
