--- a/balance/balance.go
+++ b/balance/balance.go
@@ -24,7 +24,7 @@
 	slot         = 4e3     // ms; long enough to see a few answers, short enough to try all in half a minute
 	leastFar     = 0.2     // share of the far backends that a node uses at a time at least
 	mostFirst    = 3.0     // pushes queued on a backend of which nothing is known, by all nodes together
-	leastOut     = 3.0     // pushes on each backend by all nodes together that are not too many for any
+	leastOut     = 7.0     // pushes on each backend by all nodes together that are not too many for any
 	paceKnown    = 3.0     // mean ops' work that counts as the kind's against a backend's own pace
 	blemish      = 0.6     // distrust from which one gets nothing that can't be sent again: an error lately
 	shunAt       = 2.0     // distrust from which a backend gets no traffic: two clear failures in a row
@@ -122,7 +122,7 @@
 	}
 	for i := range t.Categories { // under overload the benefit that a unit of work earns decides who may wait
 		c := &t.Categories[i]
-		share := 0.1 + 0.3*c.Benefit/math.Max(most, 1e-9)
+		share := 0.1 + 0.35*c.Benefit/math.Max(most, 1e-9)
 		c.patience = share
 		for _, o := range t.Categories { // by a longer target the lesser would stay on in the way of the greater
 			if o.Benefit >= c.Benefit {
