Reading through: longs keep to the node's part, homes found at every choice, rests in their order

Three faults: placeLong did not ask whether a backend is in the node's part, so that heavy ops opened connections to any near one; a second look at an overdue op went by a home found earlier, which a replay does not have; rests that another process tells of come by their keys and were not in the order of their times. A backend's first second also counted as right after a reset where a clock begins near 0.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -449,7 +449,6 @@
 
 // place sends an op on the ordinary path, if a backend has room for it.
 func (n *Node) place(op *Op) bool {
-	n.bringHome(op)
 	if op.long {
 		return n.placeLong(op)
 	}
@@ -488,7 +487,6 @@
 	}
 	felled := n.fell() && slices.ContainsFunc(op.Pushes, func(p *Push) bool { return p.ending == Reset })
 	if !felled && n.left(op) > 0 && n.extra >= cost {
-		n.bringHome(op)
 		if b := n.rotate(op); b != nil && n.predict(b, op) < n.left(op) && n.send(op, b) {
 			n.extra -= cost
 			return
@@ -500,6 +498,7 @@
 // placeLong sends a long to a backend with none of this node's work in flight, picked at random; own zone
 // first, others where the op's benefit pays for the way.
 func (n *Node) placeLong(op *Op) bool {
+	n.bringHome(op)
 	patience := n.patienceOf(op)
 	var best []*Backend
 	rank := 0
@@ -525,6 +524,8 @@
 // idle by nature: neither may.
 func (n *Node) unfitForLong(op *Op, b *Backend, patience float64) Reason {
 	switch {
+	case n.t.ConnectionPrice > 0 && !b.own:
+		return Full
 	case len(b.out) > 0 || b.lingers > n.now:
 		return Busy
 	case n.distrust(b) >= math.Min(shunAt/2, shunFrom[op.cat.Effect]):
@@ -636,6 +637,7 @@
 
 // rotate picks a backend by the rotation: own zone first, the others where that gains more than it costs.
 func (n *Node) rotate(op *Op) *Backend {
+	n.bringHome(op)
 	patience := n.patienceOf(op)
 	near, far := n.inTurn(op, true, patience), n.inTurn(op, false, patience)
 	if far == nil {
@@ -888,7 +890,7 @@
 		b.most += math.Min(b.most/4, 1/b.most)
 	}
 	b.refused = 0
-	if n.now-b.brokeAt < restartFor {
+	if b.brokeAt > 0 && n.now-b.brokeAt < restartFor {
 		n.aloneAt = n.now
 	}
 	n.stretch.add(math.Max(elapsed, 0.1)/math.Max(p.expect, 1), 0.95, 0.02)
--- a/balance/connect_test.go
+++ b/balance/connect_test.go
@@ -76,6 +76,19 @@
 	require.ElementsMatch(t, own, d.own())
 }
 
+// Heavy ops keep to the part, too: each backend outside it is a connection more.
+func TestLongsKeepToTheirPart(t *testing.T) {
+	d := sit(t, scarce(3, 300), 200)
+	d.seen()
+	for range 20 {
+		op := d.arrive("long", 0, 200)
+		require.Equal(t, "push:long", d.pull())
+		require.True(t, op.Pushes[0].Backend.own)
+		d.after(150).end(op.Pushes[0], Answered)
+		d.pull()
+	}
+}
+
 // What a report says it holds beyond what its rate keeps at work waits there.
 func TestQueuesFromOpsHeldAndRate(t *testing.T) {
 	d := sit(t, plain(), 2)
--- a/balance/order_test.go
+++ b/balance/order_test.go
@@ -204,3 +204,28 @@
 		}
 	})
 }
+
+// Another process takes over the rests of keys, each to its own end, whatever the order of the keys.
+func TestRestsGoOver(t *testing.T) {
+	d := sit(t, inOrder(), 4)
+	for k, key := range []uint64{9, 5, 7} {
+		op := d.about(key, "op", 2)
+		d.pull()
+		d.now += float64(10 * k)
+		d.node.Ended(d.now, op.Pushes[0], TimedOut, 10, true)
+	}
+	s, err := d.node.Carried(d.backends)
+	require.NoError(t, err)
+	n, _, backends, err := Restore(inOrder(), s)
+	require.NoError(t, err)
+	next := &desk{t: t, node: n, now: d.now, backends: backends, ops: map[string]*Op{}}
+	next.list(Ready, 0, backends...)
+	for _, name := range []string{"nine", "five"} {
+		next.about(map[string]uint64{"nine": 9, "five": 5}[name], name, 2)
+	}
+	require.NotContains(t, next.pull(), "push")
+	require.Contains(t, next.after(settle-29).pull(), "push:nine")
+	require.Contains(t, next.after(11).pull(), "push:five")
+	next.after(settle).pull()
+	require.Empty(t, next.node.lines[7])
+}
--- a/balance/snapshot.go
+++ b/balance/snapshot.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"container/heap"
 	"errors"
 	"fmt"
 	"maps"
@@ -386,6 +387,7 @@
 		}
 		n.due = append(n.due, d)
 	}
+	heap.Init(&n.due) // rests that another process told of come by their keys
 	return n, ops, backends, nil
 }
 
