Settings that price connections must name the node's number

Cause, found in reading through: a node's part of the fleet goes by its number, and settings without me counted as number 0, so that all such nodes would have connected to the same four backends without a word. Change: where prices.connection is above 0 a missing me is refused by its key; elsewhere it is still optional. Test: one more line in the table of refused settings.

--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -176,6 +176,9 @@
 		WarmKeys:          optional(p, "familyInfo.warmKeys", p.flag, false),
 		ConnectionPrice:   optional(p, "prices.connection", p.within(0, math.MaxFloat64), 0),
 	}
+	if t.ConnectionPrice > 0 {
+		p.text("me") // nodes that all took themselves for the first would all connect to the same backends
+	}
 	d := &Deployment{
 		Terms:          t,
 		Zones:          p.list("zones"),
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -124,6 +124,7 @@
 	assert.Equal(t, []float64{200, 2, 0.06}, []float64{d.Terms.SettleAfterDoubt, float64(d.Terms.Number), d.Terms.ConnectionPrice})
 	for line, want := range map[string]string{
 		"categories.1.keepOrder=si\n":       `setting categories.1.keepOrder is neither true nor false: "si"`,
+		"prices.connection=0.06\n":          "setting me is missing",
 		"rules.settleAfterDoubt=-1\n":       "setting rules.settleAfterDoubt is -1, not from 0 to 1.7976931348623157e+308",
 		"rules.removalNotBinding=perhaps\n": `setting rules.removalNotBinding is neither true nor false: "perhaps"`,
 	} {
