--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,6 +25,7 @@
 	leastFar     = 0.2     // share of the far backends that a node uses at a time at least
 	mostFirst    = 3.0     // pushes queued on a backend of which nothing is known, by all nodes together
 	leastOut     = 7.0     // pushes on each backend by all nodes together that are not too many for any
+	bearShare    = 0.4     // of the target latency that an answer may take beside its work, before it's too late
 	paceKnown    = 3.0     // mean ops' work that counts as the kind's against a backend's own pace
 	blemish      = 0.6     // distrust from which one gets nothing that can't be sent again: an error lately
 	shunAt       = 2.0     // distrust from which a backend gets no traffic: two clear failures in a row
@@ -76,6 +77,7 @@
 	crowd    crowd          // how long pushes lately waited, by zone
 	abroad   int            // pushes out in all
 	window   float64        // how many may be out in all
+	answers  fader          // the time that each of the latest might have taken
 	heard    float64        // when the latest push was sent that has been answered
 	warm     perPlace[took] // what a zone's warm backends take of this node's work
 	tracked  bool           // changes of the list come by themselves
@@ -814,8 +816,10 @@
 	}
 }
 
-// leastWindow is two pushes at least, so that a silent backend doesn't stop a node.
-func (n *Node) leastWindow() float64 { return math.Max(2, n.part(leastOut*float64(len(n.backends)))) }
+// leastWindow is two pushes at least, so that a silent backend doesn't stop a node; else what answers bear.
+func (n *Node) leastWindow() float64 {
+	return max(2, n.part(leastOut*float64(len(n.backends))), n.borne())
+}
 
 // ease lowers or raises how many pushes the node may have out in all. Many nodes of few ops each reach no cap
 // of any backend, and hear of a queue too late to keep from feeding it: what is not answered yet holds back
@@ -862,23 +866,14 @@
 	work := p.Op.work
 	b.hear(n.now, p)
 	n.heard = math.Max(n.heard, p.SentAt)
-	// Behind own pushes the time tells of the queue, not of the backend; what backends report is better.
-	if p.alone && n.service.seen == 0 {
-		share := 1.0
-		if elapsed > work*n.paceOf(b) { // others' queues lengthen times, nothing shortens them
-			share = 0.25
-		}
-		n.paces.add(b, share*elapsed, share*work)
-	}
+	n.answers.set(n.now, n.answers.get(n.now, rateHalf)+work*n.paceOf(b)+bearShare*p.Op.cat.TargetLatency)
+	n.paced(p, elapsed)
 	// The mean work keeps small ops, or hints that say nothing, from making a backend look slow.
 	b.tail.add(math.Max(elapsed, 0.1)/(work+n.work.value), 0.9, 0.1)
 	b.flow.done += work
 	// Queues that any node causes lengthen the answers of all: each yields, and shares what there is unasked.
 	// The best pace seen is the measure: the present one holds queues that have come to stay.
-	if b.best == 0 || n.paceOf(b) < b.best {
-		b.best = n.paceOf(b)
-	}
-	b.best *= 1.001 // forgotten over a thousand answers
+	b.improve(n.paceOf(b))
 	share := queueShare
 	if b.most <= 1 { // a pause gives up more than a push in flight does: only for a queue that costs answers
 		share = pauseShare
@@ -890,7 +885,7 @@
 		b.most += math.Min(b.most/4, 1/b.most)
 	}
 	b.refused = 0
-	if b.brokeAt > 0 && n.now-b.brokeAt < restartFor {
+	if b.brokeAt > 0 && (n.now-b.brokeAt < restartFor || p.SentAt < b.brokeAt) {
 		n.aloneAt = n.now
 	}
 	n.stretch.add(math.Max(elapsed, 0.1)/math.Max(p.expect, 1), 0.95, 0.02)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1179,3 +1179,33 @@
 	may, mayNot := d.node.holdTime(worth, true), d.node.holdTime(worth, false)
 	assert.Less(t, 5*may, mayNot)
 }
+
+// One least window for all pulled sites apart: a node of much traffic stood at what is too many for a quiet one, and 300
+// nodes at less than their backends bore. It follows from the rate at which answers come, falls with it, and survives
+// a snapshot.
+func TestTheLeastWindowFollowsAnswers(t *testing.T) {
+	terms := plain()
+	terms.Nodes = 500
+	least := func(every float64) float64 { // one answer in so many ms, for ten seconds
+		d := sit(t, terms, 20)
+		d.node.rng = newMWC(1)
+		for k := 0; float64(k)*every < 10e3; k++ {
+			p := d.busy(d.backends[k%20])
+			d.after(every).end(p, Answered)
+			d.pull()
+		}
+		s, err := d.node.Snapshot(nil, d.backends)
+		require.NoError(t, err)
+		n, _, _, err := Restore(plain(), s)
+		require.NoError(t, err)
+		require.Equal(t, d.node.borne(), n.borne())
+		had := d.node.leastWindow()
+		d.node.now += rateHalf
+		require.InDelta(t, max(2, had/2), d.node.leastWindow(), 0.01, "half of it once nothing is answered for the rate's half-life")
+		return had
+	}
+	// Each answer of 10 ms of work may take 0.4 of 1,000 ms beside it: by Little's law 410 ms a push at the rate.
+	require.InDelta(t, 410/20.*0.9, least(20), 2)
+	require.InDelta(t, 410/100.*0.9, least(100), 1, "and some of the wait at a pace that was learned")
+	require.Equal(t, 2.0, least(1000), "a node of few ops keeps two")
+}
--- a/balance/fall_test.go
+++ b/balance/fall_test.go
@@ -136,3 +136,20 @@
 	calm.repeat("again", 0)
 	require.Equal(t, "push:again", calm.pull(), "without a crowd they are like the others")
 }
+
+// A push sent before a reset and answered by the same backend after it, however late, tells that the backend did not
+// fall: at a node that seldom meets one twice within a second nothing else does, and its repeats were all nacked.
+func TestAnAnswerToAnEarlierPushTellsThatNothingFell(t *testing.T) {
+	d := sit(t, plain(), 1)
+	early, broken := d.busy(d.backends[0]), d.busy(d.backends[0])
+	d.after(10).end(broken, Reset)
+	d.pull()
+	require.True(t, d.node.fell())
+	d.after(3000).end(early, Answered)
+	require.False(t, d.node.fell())
+	later := sit(t, plain(), 1)
+	later.end(later.busy(later.backends[0]), Reset)
+	again := later.busy(later.backends[0])
+	later.after(3000).end(again, Answered)
+	require.True(t, later.node.fell(), "it may have been started again")
+}
--- a/balance/measure.go
+++ b/balance/measure.go
@@ -364,6 +364,32 @@
 	return b.pace.blend(n.paces.kinds.of(b.Kind).blend(n.paceOf(nil), known), known)
 }
 
+// paced takes what an answer's time tells of its backend's pace. Behind own pushes it tells of the queue, not of the
+// backend; what backends report is better.
+func (n *Node) paced(p *Push, elapsed float64) {
+	if !p.alone || n.service.seen > 0 {
+		return
+	}
+	share, work := 1.0, p.Op.work
+	if elapsed > work*n.paceOf(p.Backend) { // others' queues lengthen times, nothing shortens them
+		share = 0.25
+	}
+	n.paces.add(p.Backend, share*elapsed, share*work)
+}
+
+// improve takes a backend's pace of now; a better one is forgotten over a thousand answers.
+func (b *Backend) improve(pace float64) {
+	if b.best == 0 || pace < b.best {
+		b.best = pace
+	}
+	b.best *= 1.001
+}
+
+// borne is how many pushes would be out if the ops that lately got answers had each waited as long as they may: by
+// Little's law, at the rate at which answers come. Where backends turn slow it falls with that rate, and a node
+// of much traffic has more of it than one of little; all nodes' together keep waits within that time.
+func (n *Node) borne() float64 { return n.answers.get(n.now, rateHalf) * math.Ln2 / rateHalf }
+
 // drain is the work a backend lately did for this node per millisecond with any there. It holds what others
 // send, slowness, and silence: with pushes out and no answers it falls by itself.
 func (n *Node) drain(b *Backend) float64 {
--- a/balance/snapshot.go
+++ b/balance/snapshot.go
@@ -40,6 +40,7 @@
 	Lines                                                                  []SnapLine
 	Doubted                                                                bool
 	FellAt, AloneAt                                                        float64
+	Answers                                                                [2]float64
 }
 
 // SnapQuantile, SnapMean and the others below are parts of a Snapshot.
@@ -151,7 +152,7 @@
 		backendAt[b] = i
 	}
 	s := &Snapshot{Now: n.now, Armed: n.armed, SweepAt: n.sweepAt, Round: n.round, Extra: n.extra, Doubt: n.doubt, Weight: n.weight, AskAt: n.askAt, Window: n.window, Heard: n.heard,
-		Tracked: n.tracked, Stirred: n.stirred, Idle: n.idle, Failures: n.failures, Of: n.of, Whole: n.whole, Doubted: n.doubted, FellAt: n.fellAt, AloneAt: n.aloneAt, Seq: n.seq, Chance: [2]uint64{n.rng.x, n.rng.carry},
+		Tracked: n.tracked, Stirred: n.stirred, Idle: n.idle, Failures: n.failures, Of: n.of, Whole: n.whole, Doubted: n.doubted, FellAt: n.fellAt, AloneAt: n.aloneAt, Answers: [2]float64{n.answers.sum, n.answers.at}, Seq: n.seq, Chance: [2]uint64{n.rng.x, n.rng.carry},
 		Hints: slices.Clone(n.cutoff.ring), HintNext: n.cutoff.next, Stretch: snapQuantile(n.stretch),
 		Value: SnapMean{n.value.value, n.value.seen}, Work: SnapMean{n.work.value, n.work.seen},
 		Service: SnapMean{n.service.value, n.service.seen}, PaceAll: [2]float64{n.paces.all.time, n.paces.all.work},
@@ -272,6 +273,7 @@
 	n.armed, n.sweepAt, n.round, n.extra, n.doubt, n.weight, n.askAt = s.Armed, s.SweepAt, s.Round, s.Extra, s.Doubt, s.Weight, s.AskAt
 	n.window, n.heard, n.of, n.whole, n.doubted = s.Window, s.Heard, s.Of, s.Whole, s.Doubted
 	n.fellAt, n.aloneAt = s.FellAt, s.AloneAt
+	n.answers = fader{s.Answers[0], s.Answers[1]}
 	n.tracked, n.stirred, n.idle, n.failures, n.seq = s.Tracked, s.Stirred, s.Idle, s.Failures, s.Seq
 	if s.Chance != [2]uint64{} {
 		n.rng = mwc{s.Chance[0], s.Chance[1]}
