Records of ops in hand in replicated logs, and what an heir does with them: the core

Need: what a process had in hand dies with it, and nobody can tell whether an at-most-once op ran. internal/estate is the core without I/O: one log (go.etcd.io/raft/v3) for each member of the list, a key's records in the log that its hash names, whoever took the op. So two ops with one key meet in one log, and whose an op is, is told by that log alone: that is the fence. A log is founded by its own member only, is held by three or five, changed by joint consensus, and a life that lost its memory never takes its old seat again.

--- a/balance/types.go
+++ b/balance/types.go
@@ -237,6 +237,11 @@
 	calledOff bool  // a look at where it could go once its push has ended
 }
 
+// Before tells, ahead of the op's arrival, of a push that another node has begun: it is over as far as this one can know.
+func (o *Op) Before(b *Backend, at float64, how Ending) {
+	o.Pushes = append(o.Pushes, &Push{Op: o, Backend: b, Number: len(o.Pushes), SentAt: at, ending: how})
+}
+
 // Over tells whether the op has ended and nothing of it is out, so that the host may forget it.
 func (o *Op) Over() bool { return o.stage == ended && o.out() == 0 }
 
@@ -354,6 +359,9 @@
 	Text string  // DoLog: the line
 }
 
+// Ending is how it ended, once it has.
+func (p *Push) Ending() Ending { return p.ending }
+
 // Out tells whether the push has not ended yet.
 func (p *Push) Out() bool { return p.out }
 
--- /dev/null
+++ b/internal/estate/estate.go
@@ -0,0 +1,797 @@
+// Package estate keeps records of the ops that processes have in hand, each in a log that several of them hold, and
+// decides who takes over what a lost one had, and what its heir does with it. It does no I/O: time, links and frames come
+// in as values, and frames, answers and inheritances are pulled. Agreement is raft's (go.etcd.io/raft/v3).
+//
+// There is one log for each member of the list, and a key's records lie in the log that its hash names, whoever took the
+// op: so two ops with one key meet in one log, and whose an op is is told by that log alone. docs/takeover.md has the
+// ways weighed and what is promised.
+package estate
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"pearknot/internal/snapshot"
+)
+
+// Version is that of the frames; another one's are refused.
+const Version = 1
+
+// Terms are what a house is told at its start.
+type Terms struct {
+	Members []string // the same at all processes, in the same order
+	Self    int
+	Life    uint64 // above those before it under the name
+	Copies  int
+	Seed    uint64
+	Most    int     // bytes that a log's ledger may hold
+	Keep    float64 // ms that an outcome is kept
+	Flaw    Flaw
+}
+
+const (
+	TickMs = 25.0 // of a log's time
+
+	// SilentFor is how long a linked process may say nothing before what it had is another's; BrokenFor how long a
+	// broken link may stay so. An owner begins no push by a word asked for FreshFor ago or longer.
+	SilentFor = 1000.0
+	BrokenFor = 400.0
+	FreshFor  = 700.0
+
+	beatEvery   = 100.0
+	againAfter  = 200.0 // an ask that had no answer
+	steerEvery  = 200.0 // looks at who should hold a log
+	forgetEvery = 1000.0
+	overdueFor  = 500.0  // past an op's time, when an owner that lives has not ended it
+	frozenFrom  = 250.0  // a gap between two ticks after which this process doubts itself first
+	lostAfter   = 3000.0 // of a log without a leader or a majority; several elections would have been over
+	restAfter   = 1000.0 // a change of voters that is not over may be tried again
+)
+
+// frame kinds.
+const (
+	raftFrame = iota + 1
+	askFrame
+	toldFrame
+	beatFrame
+)
+
+// Frame is what goes between two houses.
+type Frame struct {
+	Version int
+	Kind    int
+	Log     int
+	Gen     uint64
+	Raft    []byte
+	Ask     Ask
+	Told    Told
+	Beat    Beat
+}
+
+// Ask is a look, or a record to be written.
+type Ask struct {
+	Seq    uint64
+	Look   bool
+	Record Record
+}
+
+// Told is the answer to one.
+type Told struct {
+	Seq     uint64
+	Code    Code
+	Outcome Outcome
+}
+
+// Beat is what a process says of itself now and then.
+type Beat struct {
+	Life    uint64
+	Leaving bool
+	Nonce   uint64   // to be given back, so that an old beat is known from one of now
+	Echo    []uint64 // the nonces that came from each member
+	Logs    []State
+}
+
+// State is a process's part in one log.
+type State struct {
+	Slot   int
+	Gen    uint64
+	Known  uint64 // the latest founding that it has ever heard of
+	Seat   uint64 // by which it is to be taken in
+	Holds  bool
+	Leads  bool
+	Term   uint64
+	Voters []uint64
+}
+
+// peer is what is known of a member.
+type peer struct {
+	pid    Pid // 0 is unknown
+	linked bool
+	heard  float64
+	broke  float64
+	beat   *Beat
+}
+
+// ask is one of this process's that has no answer yet.
+type ask struct {
+	id     uint64 // the caller's
+	seq    uint64 // of the latest sending
+	sent   float64
+	until  float64
+	log    int
+	look   bool
+	record Record
+}
+
+// Out is one thing for the host to do.
+type Out struct {
+	To      int    // with a frame: to this member
+	Frame   []byte // nil is none
+	Reply   *Reply
+	Inherit *Entry // this process has the op from now on
+	Log     string // a line for the log
+}
+
+// Reply answers Look or Write.
+type Reply struct {
+	ID      uint64
+	Code    Code
+	Outcome Outcome
+	Asked   float64 // when the answered ask was sent
+}
+
+// House is one process's part in all logs.
+type House struct {
+	t       Terms
+	now     float64
+	self    Pid
+	logs    []*log
+	seats   []uint64 // by log, the seat that this process would take
+	peers   []peer
+	asks    map[uint64]*ask // by seq
+	mine    map[string]bool // keys whose ops this process has in hand
+	seq     uint64
+	out     []Out
+	tickAt  float64
+	beatAt  float64
+	steerAt float64
+	cleanAt float64
+	known   []uint64 // by log, its latest founding that this process has heard of
+	nonce   uint64
+	picture uint64  // of what all say of the own log, where nobody leads it
+	still   float64 // since when it is the same
+	doubt   float64 // until then it blames nobody: it has stood still itself
+	leaving bool
+}
+
+// New makes a house.
+func New(t Terms, now float64) *House {
+	h := &House{t: t, now: now, self: NewPid(t.Self, t.Life), logs: make([]*log, len(t.Members)), seats: make([]uint64, len(t.Members)),
+		peers: make([]peer, len(t.Members)), asks: map[uint64]*ask{}, mine: map[string]bool{}, tickAt: now, beatAt: now,
+		steerAt: now + steerEvery, cleanAt: now + forgetEvery, doubt: now + SilentFor, known: make([]uint64, len(t.Members)), nonce: 1}
+	for k := range h.seats {
+		h.seats[k] = uint64(h.self) + 1
+	}
+	return h
+}
+
+// Self is this process's life.
+func (h *House) Self() Pid { return h.self }
+
+// LogOf tells in which log a key's records lie.
+func (h *House) LogOf(key string) int { return int(xxhash.Sum64String(key) % uint64(len(h.t.Members))) }
+
+// Linked takes a link to a member that has come up.
+func (h *House) Linked(now float64, member int, pid Pid) {
+	h.now = now
+	p := &h.peers[member]
+	p.pid, p.beat = pid, nil
+	p.linked, p.heard = true, now
+}
+
+// Broken takes a link's end.
+func (h *House) Broken(now float64, member int) {
+	h.now = now
+	if p := &h.peers[member]; p.linked {
+		p.linked, p.broke, p.beat = false, now, nil
+	}
+}
+
+// Leave has this process's logs led by others, as far as they can.
+func (h *House) Leave(now float64) {
+	h.now, h.leaving, h.beatAt = now, true, now
+	h.steer()
+	h.work()
+}
+
+// Look asks what is known of a key; the answer comes as a Reply.
+func (h *House) Look(now float64, id uint64, key string, print uint64, until float64) {
+	h.now = now
+	h.send(&ask{id: id, until: until, log: h.LogOf(key), look: true, record: Record{Key: key, Op: Op{Print: print}}})
+	h.work()
+}
+
+// Write has a record written; Done comes when a majority holds it.
+func (h *House) Write(now float64, id uint64, r Record, until float64) {
+	h.now = now
+	if r.Kind == Begin && r.Push.Number == 0 {
+		if h.mine[r.Key] {
+			h.out = append(h.out, Out{Reply: &Reply{ID: id, Code: InHand, Asked: now}})
+			return
+		}
+		h.mine[r.Key] = true
+	}
+	r.Owner = h.self
+	h.send(&ask{id: id, until: until, log: h.LogOf(r.Key), record: r})
+	h.work()
+}
+
+// leads gives the member that leads a log, as far as is known.
+func (h *House) leads(slot int) (int, bool) {
+	if l := h.logs[slot]; l != nil {
+		if l.serves(h.t.Copies) {
+			return h.t.Self, true
+		}
+		if lead := of(l.leader()).Member(); l.leader() != 0 && lead != h.t.Self && h.peers[lead].linked {
+			return lead, true
+		}
+	}
+	best, at, term := -1, uint64(0), uint64(0)
+	for m := range h.peers {
+		p := &h.peers[m]
+		if p.beat == nil || !p.linked {
+			continue
+		}
+		for _, s := range p.beat.Logs {
+			if s.Slot == slot && s.Leads && (best < 0 || s.Gen > at || s.Gen == at && s.Term > term) {
+				best, at, term = m, s.Gen, s.Term
+			}
+		}
+	}
+	return best, best >= 0
+}
+
+// send sends an ask to whoever leads its log, once more where there was no answer.
+func (h *House) send(a *ask) {
+	delete(h.asks, a.seq)
+	h.seq++
+	a.seq, a.sent = h.seq, h.now
+	h.asks[a.seq] = a
+	to, known := h.leads(a.log)
+	switch {
+	case !known:
+	case to == h.t.Self:
+		h.serve(h.self, a.log, Ask{Seq: a.seq, Look: a.look, Record: a.record})
+	default:
+		h.frame(to, &Frame{Kind: askFrame, Log: a.log, Ask: Ask{Seq: a.seq, Look: a.look, Record: a.record}})
+	}
+}
+
+func (h *House) frame(to int, f *Frame) {
+	f.Version = Version
+	h.out = append(h.out, Out{To: to, Frame: snapshot.Append(nil, f)})
+}
+
+// serve answers an ask, if this process leads its log.
+func (h *House) serve(from Pid, slot int, a Ask) {
+	l := h.logs[slot]
+	switch {
+	case l == nil || !l.serves(h.t.Copies):
+		h.answer(from, a.Seq, NotHere, Outcome{})
+	case a.Look:
+		code, o := l.ledger.look(a.Record.Key, a.Record.Op.Print)
+		h.answer(from, a.Seq, code, o)
+	case a.Record.Owner != from || a.Record.Kind == 0 || a.Record.Kind > Finish:
+		h.answer(from, a.Seq, Refused, Outcome{})
+	default:
+		r := a.Record
+		r.At, r.Asker, r.Seq = h.now, from, a.Seq
+		if l.rn.Propose(snapshot.Append(nil, &r)) != nil {
+			h.answer(from, a.Seq, Full, Outcome{})
+		}
+	}
+}
+
+func (h *House) answer(to Pid, seq uint64, code Code, o Outcome) {
+	if to == h.self {
+		h.told(Told{seq, code, o})
+	} else if h.peers[to.Member()].pid == to {
+		h.frame(to.Member(), &Frame{Kind: toldFrame, Told: Told{seq, code, o}})
+	}
+}
+
+// told takes an answer. One to an earlier sending is not heard: what counts is how long ago the ask went out.
+func (h *House) told(t Told) {
+	a := h.asks[t.Seq]
+	if a == nil || t.Code == NotHere { // the next sending finds the leader
+		return
+	}
+	delete(h.asks, t.Seq)
+	h.reply(a, t.Code, t.Outcome)
+}
+
+func (h *House) reply(a *ask, code Code, o Outcome) {
+	if r := &a.record; !a.look {
+		switch {
+		case r.Kind == Begin && r.Push.Number == 0 && code != Done:
+			delete(h.mine, r.Key)
+		case r.Kind == Finish:
+			delete(h.mine, r.Key)
+		}
+	}
+	h.out = append(h.out, Out{Reply: &Reply{ID: a.id, Code: code, Outcome: o, Asked: a.sent}})
+}
+
+var errFrame = errors.New("odd frame")
+
+// Take takes a frame of a linked process.
+func (h *House) Take(now float64, from int, data []byte) error {
+	h.now = now
+	p := &h.peers[from]
+	f := &Frame{}
+	if err := snapshot.Read(data, f); err != nil {
+		return errFrame
+	}
+	if f.Version != Version {
+		return fmt.Errorf("frame of version %d, this build reads %d", f.Version, Version)
+	}
+	if f.Log < 0 || f.Log >= len(h.logs) || p.pid == 0 {
+		return errFrame
+	}
+	p.heard = now
+	switch f.Kind {
+	case raftFrame:
+		m := &pb.Message{}
+		if proto.Unmarshal(f.Raft, m) != nil || of(m.GetFrom()) != p.pid {
+			return errFrame
+		}
+		h.agree(f, m)
+	case askFrame:
+		h.serve(p.pid, f.Log, f.Ask)
+	case toldFrame:
+		h.told(f.Told)
+	case beatFrame:
+		if len(f.Beat.Echo) != len(h.peers) {
+			return errFrame
+		}
+		for _, s := range f.Beat.Logs {
+			if s.Slot < 0 || s.Slot >= len(h.logs) {
+				return errFrame
+			}
+			h.known[s.Slot] = max(h.known[s.Slot], s.Known)
+		}
+		p.beat = &f.Beat
+		h.compare(from)
+	default:
+		return errFrame
+	}
+	h.work()
+	return nil
+}
+
+// agree hands a raft message on. A process that is taken in finds out by the first one.
+func (h *House) agree(f *Frame, m *pb.Message) {
+	l := h.logs[f.Log]
+	if l != nil && f.Gen > l.gen {
+		h.drop(f.Log)
+		l = nil
+	}
+	if m.GetTo() != h.seats[f.Log] || l != nil && f.Gen < l.gen {
+		return
+	}
+	if l == nil {
+		var err error
+		if l, err = newLog(&h.t, f.Log, f.Gen, h.seats[f.Log], false); err != nil {
+			return
+		}
+		h.logs[f.Log] = l
+		h.known[f.Log] = max(h.known[f.Log], f.Gen)
+	}
+	l.step(m)
+}
+
+// drop lets go of a log. The seat is never taken again: its votes and its word are forgotten.
+func (h *House) drop(slot int) {
+	h.logs[slot] = nil
+	h.seats[slot]++
+	h.beatAt = h.now
+}
+
+// compare lets go of logs from which this process was removed, and of those founded anew, without hearing of it.
+func (h *House) compare(from int) {
+	for _, s := range h.peers[from].beat.Logs {
+		l := h.logs[s.Slot]
+		if l == nil || !s.Leads {
+			continue
+		}
+		if s.Gen > l.gen || s.Gen == l.gen && s.Term >= l.term() && !slices.Contains(s.Voters, l.seat) && !l.leads && l.leader() == 0 {
+			h.drop(s.Slot)
+		}
+	}
+}
+
+// Tick lets time pass; it is called every TickMs or so.
+func (h *House) Tick(now float64) {
+	gap := now - h.now
+	h.now = now
+	if now-h.tickAt > frozenFrom || gap > frozenFrom {
+		h.doubt = now + SilentFor
+		h.tickAt, h.still = now, now
+		h.nonce++
+		for m := range h.peers {
+			h.peers[m].heard = math.Max(h.peers[m].heard, now)
+		}
+	}
+	for ; h.tickAt <= now; h.tickAt += TickMs {
+		for _, l := range h.logs {
+			if l != nil {
+				l.tick()
+			}
+		}
+	}
+	if now >= h.beatAt {
+		h.beatAt = now + beatEvery
+		h.beat()
+	}
+	h.found()
+	for _, seq := range h.open() {
+		a := h.asks[seq]
+		switch {
+		case now >= a.until:
+			delete(h.asks, seq)
+			h.reply(a, Alone, Outcome{})
+		case now-a.sent >= againAfter:
+			h.send(a)
+		}
+	}
+	if now >= h.steerAt {
+		h.steerAt = now + steerEvery
+		h.steer()
+	}
+	for _, l := range h.logs {
+		if l != nil && l.serves(h.t.Copies) {
+			h.inherit(l)
+		}
+	}
+	if now >= h.cleanAt {
+		h.cleanAt = now + forgetEvery
+		for _, l := range h.logs {
+			if l != nil && l.serves(h.t.Copies) {
+				_ = l.rn.Propose(snapshot.Append(nil, &Record{Kind: Forget, At: now}))
+			}
+		}
+	}
+	h.work()
+}
+
+// open gives the asks without an answer, in their order.
+func (h *House) open() []uint64 {
+	all := make([]uint64, 0, len(h.asks))
+	for seq := range h.asks {
+		all = append(all, seq)
+	}
+	slices.Sort(all)
+	return all
+}
+
+func (h *House) beat() {
+	b := Beat{Life: h.t.Life, Leaving: h.leaving, Nonce: h.nonce, Echo: make([]uint64, len(h.peers))}
+	for m := range h.peers {
+		if p := &h.peers[m]; p.beat != nil {
+			b.Echo[m] = p.beat.Nonce
+		}
+	}
+	for slot, l := range h.logs {
+		s := State{Slot: slot, Known: h.known[slot], Seat: h.seats[slot]}
+		if l != nil {
+			s.Gen, s.Holds, s.Term = l.gen, true, l.term()
+			s.Leads = l.leads && l.began > 0
+			s.Voters = slices.Concat(l.conf.GetVoters(), l.conf.GetVotersOutgoing())
+		}
+		b.Logs = append(b.Logs, s)
+	}
+	for m := range h.peers {
+		if m != h.t.Self && h.peers[m].linked {
+			h.frame(m, &Frame{Kind: beatFrame, Beat: b})
+		}
+	}
+}
+
+// found founds this member's own log. Only its own member founds a log, so that no two do. The first time, nobody may ever
+// have heard of it, among so many that a majority of its copies can't be among the others. Anew, all members have to be
+// heard, and what they say must show, unchanged for a while, that nobody leads it and no majority of its copies is left.
+// Whoever is heard has given back a nonce of now: what was said before this process stood still proves nothing.
+func (h *House) found() {
+	own := h.t.Self
+	if h.logs[own] != nil || h.leaving {
+		h.still = h.now
+		return
+	}
+	unheard, leads := 0, false
+	held := map[uint64]bool{}
+	var states []State
+	for m := range h.peers {
+		if p := &h.peers[m]; m != own && (p.beat == nil || !p.linked || p.beat.Echo[own] != h.nonce) {
+			unheard++
+		} else if m != own {
+			for _, s := range p.beat.Logs {
+				if s.Slot == own && s.Holds {
+					held[s.Seat], leads = true, leads || s.Leads
+					states = append(states, s)
+				}
+			}
+		}
+	}
+	if h.known[own] == 0 {
+		if unheard <= (h.t.Copies-1)/2 {
+			h.begin(own)
+		}
+		return
+	}
+	if sum := xxhash.Sum64(snapshot.Append(nil, &Beat{Logs: states})); unheard > 0 || leads || sum != h.picture {
+		h.picture, h.still = sum, h.now
+		return
+	}
+	for _, s := range states {
+		alive := 0
+		for _, v := range s.Voters {
+			if held[v] {
+				alive++
+			}
+		}
+		if 2*alive > len(s.Voters) || len(s.Voters) == 0 {
+			h.still = h.now
+			return
+		}
+	}
+	if h.now-h.still > lostAfter {
+		h.out = append(h.out, Out{Log: "log founded anew: the majority of its copies is lost"})
+		h.begin(own)
+	}
+}
+
+func (h *House) begin(own int) {
+	l, err := newLog(&h.t, own, max(h.known[own]+1, uint64(h.now)), h.seats[own], true)
+	if err != nil {
+		h.out = append(h.out, Out{Log: "log not founded: " + err.Error()})
+		return
+	}
+	h.logs[own], h.known[own] = l, l.gen
+}
+
+// alive tells whether a member's process can take part.
+func (h *House) alive(m int) bool {
+	if m == h.t.Self {
+		return !h.leaving
+	}
+	p := &h.peers[m]
+	return p.linked && p.beat != nil && !p.beat.Leaving && h.now-p.heard < SilentFor
+}
+
+// seatOf is the seat by which a member is in a log, or would be.
+func (h *House) seatOf(m, slot int) uint64 {
+	if m == h.t.Self {
+		return h.seats[slot]
+	}
+	for _, s := range h.peers[m].beat.Logs {
+		if s.Slot == slot {
+			return s.Seat
+		}
+	}
+	return 0
+}
+
+// rank orders members for a log: its own first, then by a hash that is the same everywhere.
+func (h *House) rank(slot int) []int {
+	all := make([]int, len(h.t.Members))
+	weight := make([]uint64, len(all))
+	for m := range all {
+		all[m] = m
+		weight[m] = xxhash.Sum64String(h.t.Members[slot] + "\x00" + h.t.Members[m])
+	}
+	slices.SortStableFunc(all, func(a, b int) int {
+		if (a == slot) != (b == slot) {
+			if a == slot {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(weight[a], weight[b])
+	})
+	return all
+}
+
+// steer has the logs that this process leads held by as many live processes as are meant to, one change at a time, and led by
+// their own members.
+func (h *House) steer() {
+	for slot, l := range h.logs {
+		if l == nil || !l.leads || l.began == 0 {
+			continue
+		}
+		if len(l.conf.GetVotersOutgoing()) > 0 || l.changing && h.now-l.since < restAfter {
+			continue
+		}
+		l.changing = false
+		if !h.rearrange(slot, l) {
+			h.pass(slot, l)
+		}
+	}
+}
+
+// rearrange proposes a change of voters, if one is due.
+func (h *House) rearrange(slot int, l *log) bool {
+	voters := l.conf.GetVoters()
+	var want []uint64
+	for pass := range 3 { // its own member, those who hold it, others
+		for _, m := range h.rank(slot) {
+			if len(want) == h.t.Copies || !h.alive(m) {
+				continue
+			}
+			seat := h.seatOf(m, slot)
+			in := slices.Contains(voters, seat)
+			if seat == 0 || slices.Contains(want, seat) || pass == 0 && m != slot || pass == 1 && !in {
+				continue
+			}
+			want = append(want, seat)
+		}
+	}
+	if !slices.Contains(want, l.seat) && len(want) > 0 && !h.leaving { // whoever leads goes last, after it has passed the lead on
+		want[len(want)-1] = l.seat
+	}
+	var changes []*pb.ConfChangeSingle
+	change := func(t pb.ConfChangeType, seat uint64) {
+		changes = append(changes, &pb.ConfChangeSingle{Type: t.Enum(), NodeId: proto.Uint64(seat)})
+	}
+	added := 0
+	for _, seat := range want {
+		if !slices.Contains(voters, seat) {
+			change(pb.ConfChangeAddNode, seat)
+			added++
+		}
+	}
+	spare := len(voters) + added - h.t.Copies // a lost voter stays until another is there in its place
+	for _, seat := range voters {
+		if spare > 0 && !slices.Contains(want, seat) && seat != l.seat {
+			change(pb.ConfChangeRemoveNode, seat)
+			spare--
+		}
+	}
+	if len(changes) == 0 {
+		return false
+	}
+	c := &pb.ConfChangeV2{Transition: pb.ConfChangeTransition_ConfChangeTransitionAuto.Enum(), Changes: changes}
+	if l.rn.ProposeConfChange(c) == nil {
+		l.changing, l.since = true, h.now
+	}
+	return true
+}
+
+// pass hands the lead to the log's own member once it is a voter, or to any where this process leaves.
+func (h *House) pass(slot int, l *log) {
+	for _, m := range h.rank(slot) {
+		if m != h.t.Self && h.alive(m) && slices.Contains(l.conf.GetVoters(), h.seatOf(m, slot)) && (m == slot || h.leaving) {
+			l.rn.TransferLeader(h.seatOf(m, slot))
+			return
+		}
+		if !h.leaving {
+			return
+		}
+	}
+}
+
+// gone tells whether a life is lost, as far as this process can tell. It may be wrong: the log's word keeps a
+// process that lives from acting on what it no longer has.
+func (h *House) gone(owner Pid) bool {
+	if owner.Member() >= len(h.peers) {
+		return true
+	}
+	p := &h.peers[owner.Member()]
+	switch {
+	case owner == h.self || h.now < h.doubt:
+		return false
+	case owner.Member() == h.t.Self, p.pid.life() > owner.life():
+		return true
+	case p.linked:
+		return h.now-p.heard > SilentFor
+	}
+	return h.now-p.broke > BrokenFor
+}
+
+// inherit proposes to take over what lost processes had, and what is past its time.
+func (h *House) inherit(l *log) {
+	for key, at := range l.claimed {
+		if h.now-at > 2*againAfter {
+			delete(l.claimed, key)
+		}
+	}
+	for _, e := range sorted(l.ledger.open) {
+		if !h.gone(e.Owner) && h.now < e.Op.GiveUp+overdueFor && (e.Owner != h.self || h.mine[e.Key]) {
+			continue
+		}
+		if _, already := l.claimed[e.Key]; already {
+			continue
+		}
+		l.claimed[e.Key] = h.now
+		_ = l.rn.Propose(snapshot.Append(nil, &Record{Kind: Assign, Key: e.Key, Owner: e.Owner, To: h.self, At: h.now}))
+	}
+}
+
+// work carries out what the logs are ready for.
+func (h *House) work() {
+	for again := true; again; {
+		again = false
+		for slot, l := range h.logs {
+			if l == nil || !l.rn.HasReady() {
+				continue
+			}
+			again = true
+			led := l.leads
+			l.work(func(m *pb.Message) { h.post(l, m) }, func(r *Record, code Code, o Outcome) { h.applied(l, r, code, o) })
+			if l.leads != led {
+				h.beatAt = h.now
+				clear(l.claimed)
+				l.changing = false
+				verb := "leads"
+				if led {
+					verb = "leads no more"
+				}
+				h.out = append(h.out, Out{Log: fmt.Sprintf("%s the log of %s, term %d", verb, h.t.Members[slot], l.term())})
+			}
+			if l.dropped {
+				h.drop(slot)
+			}
+		}
+	}
+}
+
+func (h *House) post(l *log, m *pb.Message) {
+	to := of(m.GetTo())
+	if p := &h.peers[to.Member()]; to == h.self || p.pid != to || !p.linked {
+		if m.GetType() == pb.MsgSnap {
+			l.rn.ReportSnapshot(m.GetTo(), 2)
+		}
+		return
+	}
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return
+	}
+	h.frame(to.Member(), &Frame{Kind: raftFrame, Log: l.slot, Gen: l.gen, Raft: data})
+	if m.GetType() == pb.MsgSnap { // the link keeps the order, and what is lost is asked for again
+		l.rn.ReportSnapshot(m.GetTo(), 1)
+	}
+}
+
+// applied hears of each record that a log has taken.
+func (h *House) applied(l *log, r *Record, code Code, o Outcome) {
+	if r.Kind == Assign {
+		delete(l.claimed, r.Key)
+		if code == Done && r.To == h.self {
+			e := *l.ledger.entries[r.Key]
+			e.Pushes = slices.Clone(e.Pushes)
+			h.mine[r.Key] = true
+			h.out = append(h.out, Out{Inherit: &e})
+		}
+		return
+	}
+	if r.Asker != 0 && l.rn.BasicStatus().RaftState.String() == "StateLeader" {
+		h.answer(r.Asker, r.Seq, code, o)
+	}
+}
+
+// Next gives the next thing to do, if there is one.
+func (h *House) Next() (Out, bool) {
+	if len(h.out) == 0 {
+		return Out{}, false
+	}
+	o := h.out[0]
+	h.out = h.out[1:]
+	return o, true
+}
--- /dev/null
+++ b/internal/estate/picture.go
@@ -0,0 +1,60 @@
+package estate
+
+// Picture is a process's part in all logs, for whoever looks.
+type Picture struct {
+	Self     string      `json:"self"`
+	Life     uint64      `json:"life"`
+	Peers    []PeerState `json:"peers"`
+	Logs     []LogState  `json:"logs"`
+	TookOver uint64      `json:"took_over"`
+}
+
+// PeerState is what is known of a member.
+type PeerState struct {
+	Name   string  `json:"name"`
+	Life   uint64  `json:"life"`
+	Linked bool    `json:"linked"`
+	Silent float64 `json:"silent_ms"`
+}
+
+// LogState is one log.
+type LogState struct {
+	Of      string   `json:"of"`
+	Holds   bool     `json:"holds"`
+	Leader  string   `json:"leader"` // empty is unknown
+	Serves  bool     `json:"serves"` // here, or as far as is known
+	Term    uint64   `json:"term"`
+	Voters  []string `json:"voters"`
+	Lag     uint64   `json:"lag"` // records not applied here yet
+	InHand  int      `json:"in_hand"`
+	Records int      `json:"records"`
+	Bytes   int      `json:"bytes"`
+}
+
+// Picture gives it.
+func (h *House) Picture() Picture {
+	x := Picture{Self: h.t.Members[h.t.Self], Life: h.t.Life}
+	for m := range h.peers {
+		if p := &h.peers[m]; m != h.t.Self {
+			x.Peers = append(x.Peers, PeerState{h.t.Members[m], p.pid.life(), p.linked, h.now - p.heard})
+		}
+	}
+	for slot, l := range h.logs {
+		s := LogState{Of: h.t.Members[slot]}
+		if lead, known := h.leads(slot); known {
+			s.Leader, s.Serves = h.t.Members[lead], true
+		}
+		if l != nil {
+			s.Holds, s.Term = true, l.term()
+			for _, v := range l.conf.GetVoters() {
+				s.Voters = append(s.Voters, h.t.Members[of(v).Member()])
+			}
+			if last, err := l.store.LastIndex(); err == nil && last > l.applied {
+				s.Lag = last - l.applied
+			}
+			s.InHand, s.Records, s.Bytes = len(l.ledger.open), len(l.ledger.entries), l.ledger.bytes
+		}
+		x.Logs = append(x.Logs, s)
+	}
+	return x
+}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -52,6 +52,11 @@
 	return s, nil
 }
 
+// Append writes any plain struct in the same form, without a version; Read reads one. Texts and bytes may be in it.
+func Append(b []byte, v any) []byte { return appendStruct(b, reflect.ValueOf(v).Elem()) }
+
+func Read(data []byte, v any) error { return decodeStruct(data, reflect.ValueOf(v).Elem()) }
+
 // Walk goes through a message's fields; what is of no known form is the error odd, what is of no known number is told all
 // the same.
 func Walk(b []byte, odd error, f func(n protowire.Number, t protowire.Type, x uint64, body []byte) error) error {
@@ -96,7 +101,17 @@
 			if body := appendStruct(nil, f); len(body) > 0 {
 				b = protowire.AppendBytes(protowire.AppendTag(b, n, protowire.BytesType), body)
 			}
+		case reflect.String:
+			if f.Len() > 0 {
+				b = protowire.AppendString(protowire.AppendTag(b, n, protowire.BytesType), f.String())
+			}
 		case reflect.Slice, reflect.Array:
+			if f.Type().Elem().Kind() == reflect.Uint8 && f.Kind() == reflect.Slice {
+				if f.Len() > 0 {
+					b = protowire.AppendBytes(protowire.AppendTag(b, n, protowire.BytesType), f.Bytes())
+				}
+				continue
+			}
 			if f.Len() == 0 || f.Kind() == reflect.Array && f.IsZero() {
 				continue
 			}
@@ -169,7 +184,7 @@
 		switch f.Kind() {
 		case reflect.Float64:
 			want = protowire.Fixed64Type
-		case reflect.Struct, reflect.Slice, reflect.Array:
+		case reflect.Struct, reflect.Slice, reflect.Array, reflect.String:
 			want = protowire.BytesType
 		}
 		if t != want {
@@ -186,7 +201,13 @@
 				err = errOdd
 			}
 			return err
+		case reflect.String:
+			f.SetString(string(body))
 		case reflect.Slice:
+			if f.Type().Elem().Kind() == reflect.Uint8 {
+				f.SetBytes(append([]byte(nil), body...))
+				return nil
+			}
 			if f.Type().Elem().Kind() == reflect.Struct {
 				e := reflect.New(f.Type().Elem()).Elem()
 				if err := decodeStruct(body, e); err != nil {
