--- /dev/null
+++ b/cmd/pearknot/peers_test.go
@@ -0,0 +1,368 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"pearknot/internal/estate"
+	"pearknot/internal/lab/wires"
+)
+
+// crew is several real processes that keep each other's ops, every directed link of two of them through a relay, with
+// backends that count what runs and clients whose outcomes are judged from outside.
+type crew struct {
+	t         *testing.T
+	dir       string
+	discovery string
+	list      string
+	ports     []string
+	wires     [][]*wires.Wire // from, to
+	nodes     []*crewNode
+
+	mu       sync.Mutex
+	ran      map[string]int // effects by key
+	begun    map[string]chan struct{}
+	held     map[string]chan struct{} // backends answer once it is closed
+	outcomes map[string]map[string]bool
+}
+
+type crewNode struct {
+	cmd     *exec.Cmd
+	address string
+	control string
+	log     *lockedBuffer
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+const crewSettings = `{"az":0,"balancers":3,"benefitBy":"request","bounds":{"cancel":true,"connIdle":15000,"connectTimeout":250,
+"mostHeld":20000,"mostPushes":3,"retryAfter":true,"maxRetryAfter":2000,"secondCopies":true},"categories":[
+{"benefit":1,"idempotency":"pure","name":"check","overdueBenefit":0.2,"targetLatency":2500,"ttl":9000},
+{"benefit":8,"idempotency":"side_effect","name":"pay","overdueBenefit":0.2,"targetLatency":1500,"ttl":9000}],
+"kinds":["m"],"loadReport":{"fields":["mean_ms"],"via":"inline"},"registryMode":"subscribe","rules":{"askWithin":10000,
+"coldFrom":0.3,"drainGrace":500,"fallMultiple":4,"overloadFor":2000,"warmWithin":9000},"tenants":[],"zones":["a"]}`
+
+func freePort(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newCrew(t *testing.T, size int) *crew {
+	c := &crew{t: t, dir: t.TempDir(), ran: map[string]int{}, begun: map[string]chan struct{}{}, held: map[string]chan struct{}{},
+		outcomes: map[string]map[string]bool{}}
+	var targets []string
+	for k := range 3 {
+		b := httptest.NewServer(http.HandlerFunc(c.serve))
+		t.Cleanup(b.Close)
+		targets = append(targets, strings.Replace(entry(b.Listener.Addr().String(), "up"), "s-1", fmt.Sprintf("s-%d", k), 1))
+	}
+	c.list = strings.Join(targets, ",")
+	discovery := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	t.Cleanup(discovery.Close)
+	c.discovery = discovery.Listener.Addr().String()
+	require.NoError(t, os.WriteFile(filepath.Join(c.dir, "peers.key"), []byte(strings.Repeat("5a", 32)+"\n"), 0o600))
+	for range size {
+		c.ports = append(c.ports, freePort(t))
+	}
+	for from := range size {
+		c.wires = append(c.wires, make([]*wires.Wire, size))
+		for to := range size {
+			if to != from {
+				w, err := wires.Open(c.ports[to])
+				require.NoError(t, err)
+				t.Cleanup(w.Close)
+				c.wires[from][to] = w
+			}
+		}
+	}
+	c.nodes = make([]*crewNode, size)
+	for k := range size {
+		c.start(k)
+	}
+	c.whole()
+	return c
+}
+
+// start starts a process, or its next life.
+func (c *crew) start(k int) {
+	var peers strings.Builder
+	fmt.Fprintf(&peers, "fleet = \"crew\"\nkey_file = \"peers.key\"\n")
+	for m, port := range c.ports {
+		if m != k {
+			port = c.wires[k][m].Address()
+		}
+		fmt.Fprintf(&peers, "[[member]]\nname = \"n%d\"\naddress = %q\n", m, port)
+	}
+	peers.WriteString("[[category]]\nname = \"pay\"\nsurvive = \"finish\"\n[[category]]\nname = \"check\"\nsurvive = \"finish\"\nalone = \"go-on\"\n")
+	file, config := filepath.Join(c.dir, fmt.Sprintf("peers-%d.toml", k)), filepath.Join(c.dir, fmt.Sprintf("n%d.json", k))
+	require.NoError(c.t, os.WriteFile(file, []byte(peers.String()), 0o600))
+	require.NoError(c.t, os.WriteFile(config, fmt.Appendf(nil, `{"name":"n%d","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1%d",
+"limits":{"cores":1,"memory_mb":192,"sockets":512},"known":{"rev":41,"all":true,"targets":[%s]},"settings":%s}`, k, c.discovery, k, c.list, crewSettings), 0o600))
+	n := &crewNode{control: filepath.Join(c.dir, fmt.Sprintf("n%d.sock", k)), log: &lockedBuffer{}}
+	process, address, stderr := launch(c.t, "serve", "-config", config, "--peers", file, "--control", n.control)
+	n.cmd, n.address = process, address
+	go func() {
+		_, _ = io.Copy(n.log, stderr)
+		_ = process.Wait()
+	}()
+	c.nodes[k] = n
+}
+
+// whole waits until every log is served and every member held where it should be, by the word of each process that runs.
+func (c *crew) whole() {
+	require.Eventually(c.t, func() bool {
+		for _, n := range c.nodes {
+			if n.cmd.ProcessState != nil {
+				continue
+			}
+			out, err := exec.Command(nodeProgram, "peers", n.control, "--json").Output()
+			var told estate.Picture
+			if err != nil || json.Unmarshal(out, &told) != nil {
+				return false
+			}
+			for _, l := range told.Logs {
+				if !l.Serves {
+					return false
+				}
+			}
+		}
+		return true
+	}, 20*time.Second, 50*time.Millisecond)
+}
+
+func (c *crew) serve(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	key := r.Header.Get("Idempotency-Key")
+	c.mu.Lock()
+	c.ran[key]++
+	n := c.ran[key]
+	begun, held := c.begun[key], c.held[key]
+	c.mu.Unlock()
+	if begun != nil && n == 1 {
+		close(begun)
+	}
+	if held != nil && n == 1 { // only the first is held
+		select {
+		case <-held:
+		case <-r.Context().Done():
+		}
+	}
+	fmt.Fprintf(w, "run %d of %s %s", n, key, body)
+}
+
+// hold has the first push of a key held at its backend; begun is closed once it is there.
+func (c *crew) hold(key string) (begun, held chan struct{}) {
+	begun, held = make(chan struct{}), make(chan struct{})
+	c.mu.Lock()
+	c.begun[key], c.held[key] = begun, held
+	c.mu.Unlock()
+	return begun, held
+}
+
+func (c *crew) times(key string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ran[key]
+}
+
+// ask sends an op at a node and notes what outcome its client was given: an ack or a dead letter.
+func (c *crew) ask(k int, category, key, ttl, body string) (int, string) {
+	r, err := http.NewRequest("POST", "http://"+c.nodes[k].address+"/pay", strings.NewReader(body))
+	require.NoError(c.t, err)
+	for name, value := range map[string]string{"X-Trace-Id": fmt.Sprintf("%s-%d", key, time.Now().UnixNano()), "X-Qos": category,
+		"X-Expires-In-Ms": ttl, "Idempotency-Key": key} {
+		r.Header.Set(name, value)
+	}
+	answer, err := fresh().Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	if answer.StatusCode == 200 || answer.StatusCode == 502 {
+		c.mu.Lock()
+		if c.outcomes[key] == nil {
+			c.outcomes[key] = map[string]bool{}
+		}
+		c.outcomes[key][fmt.Sprintf("%d %s", answer.StatusCode, text)] = true
+		c.mu.Unlock()
+	}
+	return answer.StatusCode, string(text)
+}
+
+// judge looks for broken promises over all that was seen.
+func (c *crew) judge() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, n := range c.ran {
+		if strings.HasPrefix(key, "pay") {
+			assert.LessOrEqual(c.t, n, 1, "once: effects of %s", key)
+		}
+	}
+	for key, all := range c.outcomes {
+		assert.Len(c.t, all, 1, "once: outcomes of %s: %v", key, all)
+	}
+}
+
+func (c *crew) kill(k int) {
+	require.NoError(c.t, c.nodes[k].cmd.Process.Kill())
+	require.Eventually(c.t, func() bool { return c.nodes[k].cmd.ProcessState != nil }, 5*time.Second, time.Millisecond)
+}
+
+// Whatever becomes of the process that took an op, whoever comes with its key hears of one outcome, and it ran once.
+func TestAnOpSurvivesItsNode(t *testing.T) {
+	c := newCrew(t, 3)
+	defer c.judge()
+	status, text := c.ask(0, "pay", "pay-calm", "4000", "x")
+	require.Equal(t, 200, status, text)
+	require.Equal(t, "run 1 of pay-calm x", text)
+	status, text = c.ask(1, "pay", "pay-calm", "4000", "x")
+	require.Equal(t, 200, status, "the recorded answer, at another node")
+	require.Equal(t, "run 1 of pay-calm x", text)
+	status, _ = c.ask(2, "pay", "pay-calm", "4000", "another body")
+	require.Equal(t, 422, status)
+
+	// Two nodes at once, and a third while it is in hand.
+	begun, held := c.hold("pay-twice")
+	var both sync.WaitGroup
+	for k := range 3 {
+		both.Add(1)
+		go func() {
+			defer both.Done()
+			status, text := c.ask(k, "pay", "pay-twice", "6000", "y")
+			assert.Equal(t, 200, status, text)
+		}()
+	}
+	<-begun
+	close(held)
+	both.Wait()
+
+	// Killed with one push out that may have run, and one op that may run again.
+	begun, held = c.hold("pay-lost")
+	defer close(held)
+	begun2, held2 := c.hold("check-lost")
+	defer close(held2)
+	for key, category := range map[string]string{"pay-lost": "pay", "check-lost": "check"} {
+		go c.ask(0, category, key, "8000", "z")
+	}
+	<-begun
+	<-begun2
+	killed := time.Now()
+	c.kill(0)
+	status, text = c.ask(1, "check", "check-lost", "6000", "z")
+	require.Equal(t, 200, status, text)
+	require.Equal(t, "run 2 of check-lost z", text, "its heir has pushed it again")
+	status, text = c.ask(2, "pay", "pay-lost", "6000", "z")
+	require.Equal(t, 502, status, "nobody can tell whether it ran: %s", text)
+	require.Less(t, time.Since(killed), 4*time.Second)
+	require.Equal(t, 1, c.times("pay-lost"))
+
+	// Its next life is another: it joins, and knows what the others know.
+	c.start(0)
+	c.whole()
+	status, _ = c.ask(0, "pay", "pay-lost", "4000", "z")
+	require.Equal(t, 502, status)
+	status, text = c.ask(0, "pay", "pay-calm", "4000", "x")
+	require.Equal(t, 200, status, text)
+}
+
+// Frozen with a push out and resumed after the takeover: the deposed one gives no outcome of its own that differs.
+func TestAFrozenNodeIsDeposed(t *testing.T) {
+	c := newCrew(t, 3)
+	defer c.judge()
+	begun, held := c.hold("pay-frozen")
+	answers := make(chan int, 1)
+	go func() {
+		status, _ := c.ask(0, "pay", "pay-frozen", "8000", "x")
+		answers <- status
+	}()
+	<-begun
+	require.NoError(t, c.nodes[0].cmd.Process.Signal(syscall.SIGSTOP))
+	status, text := c.ask(1, "pay", "pay-frozen", "6000", "x")
+	require.Equal(t, 502, status, text)
+	close(held) // its answer lies in the frozen one's socket
+	require.NoError(t, c.nodes[0].cmd.Process.Signal(syscall.SIGCONT))
+	status = <-answers
+	require.Contains(t, []int{409, 502}, status, "asked to come again, or told what the heir has written")
+	c.whole()
+	status, _ = c.ask(0, "pay", "pay-frozen", "4000", "x")
+	require.Equal(t, 502, status)
+}
+
+// Cut off from all its peers but not from clients and backends: what may not go alone is nacked at once, the rest goes on,
+// and what it had is the others'. Healed, all is whole again.
+func TestACutOffNodeGoesByWhatItsCategoriesSay(t *testing.T) {
+	c := newCrew(t, 3)
+	defer c.judge()
+	begun, held := c.hold("pay-cut")
+	answers := make(chan int, 1)
+	go func() {
+		status, _ := c.ask(0, "pay", "pay-cut", "5000", "x")
+		answers <- status
+	}()
+	<-begun
+	for k := 1; k < 3; k++ {
+		c.wires[0][k].Set(wires.Fault{Drop: true})
+		c.wires[k][0].Set(wires.Fault{Drop: true})
+	}
+	status, text := c.ask(1, "pay", "pay-cut", "4500", "x")
+	require.Equal(t, 502, status, text)
+	close(held)
+	require.Contains(t, []int{409, 502}, <-answers, "it has an answer, and nobody to write it down")
+	require.Eventually(t, func() bool {
+		status, _ := c.ask(0, "pay", fmt.Sprintf("pay-%d", time.Now().UnixNano()), "3000", "x")
+		return status == 503
+	}, 10*time.Second, 10*time.Millisecond)
+	begunAt := time.Now()
+	status, _ = c.ask(0, "pay", "pay-alone", "8000", "x")
+	require.Equal(t, 503, status)
+	require.Less(t, time.Since(begunAt), 2*time.Second, "answered at once, not held")
+	require.Zero(t, c.times("pay-alone"))
+	status, text = c.ask(0, "check", "check-alone", "4000", "x")
+	require.Equal(t, 200, status, text)
+	for k := 1; k < 3; k++ {
+		c.wires[0][k].Set(wires.Fault{})
+		c.wires[k][0].Set(wires.Fault{})
+	}
+	c.whole()
+	require.Eventually(t, func() bool {
+		status, _ := c.ask(0, "pay", "pay-alone", "3000", "x")
+		return status == 200
+	}, 10*time.Second, 50*time.Millisecond)
+}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"pearknot/internal/acme"
+	"pearknot/internal/estate"
 	"pearknot/internal/front"
 )
 
@@ -14,6 +15,7 @@
 	ServicePath = "/v1/service"
 	CapturePath = "/v1/capture"
 	ClientsPath = "/v1/clients"
+	PeersPath   = "/v1/peers"
 	RenewPath   = "/v1/certs/renew"
 	RevokePath  = "/v1/certs/revoke"
 	KeyPath     = "/v1/certs/account-key"
@@ -154,3 +156,18 @@
 	})
 	return m
 }
+
+// WithPeers serves a look at the links and logs that a node shares with others, before all else.
+func WithPeers(h http.Handler, look func(context.Context) (estate.Picture, error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != PeersPath || r.Method != http.MethodGet {
+			h.ServeHTTP(w, r)
+			return
+		}
+		if told, err := look(r.Context()); err != nil {
+			Fail(w, http.StatusServiceUnavailable, err.Error())
+		} else {
+			Answer(w, http.StatusOK, told)
+		}
+	})
+}
--- a/internal/front/decode.go
+++ b/internal/front/decode.go
@@ -117,6 +117,12 @@
 	op.Under, op.Category, op.Tenant, op.Repeat = told.Terms, category, tenant, repeat
 	op.Hint, op.HasHint = hint/1e3, hinted != ""
 	op.GiveUp = now - c.wayHere() + least
+	if f.keep != nil {
+		var bad *malformed
+		if op.Kept, bad = f.keyed(r, op, body); bad != nil {
+			return nil, bad
+		}
+	}
 	return op, nil
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -61,6 +61,7 @@
 	listener  *listener
 	secure    *secure     // nil where no TLS is served
 	door      *door       // nil lets all in
+	keep      *Keep       // nil where no other process keeps ops
 	withheld  atomic.Bool // kept out of service
 	leaving   atomic.Bool // told to end: no client is to be sent here any more
 	draining  atomic.Bool // those who still come are asked to close
@@ -317,6 +318,10 @@
 	}
 	defer c.release()
 	defer c.judged((*admission.Core).Answered)
+	if op.Kept != nil {
+		f.serveKept(w, r, c, op)
+		return
+	}
 	f.serve(w, r, c, op)
 }
 
@@ -395,6 +400,9 @@
 			w.Header().Set("Retry-After", strconv.FormatFloat(a.ComeBack/1e3, 'f', 3, 64))
 		}
 		f.write(w, c, http.StatusServiceUnavailable, nil)
+	case node.AskAgain:
+		w.Header().Set("Retry-After", strconv.FormatFloat(a.ComeBack/1e3, 'f', 3, 64))
+		f.write(w, c, http.StatusConflict, []byte("the op is in hand; ask again with its key\n"))
 	default:
 		f.write(w, c, http.StatusBadGateway, nil)
 	}
--- /dev/null
+++ b/internal/node/kept.go
@@ -0,0 +1,265 @@
+package node
+
+import (
+	"bytes"
+	"math"
+	"net/http"
+
+	"pearknot/balance"
+	"pearknot/internal/estate"
+	"pearknot/internal/peers"
+	"pearknot/internal/terms"
+	"pearknot/internal/upstream"
+)
+
+const (
+	recordWithin = 500.0 // ms that a push waits for its record, before the op goes by what its category says of that
+	finishWithin = 30.0  // ms past an op's time, if need be, that its outcome may take to be written
+)
+
+// Kept is what an op that other processes keep is known by.
+type Kept struct {
+	Key    string
+	Print  uint64 // of method, path and body
+	GoOn   bool   // where no majority answers: unprotected
+	Most   int    // bytes of an answer that are kept
+	heir   bool   // taken over
+	begun  bool   // it has a record
+	before []estate.Push
+}
+
+// Keep has ops that carry Kept kept by peers; it is called before Start.
+func (n *Node) Keep(p *peers.Peers) { n.keeper = p }
+
+// keepBegin has the record of a push written, and the push sent once a majority holds it.
+func (n *Node) keepBegin(op *Op, p *balance.Push, call *upstream.Call) {
+	b := n.behind[p.Backend]
+	is := estate.Push{Number: p.Number, Backend: b.member.Name, Zone: p.Backend.Zone, Cell: p.Backend.Cell, At: n.now}
+	r := estate.Record{Kind: estate.Begin, Key: op.Kept.Key, Push: is}
+	if p.Number == 0 {
+		r.Op = n.describe(op)
+	}
+	op.Kept.before = append(op.Kept.before, is)
+	module := n.module
+	n.keeper.Write(r, min(op.GiveUp, n.now+recordWithin), func(reply estate.Reply) {
+		n.box.Put(func() {
+			if n.module == module {
+				n.keptBegun(op, p, call, reply)
+			} else {
+				call.Done(upstream.Outcome{Ending: balance.NotSent})
+			}
+		})
+	})
+}
+
+// describe is what an heir needs of an op.
+func (n *Node) describe(op *Op) estate.Op {
+	c := op.Under.Categories[op.Category]
+	d := estate.Op{Print: op.Kept.Print, Category: n.told.Categories[op.Category], Effect: c.Effect, Group: c.Group, Remembered: c.Remembered,
+		Hint: op.Hint, HasHint: op.HasHint, Repeat: op.Repeat, About: op.Key, GiveUp: op.GiveUp, Message: op.Message.Pack()}
+	if op.Tenant < len(n.told.Tenants) {
+		d.Tenant = n.told.Tenants[op.Tenant]
+	}
+	return d
+}
+
+// keptBegun takes what became of a push's record. The push begins only by a word that is not old, so that one who has stood
+// still or was cut off begins none of an op that may have an heir.
+func (n *Node) keptBegun(op *Op, p *balance.Push, call *upstream.Call, reply estate.Reply) {
+	k := op.Kept
+	refuse := func(a Answer) {
+		if !op.answered {
+			op.finish(a)
+			n.module.Left(n.now, &op.Op)
+		}
+		call.Done(upstream.Outcome{Ending: balance.NotSent})
+	}
+	switch {
+	case reply.Code == estate.Done && op.answered:
+		k.begun = true
+		call.Done(upstream.Outcome{Ending: balance.NotSent})
+	case reply.Code == estate.Done:
+		k.begun = true
+		// What is out of time by then, or by the module's word, is not sent; its ending says that it never ran.
+		until := reply.Asked + estate.FreshFor
+		if d := op.Under.Categories[op.Category]; p.Number > 0 && d.Effect == balance.Deduplicated {
+			e := estate.Op{Effect: d.Effect, Remembered: d.Remembered, GiveUp: op.GiveUp}
+			until = min(until, e.Until(k.before[:p.Number]))
+		}
+		call.Before = n.clock.At(until)
+		n.send(p, call)
+	case p.Number == 0 && (reply.Code == estate.InHand || reply.Code == estate.Over || reply.Code == estate.Unlike):
+		refuse(Answer{Final: Elsewhere})
+	case (reply.Code == estate.Alone || reply.Code == estate.Full) && p.Number == 0 && !k.heir:
+		if k.GoOn {
+			op.Kept = nil
+			n.send(p, call)
+			return
+		}
+		a := Answer{Final: Nacked}
+		if op.Under.ComeBack {
+			a.ComeBack = min(op.Under.MaxComeBack, 2*estate.SilentFor)
+		}
+		refuse(a)
+	default: // another has it, or nobody answers: no word of this process's own
+		refuse(Answer{Final: AskAgain, ComeBack: estate.SilentFor})
+	}
+}
+
+// keepEnd tells of a push that never ran: an heir may then send the op on.
+func (n *Node) keepEnd(op *Op, p *balance.Push, how balance.Ending) {
+	if op.Kept == nil || !op.Kept.begun || !how.NeverRan() || p.Number >= len(op.Kept.before) {
+		return
+	}
+	is := &op.Kept.before[p.Number]
+	is.Over, is.Ending = true, how
+	n.keeper.Write(estate.Record{Kind: estate.End, Key: op.Kept.Key, Push: *is}, op.GiveUp, func(estate.Reply) {})
+}
+
+// finish gives an op's final answer; one that is kept gets it once it is written down.
+func (n *Node) finish(op *Op, a Answer) {
+	k := op.Kept
+	if k == nil || op.answered || !k.begun && a.Final == Nacked && len(k.before) == 0 {
+		op.finish(a)
+		return
+	}
+	op.leave()
+	for i, p := range op.Pushes {
+		if i < len(k.before) && !p.Out() && i < len(op.calls) && p.Ending().NeverRan() {
+			k.before[i].Over, k.before[i].Ending = true, p.Ending()
+		}
+	}
+	o := estate.Outcome{Final: estate.DeadLettered, Status: http.StatusBadGateway}
+	c := op.Under.Categories[op.Category]
+	switch {
+	case a.Final == Acked:
+		o = pack(a.Reply, k.Most)
+	case a.Final == Nacked && (&estate.Entry{Op: estate.Op{Effect: c.Effect}, Pushes: k.before}).Nackable():
+		o = estate.Outcome{Final: estate.Nacked}
+	case a.Final == Nacked: // its key would be free again, and the mark forgotten before it comes back
+		a = Answer{Final: DeadLettered}
+	}
+	n.conclude(op, k.Key, a, o)
+}
+
+func (n *Node) conclude(op *Op, key string, a Answer, o estate.Outcome) {
+	n.keeper.Write(estate.Record{Kind: estate.Finish, Key: key, Outcome: o}, math.Max(op.GiveUp, n.now)+finishWithin, func(reply estate.Reply) {
+		switch reply.Code {
+		case estate.Done:
+			op.answer <- a
+			return
+		case estate.Over:
+			op.answer <- Recorded(reply.Outcome)
+		default:
+			op.answer <- Answer{Final: AskAgain, ComeBack: estate.SilentFor}
+		}
+		a.Reply.Release()
+	})
+}
+
+// pack is an answer as it is kept; of one that is too long to be kept only that there was one.
+func pack(r *upstream.Reply, most int) estate.Outcome {
+	o := estate.Outcome{Final: estate.Acked, Status: http.StatusOK}
+	var head bytes.Buffer
+	h := r.Header.Clone()
+	upstream.EndToEnd(h)
+	_ = h.Write(&head)
+	if o.NotKept = r.More != nil || len(r.Body)+head.Len() > most; !o.NotKept {
+		o.Header, o.Body = head.Bytes(), r.Body
+	}
+	return o
+}
+
+// Recorded is a kept outcome as an answer.
+func Recorded(o estate.Outcome) Answer {
+	switch o.Final {
+	case estate.Acked:
+		r := &upstream.Reply{Status: o.Status, Header: http.Header{}, Body: o.Body}
+		for line := range bytes.SplitSeq(o.Header, []byte("\r\n")) {
+			if name, value, ok := bytes.Cut(line, []byte(": ")); ok {
+				r.Header.Add(string(name), string(value))
+			}
+		}
+		if o.NotKept {
+			r.Header.Set("Pearknot-Answer", "not kept")
+		}
+		return Answer{Final: Acked, Reply: r}
+	case estate.Nacked:
+		return Answer{Final: Nacked}
+	}
+	return Answer{Final: DeadLettered}
+}
+
+// Inherit takes an op over from a process that is lost. What may not be sent again is ended at once; the rest the module
+// decides on as on any op, with what time and pushes it has.
+func (n *Node) Inherit(e estate.Entry) {
+	n.box.Put(func() {
+		duty, why := e.Succeed(n.now)
+		op := n.revive(&e)
+		if op == nil && duty == estate.GoOn {
+			duty, why = estate.DeadLetter, "its category or message is unknown here"
+			if e.Nackable() {
+				duty = estate.NackIt
+			}
+		}
+		n.log.Info("op taken over", "key", e.Key, "from", e.Op.Category, "pushes", len(e.Pushes), "heirs", e.Heirs, "does", duty.String(), "why", why)
+		switch duty {
+		case estate.GoOn:
+			n.seq++
+			op.Ref = n.seq
+			n.ops[op.Ref] = op
+			n.module.Arrived(n.now, &op.Op)
+			go func() { // nobody waits here: whoever comes with the key finds the record
+				a := <-op.Answer()
+				a.Reply.Release()
+			}()
+		default:
+			o := estate.Outcome{Final: estate.DeadLettered, Status: http.StatusBadGateway}
+			if duty == estate.NackIt {
+				o = estate.Outcome{Final: estate.Nacked}
+			}
+			n.keeper.Write(estate.Record{Kind: estate.Finish, Key: e.Key, Outcome: o}, n.now+2*estate.SilentFor, func(estate.Reply) {})
+		}
+	})
+}
+
+// revive makes an op of an entry.
+func (n *Node) revive(e *estate.Entry) *Op {
+	m := upstream.Unpack(e.Op.Message)
+	category := -1
+	for k, name := range n.told.Categories {
+		if name == e.Op.Category {
+			category = k
+		}
+	}
+	if m == nil || category < 0 {
+		return nil
+	}
+	op := NewOp(m)
+	op.Kept = &Kept{Key: e.Key, Print: e.Op.Print, heir: true, begun: true, before: e.Pushes, Most: upstream.MostHeld}
+	op.Under, op.Category, op.Hint, op.HasHint, op.Repeat, op.Op.Key = n.told.Terms, category, e.Op.Hint, e.Op.HasHint, e.Op.Repeat, e.Op.About
+	op.Tenant = tenant(n.told, e.Op.Tenant)
+	op.GiveUp = e.Op.GiveUp
+	for _, p := range e.Pushes {
+		b := &balance.Backend{Ref: ref(p.Backend), Zone: p.Zone, Cell: p.Cell}
+		if known := n.backends[p.Backend]; known != nil {
+			b = known.Backend
+		}
+		how := balance.TimedOut // as far as anybody knows
+		if p.Over {
+			how = p.Ending
+		}
+		op.Before(b, p.At, how)
+		op.calls = append(op.calls, upstream.NewCall(m, n.clock.At(0), func(upstream.Outcome) {}))
+	}
+	return op
+}
+
+func tenant(told *terms.Deployment, name string) int {
+	for k, t := range told.Tenants {
+		if t == name {
+			return k
+		}
+	}
+	return 0
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"pearknot/internal/clock"
 	"pearknot/internal/mailbox"
 	"pearknot/internal/members"
+	"pearknot/internal/peers"
 	"pearknot/internal/terms"
 	"pearknot/internal/upstream"
 )
@@ -57,7 +58,8 @@
 	held     bool
 	version  uint64 // of the list that is held
 	timer    *time.Timer
-	until    float64  // when the node ends; 0 while it goes on
+	until    float64 // when the node ends; 0 while it goes on
+	keeper   *peers.Peers
 	after    []func() // what waits for the batch's end
 	done     chan struct{}
 }
@@ -235,7 +237,7 @@
 		n.log.Error("module fault, starting it anew", "fault", fmt.Sprint(fault), "stack", string(debug.Stack()))
 		n.module = n.decide(n.told.Terms, n.now)
 		for ref, op := range n.ops {
-			op.finish(Answer{Final: DeadLettered})
+			n.finish(op, Answer{Final: DeadLettered})
 			for _, c := range op.calls {
 				c.Revoke()
 			}
@@ -258,7 +260,7 @@
 // abandon dead-letters what the module still has open when the node ends.
 func (n *Node) abandon() {
 	for _, op := range n.ops {
-		op.finish(Answer{Final: DeadLettered})
+		n.finish(op, Answer{Final: DeadLettered})
 		n.module.Left(n.now, &op.Op)
 		n.forget(op)
 	}
@@ -404,6 +406,14 @@
 	}
 	op.calls = append(op.calls, call)
 	op.out++
+	if op.Kept != nil {
+		n.keepBegin(op, p, call)
+		return
+	}
+	n.send(p, call)
+}
+
+func (n *Node) send(p *balance.Push, call *upstream.Call) {
 	if peer := n.behind[p.Backend].peer; peer != nil {
 		peer.Send(call)
 		return
@@ -418,9 +428,10 @@
 		n.module.Reported(n.now, p.Backend, out.Report)
 	}
 	if out.Ending == balance.Answered && !op.answered {
-		op.finish(Answer{Final: Acked, Reply: out.Reply})
+		n.finish(op, Answer{Final: Acked, Reply: out.Reply})
 	} else {
 		out.Reply.Release()
+		n.keepEnd(op, p, out.Ending)
 	}
 	// The backend's work was done when its answer began: some take long to send it, and some to be read.
 	elapsed := max(n.now-p.SentAt-float64(out.First.Microseconds())/1e3, 0)
@@ -432,7 +443,7 @@
 func (n *Node) final(o *balance.Op, a Answer) {
 	if op := n.ops[o.Ref]; op != nil {
 		n.traceGivenUp(op, a)
-		op.finish(a)
+		n.finish(op, a)
 		n.forget(op)
 	}
 }
--- a/internal/node/op.go
+++ b/internal/node/op.go
@@ -12,9 +12,13 @@
 	Acked Final = iota
 	Nacked
 	DeadLettered
+	AskAgain  // no outcome: another process has the op, or nobody can tell yet; whoever asks with its key will hear
+	Elsewhere // never given: the key is another op's
 )
 
-func (f Final) String() string { return [...]string{"acked", "nacked", "dead-lettered"}[f] }
+func (f Final) String() string {
+	return [...]string{"acked", "nacked", "dead-lettered", "ask again", "elsewhere"}[f]
+}
 
 // Answer is an op's final answer.
 type Answer struct {
@@ -27,6 +31,7 @@
 type Op struct {
 	balance.Op
 	Message *upstream.Message
+	Kept    *Kept // nil where no other process keeps it
 
 	answer   chan Answer
 	answered bool             // or its client is gone; the actor's
--- /dev/null
+++ b/internal/peers/link.go
@@ -0,0 +1,163 @@
+package peers
+
+import (
+	"bufio"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"pearknot/internal/estate"
+	"pearknot/internal/snapshot"
+)
+
+// version is that of a link's first words; what travels on it has its own.
+const version = 1
+
+const (
+	mostHello = 1 << 10
+	mostFrame = 4 << 20 // an image of a ledger may be as large
+
+	shakeWithin  = 2 * time.Second
+	dialWithin   = time.Second
+	writeWithin  = time.Second
+	silentWithin = estate.SilentFor * time.Millisecond // a beat comes ten times as often
+	againFrom    = 50 * time.Millisecond               // between two tries to connect, growing
+	againUpTo    = time.Second
+)
+
+// hello is what either side says first. A proof is a keyed hash of all that both have said.
+type hello struct {
+	Version  int
+	Fleet    string
+	From, To string
+	Life     uint64
+	Nonce    []byte
+}
+
+type proof struct {
+	Hello hello
+	Sum   []byte
+}
+
+var errKey = errors.New("wrong key")
+
+func newHello(fleet, from, to string, life uint64) hello {
+	h := hello{Version: version, Fleet: fleet, From: from, To: to, Life: life, Nonce: make([]byte, 16)}
+	_, _ = rand.Read(h.Nonce) // never fails
+	return h
+}
+
+func sum(key []byte, side string, first, second *hello) []byte {
+	m := hmac.New(sha256.New, key)
+	_, _ = io.WriteString(m, side)
+	for _, h := range []*hello{first, second} {
+		part := snapshot.Append(nil, h)
+		_ = binary.Write(m, binary.BigEndian, uint32(len(part)))
+		_, _ = m.Write(part)
+	}
+	return m.Sum(nil)
+}
+
+func proven(keys [][]byte, side string, first, second *hello, given []byte) bool {
+	for _, key := range keys {
+		if hmac.Equal(given, sum(key, side, first, second)) {
+			return true
+		}
+	}
+	return false
+}
+
+func writeFrame(to io.Writer, data []byte) error {
+	whole := make([]byte, 4, 4+len(data))
+	binary.BigEndian.PutUint32(whole, uint32(len(data)))
+	_, err := to.Write(append(whole, data...))
+	return err
+}
+
+func readFrame(from io.Reader, most uint32) ([]byte, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(from, head[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	if size > most {
+		return nil, fmt.Errorf("frame of %d bytes, %d at most", size, most)
+	}
+	data := make([]byte, size)
+	_, err := io.ReadFull(from, data)
+	return data, err
+}
+
+func (h *hello) fits(fleet, from, to string) error {
+	switch {
+	case h.Version != version:
+		return fmt.Errorf("link of version %d, this build has %d", h.Version, version)
+	case h.Fleet != fleet:
+		return fmt.Errorf("fleet %.40q is not %.40q", h.Fleet, fleet)
+	case from != "" && h.From != from || h.To != to:
+		return fmt.Errorf("a link from %.40q to %.40q", h.From, h.To)
+	case len(h.Nonce) != 16 || h.Life == 0:
+		return errors.New("odd first words")
+	}
+	return nil
+}
+
+// call opens a link to a member: this process's frames go out on it.
+func call(c net.Conn, keys [][]byte, fleet, from, to string, life uint64) (theirs uint64, err error) {
+	_ = c.SetDeadline(time.Now().Add(shakeWithin))
+	defer func() { _ = c.SetDeadline(time.Time{}) }()
+	mine := newHello(fleet, from, to, life)
+	if err := writeFrame(c, snapshot.Append(nil, &mine)); err != nil {
+		return 0, err
+	}
+	data, err := readFrame(c, mostHello)
+	if err != nil {
+		return 0, err
+	}
+	p := &proof{}
+	if err := snapshot.Read(data, p); err != nil {
+		return 0, err
+	}
+	if err := p.Hello.fits(fleet, to, from); err != nil {
+		return 0, err
+	}
+	if !proven(keys, "taken", &mine, &p.Hello, p.Sum) {
+		return 0, errKey
+	}
+	return p.Hello.Life, writeFrame(c, sum(keys[0], "calls", &mine, &p.Hello))
+}
+
+// take answers a link's opening, and tells whose it is.
+func take(c net.Conn, r *bufio.Reader, keys [][]byte, fleet, self string, life uint64) (from string, theirs uint64, err error) {
+	_ = c.SetDeadline(time.Now().Add(shakeWithin))
+	defer func() { _ = c.SetDeadline(time.Time{}) }()
+	data, err := readFrame(r, mostHello)
+	if err != nil {
+		return "", 0, err
+	}
+	h := &hello{}
+	if err := snapshot.Read(data, h); err != nil {
+		return "", 0, err
+	}
+	if err := h.fits(fleet, "", self); err != nil {
+		return "", 0, err
+	}
+	mine := newHello(fleet, self, h.From, life)
+	if err := writeFrame(c, snapshot.Append(nil, &proof{mine, sum(keys[0], "taken", h, &mine)})); err != nil {
+		return "", 0, err
+	}
+	given, err := readFrame(r, mostHello)
+	if err != nil {
+		return "", 0, err
+	}
+	if !proven(keys, "calls", h, &mine, given) {
+		return "", 0, errKey
+	}
+	return h.From, h.Life, nil
+}
--- a/internal/serve/control.go
+++ b/internal/serve/control.go
@@ -12,8 +12,10 @@
 
 	"pearknot/internal/acme"
 	"pearknot/internal/control"
+	"pearknot/internal/estate"
 	"pearknot/internal/front"
 	"pearknot/internal/node"
+	"pearknot/internal/peers"
 )
 
 // lookWithin is how long the module's actor may take to tell what it holds.
@@ -21,7 +23,7 @@
 
 // openControl serves the node's control socket until it is closed.
 func openControl(p *Place, o Options, n *node.Node, f *front.Front, dump func() (string, error), certificates *acme.Instance,
-	started float64, log *slog.Logger) (io.Closer, error) {
+	links *peers.Peers, started float64, log *slog.Logger) (io.Closer, error) {
 	l, err := control.Listen(o.Control)
 	if err != nil {
 		return nil, err
@@ -60,7 +62,15 @@
 	if o.Edge != "" {
 		clients = f.Clients
 	}
-	server := control.Server(control.Node(status, service, dump, keeper, clients))
+	handler := control.Node(status, service, dump, keeper, clients)
+	if links != nil {
+		handler = control.WithPeers(handler, func(ctx context.Context) (estate.Picture, error) {
+			ctx, cancel := context.WithTimeout(ctx, lookWithin)
+			defer cancel()
+			return links.State(ctx)
+		})
+	}
+	server := control.Server(handler)
 	go func() {
 		if err := server.Serve(control.Limited(l)); !errors.Is(err, http.ErrServerClosed) {
 			log.Error("control socket ended", "error", err)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -18,6 +18,7 @@
 	"pearknot/internal/front"
 	"pearknot/internal/members"
 	"pearknot/internal/node"
+	"pearknot/internal/peers"
 	"pearknot/internal/sockets"
 	"pearknot/internal/terms"
 	"pearknot/internal/upstream"
@@ -47,6 +48,7 @@
 	Capture *Capture // where all that the module is told goes; nil is nowhere
 	TLS     *TLS     // nil is none
 	Edge    string   // file of admission; all clients are let in where empty
+	Peers   *Peers   // nil shares nothing
 }
 
 // Run runs a node until SIGTERM has ended it.
@@ -77,6 +79,12 @@
 	if p.control != "" {
 		limit -= console.Descriptors
 	}
+	if o.Peers != nil {
+		if err := o.Peers.fits(p); err != nil {
+			return err
+		}
+		limit -= o.Peers.terms.Descriptors()
+	}
 	budget := sockets.New(limit, func() {
 		select {
 		case pressed <- struct{}{}:
@@ -108,13 +116,13 @@
 		}
 		defer end()
 	}
-	peers := &upstream.Terms{Tell: terms.Tell, Budget: budget, Log: log}
+	backends := &upstream.Terms{Tell: terms.Tell, Budget: budget, Log: log}
 	retime := func(d *terms.Deployment) {
-		peers.ConnectTimeout.Set(clock.Span(d.ConnectTimeout))
-		peers.IdleFor.Set(clock.Span(idleShare * d.ConnectionIdle))
+		backends.ConnectTimeout.Set(clock.Span(d.ConnectTimeout))
+		backends.IdleFor.Set(clock.Span(idleShare * d.ConnectionIdle))
 	}
 	retime(p.told)
-	n := node.New(p.told, o.Decide, now, peers, watch.Ask, log)
+	n := node.New(p.told, o.Decide, now, backends, watch.Ask, log)
 	watch.Told, watch.Failed = n.Listed, n.ListFailed
 	f := front.New(n, p.told, now, budget, log)
 	if o.Edge != "" {
@@ -131,6 +139,12 @@
 		})
 	}
 	both.node, both.front = n, f
+	var links *peers.Peers
+	if o.Peers != nil {
+		links = peers.New(o.Peers.terms, now, n.Inherit, log)
+		n.Keep(links)
+		f.Keep(o.Peers.keep(links))
+	}
 	if s := both.follow(ctx); s != nil {
 		both.learn(s)
 		if s.List.Members != nil {
@@ -160,11 +174,15 @@
 			return nil
 		}
 	}
+	if links != nil {
+		links.Start()
+		defer links.Stop()
+	}
 	if err := f.Listen(p.listen, p.control != ""); err != nil {
 		return err
 	}
 	if o.Control != "" {
-		c, err := openControl(p, o, n, f, dump, certificates, now.Now(), log)
+		c, err := openControl(p, o, n, f, dump, certificates, links, now.Now(), log)
 		if err != nil {
 			return err
 		}
@@ -211,6 +229,9 @@
 	left := min(p.told.LongestTTL, longestWait) + killAfter - margin
 	log.Info("draining", "within_ms", left)
 	n.Drain(now.Now() + left)
+	if links != nil {
+		links.Leave()
+	}
 	last, cancel := context.WithTimeout(over, clock.Span(left+margin/3))
 	defer cancel()
 	var unanswered int64
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -23,6 +23,7 @@
 type Call struct {
 	Message *Message
 	Done    func(Outcome)   // called once; must not block
+	Before  time.Time       // it begins no later than this; zero is no bound. Set before it is sent
 	Sent    func(time.Time) // takes when a streamed op's time is over, once its last byte has come; must not block
 
 	mu     sync.Mutex
@@ -95,7 +96,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	left = time.Until(c.until)
-	if c.off || left <= 0 {
+	if c.off || left <= 0 || !c.Before.IsZero() && !time.Now().Before(c.Before) {
 		return 0, false
 	}
 	c.conn = conn
--- a/internal/upstream/message.go
+++ b/internal/upstream/message.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"pearknot/balance"
+	"pearknot/internal/snapshot"
 )
 
 // MostHeld is the size of the largest body, an op's or an answer's, that is held whole; MostBody that of the largest there
@@ -85,6 +86,23 @@
 	return &Message{head: []byte(b.String()), body: body, bare: method == http.MethodHead, rest: rest}
 }
 
+// packed is a message as another process gets it.
+type packed struct {
+	Head, Body []byte
+	Bare       bool
+}
+
+// Pack gives a whole message as bytes, and Unpack makes one of them; nil where it is none.
+func (m *Message) Pack() []byte { return snapshot.Append(nil, &packed{m.head, m.body, m.bare}) }
+
+func Unpack(data []byte) *Message {
+	p := &packed{}
+	if snapshot.Read(data, p) != nil || len(p.Head) == 0 {
+		return nil
+	}
+	return &Message{head: p.Head, body: p.Body, bare: p.Bare}
+}
+
 // encode gives the whole message, for one write.
 func (m *Message) encode(left float64) net.Buffers {
 	head := make([]byte, 0, len(m.head)+40)
