--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -444,7 +444,7 @@
 	for _, seq := range h.open() {
 		a := h.asks[seq]
 		switch {
-		case now >= a.until:
+		case now >= a.until, h.cut() && now-a.sent >= TickMs: // an election may be under way, but not with nobody
 			delete(h.asks, seq)
 			h.reply(a, Alone, Outcome{})
 		case now-a.sent >= againAfter:
@@ -471,6 +471,17 @@
 	h.work()
 }
 
+// cut tells whether this process hears so few that no majority of any log's copies can be among them.
+func (h *House) cut() bool {
+	n := 1
+	for m := range h.peers {
+		if h.peers[m].linked {
+			n++
+		}
+	}
+	return 2*n <= h.t.Copies
+}
+
 // open gives the asks without an answer, in their order.
 func (h *House) open() []uint64 {
 	all := make([]uint64, 0, len(h.asks))
--- a/internal/front/kept.go
+++ b/internal/front/kept.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	longestKey = 255 // bytes
-	finalTime  = 40  // ms of an op's time that its outcome has to be written down in
-	lookWithin = 500 // ms for the members to answer, before the op goes by what its category says of that
+	longestKey = 255  // bytes
+	finalTime  = 40   // ms of an op's time that its outcome has to be written down in
+	lookWithin = 1500 // ms for the members to answer, an election long, before the op goes by what its category says of that
 	lookAgain  = 25 * time.Millisecond
 	lookLater  = 100 * time.Millisecond
 )
--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	recordWithin = 500.0 // ms that a push waits for its record, before the op goes by what its category says of that
-	finishWithin = 30.0  // ms past an op's time, if need be, that its outcome may take to be written
+	recordWithin = 1500.0 // ms that a push waits for its record, an election long, before the op goes by what its category says of that
+	finishWithin = 30.0   // ms past an op's time, if need be, that its outcome may take to be written
 )
 
 // Kept is what an op that other processes keep is known by.
