Halves of a link end by themselves; whole is by the leader's word; all restarted in turn under load

Cause, seen with real processes: (1) a lost half of a link took the other half with it, so that two ends that redialled met on their way and kept each other apart; one start of 75 took over 20 s. (2) A log counted as served while only three of its five voters lived, so that 'wait for exit status 0, then the next' killed a majority: two effects of one key. Now the leader says whether all that are meant to hold a log live and do, and pearknot peers exits 3 until then. (3) A process that follows another speaks for its member once it has the address.

--- a/cmd/pearknot/crew_test.go
+++ b/cmd/pearknot/crew_test.go
@@ -283,3 +283,69 @@
 	require.Zero(t, took)
 	require.Greater(t, acked.Load(), other.Load()*50)
 }
+
+// All processes in turn under load, each started again once the last is whole: by SIGTERM at three copies, by kills at five. What
+// SIGTERM ends passes its logs on and answers what it has.
+func TestAllInTurn(t *testing.T) {
+	for name, copies := range map[string]int{"told to end": 3, "killed": 5} {
+		t.Run(name, func(t *testing.T) {
+			c := newCrew(t, 5, copies)
+			c.lag = 100 * time.Millisecond
+			defer c.judge()
+			over := make(chan struct{})
+			var clients sync.WaitGroup
+			var asked, settled atomic.Int64
+			for lane := range 10 {
+				clients.Add(1)
+				go func() {
+					defer clients.Done()
+					rng := rand.New(rand.NewPCG(5, uint64(lane)))
+					for n := 0; ; n++ {
+						select {
+						case <-over:
+							return
+						default:
+						}
+						asked.Add(1)
+						if c.settle(fmt.Sprintf("pay-%d-%d", lane, n), "pay", "3000", rng, 8*time.Second) {
+							settled.Add(1)
+						}
+					}
+				}()
+			}
+			begun := time.Now()
+			for k := range c.nodes {
+				if copies == 5 {
+					c.kill(k)
+				} else {
+					n := c.node(k)
+					require.NoError(t, n.cmd.Process.Signal(syscall.SIGTERM))
+					select {
+					case <-n.ended:
+					case <-time.After(8 * time.Second):
+						t.Fatal("told to end, and has not")
+					}
+				}
+				c.start(k)
+				c.whole()
+			}
+			took := time.Since(begun)
+			close(over)
+			clients.Wait()
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			t.Logf("%v for five, %d keys, %d settled, %d dead-lettered", took.Round(time.Millisecond), asked.Load(), settled.Load(), c.dead)
+			require.Equal(t, asked.Load(), settled.Load())
+			if copies == 3 {
+				require.Zero(t, c.dead, "none that was told to end leaves an op behind")
+			}
+		})
+	}
+}
+
+// Fleets that start together link and found their logs: halves of links that ended each other kept one apart for 20 s once.
+func TestFleetsStart(t *testing.T) {
+	for k := range 3 {
+		t.Run(strconv.Itoa(k), func(t *testing.T) { newCrew(t, 5, 5) })
+	}
+}
--- a/cmd/pearknot/peers.go
+++ b/cmd/pearknot/peers.go
@@ -19,7 +19,7 @@
 func peersCommand() *cobra.Command {
 	var asJSON, watch bool
 	c := &cobra.Command{Use: "peers SOCKET", Args: cobra.ExactArgs(1),
-		Short: "Links to other processes, who leads and holds which log, and what was taken over; 3 where a log is not served",
+		Short: "Links to other processes, who leads and holds which log, and what was taken over; 3 while a log is not whole",
 		RunE: func(c *cobra.Command, args []string) error {
 			client := control.NewClient(args[0], dialWithin)
 			for {
@@ -35,8 +35,8 @@
 				}
 				if !watch {
 					for _, l := range told.Logs {
-						if !l.Serves {
-							return &command.Error{Status: command.No, Err: fmt.Errorf("the log of %s is not served", l.Of), Silent: true}
+						if !l.Whole {
+							return &command.Error{Status: command.No, Err: fmt.Errorf("the log of %s is not whole", l.Of), Silent: true}
 						}
 					}
 					return nil
@@ -63,7 +63,7 @@
 	for _, p := range told.Peers {
 		fmt.Fprintf(w, "%s\t%v\t%.0f\t%d\n", p.Name, p.Linked, p.Silent, p.Life)
 	}
-	fmt.Fprintln(w, "log of\tleader\tterm\theld by\tlag\tin hand\trecords\tbytes")
+	fmt.Fprintln(w, "log of\tleader\twhole\tterm\theld by\tlag\tin hand\trecords\tbytes")
 	for _, l := range told.Logs {
 		leader := l.Leader
 		if leader == "" {
@@ -73,7 +73,7 @@
 		if l.Holds {
 			held = strings.Join(l.Voters, " ")
 		}
-		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%d\t%d\t%d\t%d\n", l.Of, leader, l.Term, held, l.Lag, l.InHand, l.Records, l.Bytes)
+		fmt.Fprintf(w, "%s\t%s\t%v\t%d\t%s\t%d\t%d\t%d\t%d\n", l.Of, leader, l.Whole, l.Term, held, l.Lag, l.InHand, l.Records, l.Bytes)
 	}
 	return w.Flush()
 }
--- a/cmd/pearknot/peers_test.go
+++ b/cmd/pearknot/peers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -22,7 +21,6 @@
 	"github.com/stretchr/testify/require"
 
 	"pearknot/balance"
-	"pearknot/internal/estate"
 	"pearknot/internal/lab/wires"
 	"pearknot/internal/rules"
 )
@@ -152,28 +150,27 @@
 	c.mu.Unlock()
 }
 
-// whole waits until every log is served and every member held where it should be, by the word of each process that runs.
+// whole waits until every log is whole, by the word of each process that runs.
 func (c *crew) whole() {
-	require.Eventually(c.t, func() bool {
+	var last []byte
+	for end := time.Now().Add(20 * time.Second); ; {
+		good := true
 		for _, n := range c.nodes {
 			select {
 			case <-n.ended:
 				continue
 			default:
 			}
-			out, err := exec.Command(nodeProgram, "peers", n.control, "--json").Output()
-			var told estate.Picture
-			if err != nil || json.Unmarshal(out, &told) != nil {
-				return false
-			}
-			for _, l := range told.Logs {
-				if !l.Serves {
-					return false
-				}
+			out, err := exec.Command(nodeProgram, "peers", n.control).Output()
+			if err != nil {
+				good, last = false, out
 			}
 		}
-		return true
-	}, 20*time.Second, 50*time.Millisecond)
+		if good {
+			return
+		}
+		require.True(c.t, time.Now().Before(end), "not whole:\n%s", last)
+	}
 }
 
 func (c *crew) serve(w http.ResponseWriter, r *http.Request) {
@@ -205,6 +202,10 @@
 		case <-r.Context().Done():
 		}
 	}
+	if strings.HasPrefix(key, "long") {
+		_, _ = w.Write(bytes.Repeat([]byte("y"), 1<<20))
+		return
+	}
 	fmt.Fprintf(w, "run %d of %s %s", n, key, body)
 }
 
@@ -396,3 +397,24 @@
 		return status == 200
 	}, 10*time.Second, 50*time.Millisecond)
 }
+
+// An answer too long to be kept is given to whoever has the op, and nobody else hears more than that there was one.
+func TestLongAnswersAreNotKept(t *testing.T) {
+	c := newCrew(t, 3, 3)
+	for k, want := range []int{1 << 20, 0} {
+		r, err := http.NewRequest("POST", "http://"+c.nodes[k].address+"/pay", strings.NewReader("x"))
+		require.NoError(t, err)
+		for name, value := range map[string]string{"X-Trace-Id": fmt.Sprint("l", k), "X-Qos": "pay", "X-Expires-In-Ms": "4000", "Idempotency-Key": "long"} {
+			r.Header.Set(name, value)
+		}
+		answer, err := fresh().Do(r)
+		require.NoError(t, err)
+		body, err := io.ReadAll(answer.Body)
+		require.NoError(t, err)
+		_ = answer.Body.Close()
+		require.Equal(t, 200, answer.StatusCode)
+		require.Len(t, body, want)
+		require.Equal(t, map[bool]string{false: "not kept"}[want > 0], answer.Header.Get("Pearknot-Answer"))
+	}
+	require.Equal(t, 1, c.times("long"))
+}
--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -52,6 +52,7 @@
 	overdueFor  = 500.0  // past an op's time, when an owner that lives has not ended it
 	frozenFrom  = 250.0  // a gap between two ticks after which this process doubts itself first
 	lostAfter   = 3000.0 // of a log without a leader or a majority; several elections would have been over
+	youngFor    = 2500.0 // of a process; a process before it may still speak for the member
 	restAfter   = 1000.0 // a change of voters that is not over may be tried again
 )
 
@@ -108,6 +109,7 @@
 	Leads  bool
 	Term   uint64
 	Voters []uint64
+	Whole  bool // it leads, and all that are meant to hold the log live and do
 }
 
 // peer is what is known of a member.
@@ -167,6 +169,7 @@
 	nonce   uint64
 	picture uint64  // of what all say of the own log, where nobody leads it
 	still   float64 // since when it is the same
+	born    float64
 	doubt   float64 // until then it blames nobody: it has stood still itself
 	leaving bool
 }
@@ -175,7 +178,7 @@
 func New(t Terms, now float64) *House {
 	h := &House{t: t, now: now, self: NewPid(t.Self, t.Life), logs: make([]*log, len(t.Members)), seats: make([]uint64, len(t.Members)),
 		peers: make([]peer, len(t.Members)), asks: map[uint64]*ask{}, mine: map[string]bool{}, tickAt: now, beatAt: now,
-		steerAt: now + steerEvery, cleanAt: now + forgetEvery, doubt: now + SilentFor, known: make([]uint64, len(t.Members)), nonce: 1}
+		steerAt: now + steerEvery, cleanAt: now + forgetEvery, born: now, doubt: now + SilentFor, known: make([]uint64, len(t.Members)), nonce: 1}
 	for k := range h.seats {
 		h.seats[k] = uint64(h.self) + 1
 	}
@@ -471,8 +474,12 @@
 	h.work()
 }
 
-// cut tells whether this process hears so few that no majority of any log's copies can be among them.
+// cut tells whether this process hears so few that no majority of any log's copies can be among them. One that has just
+// begun has yet to hear.
 func (h *House) cut() bool {
+	if h.now < h.born+youngFor {
+		return false
+	}
 	n := 1
 	for m := range h.peers {
 		if h.peers[m].linked {
@@ -515,6 +522,11 @@
 		s.Gen, s.Holds, s.Term = l.gen, true, l.term()
 		s.Leads = l.leads && l.began > 0
 		s.Voters = slices.Concat(l.conf.GetVoters(), l.conf.GetVotersOutgoing())
+		s.Whole = l.serves(h.t.Copies) && len(l.conf.GetVotersOutgoing()) == 0
+		for _, v := range l.conf.GetVoters() {
+			m := of(v).Member()
+			s.Whole = s.Whole && h.alive(m) && h.seatOf(m, slot) == v
+		}
 	}
 	return s
 }
--- a/internal/estate/picture.go
+++ b/internal/estate/picture.go
@@ -23,6 +23,7 @@
 	Holds   bool     `json:"holds"`
 	Leader  string   `json:"leader"` // empty is unknown
 	Serves  bool     `json:"serves"` // here, or as far as is known
+	Whole   bool     `json:"whole"`  // by its leader's word: as many as are meant to hold it do, and live
 	Term    uint64   `json:"term"`
 	Voters  []string `json:"voters"`
 	Lag     uint64   `json:"lag"` // records not applied here yet
@@ -43,6 +44,13 @@
 		s := LogState{Of: h.t.Members[slot]}
 		if lead, known := h.leads(slot); known {
 			s.Leader, s.Serves = h.t.Members[lead], true
+			if lead == h.t.Self {
+				s.Whole = h.state(slot).Whole
+			} else if b := h.peers[lead].beat; b != nil {
+				for _, o := range b.Logs {
+					s.Whole = s.Whole || o.Slot == slot && o.Whole
+				}
+			}
 		}
 		if l != nil {
 			s.Holds, s.Term = true, l.term()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -61,6 +61,7 @@
 	ctx     context.Context
 	end     context.CancelFunc
 	wg      sync.WaitGroup
+	bound   chan struct{} // closed once this process has the address
 	box     *mailbox.Box[func()]
 
 	house   *estate.House
@@ -92,7 +93,7 @@
 		names[k] = m.Name
 	}
 	life := uint64(c.Now())
-	p := &Peers{t: t, life: life, clock: c, log: log, inherit: inherit, odd: rate.Sometimes{Interval: oddEvery}, box: mailbox.New[func()](),
+	p := &Peers{t: t, life: life, clock: c, log: log, inherit: inherit, bound: make(chan struct{}), odd: rate.Sometimes{Interval: oddEvery}, box: mailbox.New[func()](),
 		waits: map[uint64]func(estate.Reply){}, members: make([]member, len(t.Members)),
 		house: estate.New(estate.Terms{Members: names, Self: t.Self, Life: life, Copies: t.Copies, Seed: rand.Uint64(), Most: t.Most, Keep: t.Keep}, c.Now())}
 	p.ctx, p.end = context.WithCancel(context.Background())
@@ -163,7 +164,8 @@
 				told(estate.Reply{Code: estate.Alone})
 			}
 			for k := range p.members {
-				p.hangUp(k)
+				p.dropIn(k)
+				p.dropOut(k)
 			}
 			return
 		case <-p.box.Some():
@@ -228,23 +230,30 @@
 
 func (p *Peers) broke(k int, o *outgoing) {
 	if p.members[k].out == o {
-		p.hangUp(k)
+		p.dropOut(k)
 	}
 }
 
-// hangUp ends both halves: a link that carries one way only is none.
-func (p *Peers) hangUp(k int) {
-	m := &p.members[k]
-	was := m.out != nil && m.in != nil
-	if m.out != nil {
+// Each half ends by itself: ends that took the other half with them met on their way, and kept two processes apart for long.
+// A link with one half is none to the house, at either end: who loses its outgoing half is no longer heard.
+func (p *Peers) dropOut(k int) {
+	if m := &p.members[k]; m.out != nil {
 		_ = m.out.conn.Close()
 		close(m.out.frames)
 		m.out = nil
+		p.unlinked(k, m.in != nil)
 	}
-	if m.in != nil {
+}
+
+func (p *Peers) dropIn(k int) {
+	if m := &p.members[k]; m.in != nil {
 		_ = m.in.Close()
 		m.in = nil
+		p.unlinked(k, m.out != nil)
 	}
+}
+
+func (p *Peers) unlinked(k int, was bool) {
 	p.house.Broken(p.clock.Now(), k)
 	if was {
 		p.log.Warn("peer lost", "peer", p.t.Members[k].Name)
@@ -260,6 +269,11 @@
 // dial keeps a link to a member.
 func (p *Peers) dial(k int) {
 	defer p.wg.Done()
+	select { // a process before this one speaks for the member as long as it has the address
+	case <-p.bound:
+	case <-p.ctx.Done():
+		return
+	}
 	to := p.t.Members[k]
 	wait := againFrom
 	for p.ctx.Err() == nil {
@@ -294,9 +308,7 @@
 			close(o.frames)
 			return
 		}
-		if p.members[k].out != nil {
-			p.hangUp(k)
-		}
+		p.dropOut(k)
 		p.members[k].out = o
 		p.link(k)
 	})
@@ -338,6 +350,7 @@
 		case <-time.After(bindEvery):
 		}
 	}
+	close(p.bound)
 	stop := context.AfterFunc(p.ctx, func() { _ = l.Close() })
 	defer stop()
 	unproven := make(chan struct{}, mostUnproven)
@@ -384,9 +397,7 @@
 	}
 	once()
 	p.box.Put(func() {
-		if p.members[from].in != nil {
-			p.hangUp(from)
-		}
+		p.dropIn(from)
 		p.members[from].in, p.members[from].inPid = c, life
 		p.link(from)
 	})
@@ -396,7 +407,7 @@
 		if err != nil {
 			p.box.Put(func() {
 				if p.members[from].in == c {
-					p.hangUp(from)
+					p.dropIn(from)
 				}
 			})
 			return
@@ -407,7 +418,8 @@
 			}
 			if err := p.house.Take(p.clock.Now(), from, data); err != nil {
 				p.sayOdd(name, err)
-				p.hangUp(from)
+				p.dropIn(from)
+				p.dropOut(from)
 			}
 		})
 	}
