Ops taken over in captures, replay and explain; upgrades among peers

Need: a capture of an heir did not have the pushes that another node had begun, so that its replay differed, and explain could not name them. A record Taken stands ahead of the arrival for each. An upgrade's two processes are one member: the one before speaks until it has ended.

--- a/cmd/pearknot/crew_test.go
+++ b/cmd/pearknot/crew_test.go
@@ -343,6 +343,57 @@
 	}
 }
 
+// A next process beside the one that runs: the one before speaks for the member until it has ended, then the next is a life of its own.
+// Ops that are open meanwhile have one outcome, and none is left behind.
+func TestUpgradesAmongPeers(t *testing.T) {
+	dir, err := os.MkdirTemp("", "pk") // short: a socket's path is bounded
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = os.RemoveAll(dir) })
+	t.Setenv("TMPDIR", dir)
+	c := newCrewAt(t, 3, 3, reserved(t))
+	c.lag = 200 * time.Millisecond
+	defer c.judge()
+	over := make(chan struct{})
+	var clients sync.WaitGroup
+	var asked, settled atomic.Int64
+	for lane := range 9 {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			rng := rand.New(rand.NewPCG(6, uint64(lane)))
+			for n := 0; ; n++ {
+				select {
+				case <-over:
+					return
+				default:
+				}
+				asked.Add(1)
+				if c.settle(fmt.Sprintf("pay-%d-%d", lane, n), "pay", "3500", rng, 8*time.Second) {
+					settled.Add(1)
+				}
+			}
+		}()
+	}
+	for range 2 {
+		before := c.node(0)
+		c.start(0)
+		require.NoError(t, before.cmd.Process.Signal(syscall.SIGTERM))
+		select {
+		case <-before.ended:
+		case <-time.After(8 * time.Second):
+			t.Fatal("told to end, and has not")
+		}
+		c.whole()
+	}
+	close(over)
+	clients.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t.Logf("%d keys, %d settled, %d dead-lettered", asked.Load(), settled.Load(), c.dead)
+	require.Equal(t, asked.Load(), settled.Load())
+	require.Zero(t, c.dead)
+}
+
 // Fleets that start together link and found their logs: halves of links that ended each other kept one apart for 20 s once.
 func TestFleetsStart(t *testing.T) {
 	for k := range 3 {
--- a/cmd/pearknot/peers_test.go
+++ b/cmd/pearknot/peers_test.go
@@ -37,14 +37,16 @@
 	wires     [][]*wires.Wire // from, to
 	nodes     []*crewNode
 
-	mu    sync.Mutex
-	ran   map[string]int // effects by key
-	begun map[string]chan struct{}
-	held  map[string]chan struct{} // backends answer once it is closed
-	keys  *rules.Keys
-	acked int
-	dead  int
-	lag   time.Duration // that backends take at most
+	mu     sync.Mutex
+	ran    map[string]int // effects by key
+	begun  map[string]chan struct{}
+	held   map[string]chan struct{} // backends answer once it is closed
+	keys   *rules.Keys
+	lives  int
+	acked  int
+	dead   int
+	lag    time.Duration // that backends take at most
+	listen string        // of node 0, where another process of it may come beside it
 }
 
 type crewNode struct {
@@ -86,8 +88,10 @@
 	return l.Addr().String()
 }
 
-func newCrew(t *testing.T, size, copies int) *crew {
-	c := &crew{t: t, copies: copies, dir: t.TempDir(), ran: map[string]int{}, begun: map[string]chan struct{}{}, held: map[string]chan struct{}{},
+func newCrew(t *testing.T, size, copies int) *crew { return newCrewAt(t, size, copies, "") }
+
+func newCrewAt(t *testing.T, size, copies int, listen string) *crew {
+	c := &crew{listen: listen, t: t, copies: copies, dir: t.TempDir(), ran: map[string]int{}, begun: map[string]chan struct{}{}, held: map[string]chan struct{}{},
 		keys: rules.NewKeys()}
 	var targets []string
 	for k := range 3 {
@@ -135,9 +139,14 @@
 	peers.WriteString("[[category]]\nname = \"pay\"\nsurvive = \"finish\"\n[[category]]\nname = \"check\"\nsurvive = \"finish\"\nalone = \"go-on\"\n")
 	file, config := filepath.Join(c.dir, fmt.Sprintf("peers-%d.toml", k)), filepath.Join(c.dir, fmt.Sprintf("n%d.json", k))
 	require.NoError(c.t, os.WriteFile(file, []byte(peers.String()), 0o600))
-	require.NoError(c.t, os.WriteFile(config, fmt.Appendf(nil, `{"name":"n%d","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1%d",
-"limits":{"cores":1,"memory_mb":192,"sockets":512},"known":{"rev":41,"all":true,"targets":[%s]},"settings":%s}`, k, c.discovery, k, c.list, crewSettings), 0o600))
-	n := &crewNode{control: filepath.Join(c.dir, fmt.Sprintf("n%d.sock", k)), log: &lockedBuffer{}, ended: make(chan struct{})}
+	listen := "127.0.0.1:0"
+	if k == 0 && c.listen != "" {
+		listen = c.listen + `","control":"127.0.0.1:0`
+	}
+	require.NoError(c.t, os.WriteFile(config, fmt.Appendf(nil, `{"name":"n%d","listen":"%s","discovery":%q,"seed":"8c1%d",
+"limits":{"cores":1,"memory_mb":192,"sockets":512},"known":{"rev":41,"all":true,"targets":[%s]},"settings":%s}`, k, listen, c.discovery, k, c.list, crewSettings), 0o600))
+	c.lives++
+	n := &crewNode{control: filepath.Join(c.dir, fmt.Sprintf("n%d-%d.sock", k, c.lives)), log: &lockedBuffer{}, ended: make(chan struct{})}
 	process, address, stderr := launch(c.t, "serve", "-config", config, "--peers", file, "--control", n.control)
 	n.cmd, n.address = process, address
 	go func() {
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -163,6 +163,45 @@
 	assert.Greater(t, claim.Decisions, 5)
 }
 
+// An op taken over from another node comes with its pushes so far, to backends that this node's list may not have: played again it
+// goes where it went, and explain names it.
+func TestTakenOver(t *testing.T) {
+	terms := &balance.Terms{Seed: 2, Nodes: 1, MaxPushes: 3, SecondCopies: true, OverloadFor: 100, Categories: []balance.Category{
+		{Effect: balance.Deduplicated, Group: balance.GroupZone, Remembered: 500, TargetLatency: 1000, Benefit: 1}}}
+	var records []Record
+	r, err := NewRecorder(balance.New(terms, 1000), 1000, Start{Terms: terms}, Options{Every: 10, Sink: func(b Batch) { records = append(records, unframed(b.Data)...) }})
+	require.NoError(t, err)
+	var pushed []*balance.Push
+	drain := func() {
+		for d, more := r.Next(); more; d, more = r.Next() {
+			if d.Kind == balance.DoPush {
+				pushed = append(pushed, d.Push)
+			}
+		}
+	}
+	near, far := &balance.Backend{Ref: 4}, &balance.Backend{Ref: 5}
+	r.Listed(1000, []balance.Listing{{Backend: near, State: balance.Ready, Weight: 1}, {Backend: far, State: balance.Ready, Weight: 1, Zone: 1}}, true, false)
+	drain()
+	op := &balance.Op{Ref: 7, GiveUp: 3000}
+	op.Before(&balance.Backend{Ref: 99, Zone: 1}, 900, balance.TimedOut)
+	r.Arrived(1100, op)
+	drain()
+	require.Len(t, pushed, 1)
+	require.Equal(t, far, pushed[0].Backend, "only its zone drops repeats")
+	require.Equal(t, 1, pushed[0].Number)
+	r.Ended(1150, pushed[0], balance.Answered, 50, true)
+	drain()
+	claim, err := replay(records)
+	require.NoError(t, err)
+	require.Positive(t, claim.Decisions)
+	var said bytes.Buffer
+	e := &Explainer{Op: 1, Out: &said}
+	for _, x := range records {
+		require.NoError(t, e.Feed(x))
+	}
+	require.Contains(t, said.String(), "taken over from another node: op 1, its push at 900.000, timed out as far as is known, to backend 63")
+}
+
 // A node that restarts within a capture is another epoch of the same name.
 func TestEpochs(t *testing.T) {
 	most := 0
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -39,10 +39,11 @@
 	Split     // of how many processes the node is made up: Count
 	Sent      // a streamed push's last byte went out; Value is when its op's client gives up
 	Retuned   // new terms, in Data as of Begin; Ops has each category's former place, from 1 on, 0 where it had none
+	Taken     // ahead of Arrived: a push that another node had begun of an op taken over from it; its backend is in Lines
 )
 
 var kinds = [...]string{"", "begin", "listed", "list failed", "arrived", "left", "begun", "ended", "reported", "due", "shortened", "pulled",
-	"idle", "gap", "snapshot", "dropped", "split", "sent", "retuned"}
+	"idle", "gap", "snapshot", "dropped", "split", "sent", "retuned", "taken over from"}
 
 func (k Kind) String() string {
 	if int(k) < len(kinds) && k > 0 {
@@ -376,6 +377,11 @@
 		text += fmt.Sprintf(" %d lines, whole %t, held %t", len(r.Lines), r.Flags&flagFull != 0, r.Flags&flagCached != 0)
 	case Arrived:
 		text += fmt.Sprintf(" op %d (%x) category %d hint %g until %.3f", r.Op, r.Ref, r.Category, r.Hint, r.GiveUp)
+	case Taken:
+		text += fmt.Sprintf(" another node: op %d, its push at %.3f, %s as far as is known", r.Op, r.Value, r.Ending)
+		if len(r.Lines) > 0 {
+			text += fmt.Sprintf(", to backend %x", r.Lines[0].Ref)
+		}
 	case Left, Shortened:
 		text += fmt.Sprintf(" op %d", r.Op)
 	case Begun:
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -154,6 +154,11 @@
 func (r *Recorder) Arrived(now float64, op *balance.Op) {
 	r.lastOp++
 	r.ops[op] = r.lastOp
+	for _, p := range op.Pushes { // of another node
+		b := p.Backend
+		r.put(&Record{Kind: Taken, Now: now, Op: r.lastOp, Value: p.SentAt, Ending: p.Ending(),
+			Lines: []Line{{Backend: r.backend(b), Ref: b.Ref, Zone: b.Zone, Cell: b.Cell}}})
+	}
 	x := Record{Kind: Arrived, Now: now, Op: r.lastOp, Ref: r.hashed(op.Ref), Category: op.Category, Tenant: op.Tenant, Hint: op.Hint,
 		GiveUp: op.GiveUp, Key: op.Key}
 	if op.HasHint {
--- a/internal/capture/replay.go
+++ b/internal/capture/replay.go
@@ -54,6 +54,7 @@
 	refs     map[*balance.Backend]uint64
 	terms    *balance.Terms // in force, and those before
 	before   *balance.Terms
+	taken    []Record // pushes of the next op that another node had begun
 	batch    []Record
 	lost     bool // after a gap
 }
@@ -251,6 +252,11 @@
 		r.node.Listed(x.Now, lines, x.Flags&flagFull != 0, x.Flags&flagCached != 0)
 	case ListFailed:
 		r.node.ListFailed(x.Now)
+	case Taken:
+		if len(x.Lines) != 1 {
+			return fmt.Errorf("record %d at %.3f: a push taken over without its backend", r.Claim.Records, x.Now)
+		}
+		r.taken = append(r.taken, x)
 	case Arrived:
 		op = &balance.Op{Ref: x.Ref, Category: x.Category, Tenant: x.Tenant, Hint: x.Hint, HasHint: x.Flags&flagHint != 0,
 			Repeat: x.Flags&flagRepeat != 0, Streamed: x.Flags&flagStreamed != 0, GiveUp: x.GiveUp, Key: x.Key}
@@ -260,6 +266,16 @@
 		if op.Category >= len(op.Under.Categories) {
 			return fmt.Errorf("record %d at %.3f: category %d of %d", r.Claim.Records, x.Now, op.Category, len(op.Under.Categories))
 		}
+		for _, t := range r.taken {
+			l := t.Lines[0]
+			b := r.backends[l.Backend]
+			if b == nil {
+				b = &balance.Backend{Ref: l.Ref, Zone: l.Zone, Cell: l.Cell}
+				r.backends[l.Backend], r.refs[b] = b, l.Backend
+			}
+			op.Before(b, t.Value, t.Ending)
+		}
+		r.taken = r.taken[:0]
 		r.ops[x.Op], r.numbers[op] = op, x.Op
 		r.node.Arrived(x.Now, op)
 	case Left:
