Test fleets have addresses and names of their own; what the stalled start was told to be was not so

Seen since in a dump of the links: the member that did not link had a life 20 s younger than its fleet: two test fleets with one name and key, run at the same time, had been given one port, and one's member answered in the other's place. Now each has a name and loopback addresses of its own.

Halves of a link stay independent.

--- a/cmd/pearknot/crew_test.go
+++ b/cmd/pearknot/crew_test.go
@@ -394,7 +394,7 @@
 	require.Zero(t, c.dead)
 }
 
-// Fleets that start together link and found their logs: halves of links that ended each other kept one apart for 20 s once.
+// Fleets that start together link, found their logs and are whole.
 func TestFleetsStart(t *testing.T) {
 	for k := range 3 {
 		t.Run(strconv.Itoa(k), func(t *testing.T) { newCrew(t, 5, 5) })
--- a/cmd/pearknot/peers_test.go
+++ b/cmd/pearknot/peers_test.go
@@ -81,8 +81,11 @@
 "kinds":["m"],"loadReport":{"fields":["mean_ms"],"via":"inline"},"registryMode":"subscribe","rules":{"askWithin":10000,
 "coldFrom":0.3,"drainGrace":500,"fallMultiple":4,"overloadFor":2000,"warmWithin":9000},"tenants":[],"zones":["a"]}`
 
+// freePort is an address for a member, on a loopback address of this test process alone: between its choice and the member's
+// listening a fleet of another test once took it, and answered in its place.
 func freePort(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x3f, pid>>8&0xff, 2+pid&0x7f))
 	require.NoError(t, err)
 	defer l.Close()
 	return l.Addr().String()
@@ -129,7 +132,7 @@
 // start starts a process, or its next life.
 func (c *crew) start(k int) {
 	var peers strings.Builder
-	fmt.Fprintf(&peers, "fleet = \"crew\"\nkey_file = \"peers.key\"\ncopies = %d\n", c.copies)
+	fmt.Fprintf(&peers, "fleet = %q\nkey_file = \"peers.key\"\ncopies = %d\n", "crew "+c.ports[0], c.copies)
 	for m, port := range c.ports {
 		if m != k {
 			port = c.wires[k][m].Address()
