A removed copy stays and votes until its log is whole without it

One of the two left had the change done, the other had not heard that it was over and needed the removed copy's vote, which was let go the moment it applied its removal; each refused or lacked the other, and the log was never led again, nor founded anew, since the voters named by the one behind looked like a majority. Lines at fault: log.take and compare.

Change: a removed copy goes once its leader has said for 2 s that the log is whole without it; whether a log is lost is told by the copy that has come farthest, both sets of voters in the middle of a change.

--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -53,6 +53,7 @@
 	frozenFrom  = 250.0  // a gap between two ticks after which this process doubts itself first
 	lostAfter   = 3000.0 // of a log without a leader or a majority; several elections would have been over
 	youngFor    = 2500.0 // of a process; a process before it may still speak for the member
+	lingerFor   = 2000.0 // of a copy that is none any more
 	restAfter   = 1000.0 // a change of voters that is not over may be tried again
 )
 
@@ -109,7 +110,9 @@
 	Leads  bool
 	Term   uint64
 	Voters []uint64
-	Whole  bool // it leads, and all that are meant to hold the log live and do
+	Former []uint64 // in the middle of a change, those before it
+	At     uint64   // how far it has applied the log
+	Whole  bool     // it leads, and all that are meant to hold the log live and do
 }
 
 // peer is what is known of a member.
@@ -407,14 +410,20 @@
 	h.beatAt = h.now
 }
 
-// compare lets go of logs from which this process was removed, and of those founded anew, without hearing of it.
+// compare lets go of logs from which this process was removed, and of those founded anew. One that was removed stays for a
+// while, and votes: the others may have yet to hear that the change is over, and until then they can't do without it.
 func (h *House) compare(from int) {
 	for _, s := range h.peers[from].beat.Logs {
 		l := h.logs[s.Slot]
-		if l == nil || !s.Leads {
-			continue
-		}
-		if s.Gen > l.gen || s.Gen == l.gen && s.Term >= l.term() && !slices.Contains(s.Voters, l.seat) && !l.leads && l.leader() == 0 {
+		switch {
+		case l == nil || !s.Leads:
+		case s.Gen > l.gen:
+			h.drop(s.Slot)
+		case s.Gen < l.gen || s.Term < l.term() || l.leads || slices.Contains(s.Voters, l.seat) || slices.Contains(s.Former, l.seat) || !s.Whole:
+			l.outSince = 0
+		case l.outSince == 0:
+			l.outSince = h.now
+		case h.now-l.outSince > lingerFor:
 			h.drop(s.Slot)
 		}
 	}
@@ -521,7 +530,7 @@
 	if l := h.logs[slot]; l != nil {
 		s.Gen, s.Holds, s.Term = l.gen, true, l.term()
 		s.Leads = l.leads && l.began > 0
-		s.Voters = slices.Concat(l.conf.GetVoters(), l.conf.GetVotersOutgoing())
+		s.Voters, s.Former, s.At = l.conf.GetVoters(), l.conf.GetVotersOutgoing(), l.applied
 		s.Whole = l.serves(h.t.Copies) && len(l.conf.GetVotersOutgoing()) == 0
 		for _, v := range l.conf.GetVoters() {
 			m := of(v).Member()
@@ -571,17 +580,11 @@
 		h.picture, h.still = sum, h.now
 		return
 	}
-	for _, s := range states {
-		alive := 0
-		for _, v := range s.Voters {
-			if held[v] {
-				alive++
-			}
-		}
-		if 2*alive > len(s.Voters) || len(s.Voters) == 0 {
-			h.still = h.now
-			return
-		}
+	// What the one says that has come farthest is the latest: those behind may name voters of before.
+	slices.SortStableFunc(states, func(a, b State) int { return cmp.Compare(b.At, a.At) })
+	if len(states) > 0 && majority(states[0].Voters, held) && (len(states[0].Former) == 0 || majority(states[0].Former, held)) {
+		h.still = h.now
+		return
 	}
 	if h.now-h.still > lostAfter {
 		h.out = append(h.out, Out{Log: "log founded anew: the majority of its copies is lost"})
@@ -592,6 +595,17 @@
 	}
 }
 
+// majority tells whether most of some voters are among those that hold the log.
+func majority(voters []uint64, held map[uint64]bool) bool {
+	n := 0
+	for _, v := range voters {
+		if held[v] {
+			n++
+		}
+	}
+	return 2*n > len(voters)
+}
+
 func (h *House) begin(own int) {
 	l, err := newLog(&h.t, own, max(h.known[own]+1, uint64(h.now)), h.seats[own], true)
 	if err != nil {
@@ -779,9 +793,6 @@
 				}
 				h.out = append(h.out, Out{Log: fmt.Sprintf("%s the log of %s, term %d", verb, h.t.Members[slot], l.term())})
 			}
-			if l.dropped {
-				h.drop(slot)
-			}
 		}
 	}
 }
--- a/internal/estate/log.go
+++ b/internal/estate/log.go
@@ -40,7 +40,7 @@
 	since    float64            // when it began to lead
 	claimed  map[string]float64 // keys proposed for an heir, and when
 	changing bool
-	dropped  bool // it was removed
+	outSince float64 // when its leader first said that it is whole without this one; 0 is not
 }
 
 // quiet is a logger that says nothing: what a raft node tells of is told by the log's own lines.
@@ -163,9 +163,6 @@
 			l.image() // whoever is new takes only an image that names it
 		}
 		l.changing = false
-		if !slices.Contains(l.conf.GetVoters(), l.seat) && !slices.Contains(l.conf.GetVotersOutgoing(), l.seat) {
-			l.dropped = true
-		}
 	case pb.EntryNormal:
 		if len(e.GetData()) == 0 { // a leader's first
 			if s := l.rn.BasicStatus(); s.RaftState == raft.StateLeader && s.HardState.GetTerm() == e.GetTerm() {
