A link that comes up while its process ends no longer keeps it from ending

Its dump shows carry waiting on a queue that the actor would have closed, and the actor gone: a link that came up after its process was told to end was never told so. It is the product's fault, not the tests': a node given SIGTERM at that moment would have hung until it was killed. Line at fault: the range over frames in carry, which knew no other end.

Change: the writer ends with its process as well.

--- a/internal/estate/record_test.go
+++ b/internal/estate/record_test.go
@@ -102,6 +102,7 @@
 	require.Equal(t, []Code{Done, Done, Full}, []Code{put("a"), put("b"), put("c")})
 	_, _ = l.apply(&Record{Kind: Finish, Key: "a", Owner: 1, At: 100, Outcome: Outcome{Final: Acked, Body: make([]byte, 4000)}})
 	require.Equal(t, Full, put("c"))
-	_, _ = l.apply(&Record{Kind: Forget, At: 601})
+	_, _ = l.apply(&Record{Kind: Forget, Key: "a", At: 601}) // one that names a key too once took its bytes off twice
 	require.Equal(t, Done, put("c"))
+	require.Equal(t, l.entries["b"].size()+l.entries["c"].size(), l.bytes)
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -321,7 +321,17 @@
 		_ = c.Close()
 	}()
 	w := bufio.NewWriterSize(c, 64<<10)
-	for frame := range o.frames {
+	defer c.Close()
+	for {
+		var frame []byte
+		var more bool
+		select {
+		case frame, more = <-o.frames:
+		case <-p.ctx.Done(): // the actor may have ended before it heard of this link, and closes no queue any more
+		}
+		if !more {
+			return
+		}
 		_ = c.SetWriteDeadline(time.Now().Add(writeWithin))
 		err := writeFrame(w, frame)
 		o.bytes.Add(-int64(len(frame)))
@@ -332,7 +342,6 @@
 			_ = c.Close() // its reader tells
 		}
 	}
-	_ = c.Close()
 }
 
 func (p *Peers) listen() {
