Read through: logs within their memory, images within a frame, work pulled, nothing kept twice

Two bounds did not hold. Records were let go of by count, 2,000 of up to 64 KiB: 128 MB against a stated 16; and a full ledger's image (5.3 MB) was larger than a frame (4 MB), so that a member that came back lost its link on it again and again. Now a log's ledger, image and records since take 2.5 times its ledger's limit at most, which memory_mb is divided by, and frames are as large as an image. A test fills three ledgers, with 700 records that come and go, and brings a member back; each fault left in fails it (28.7 MB for 15.7; never whole).

Logs are worked at when decisions are pulled, so that what came together goes together; open ops are sorted only where one is due; a beat is encoded once. Gone: Kept.before and the ledger's Until in the node (told by the op's pushes), Beat.Life, a header parser of our own, a handler round the control socket's in place of its parameter, state twice as changing and since. MayHaveRun is exported.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -484,7 +484,7 @@
 // again answers the failure of all an op's pushes so far: another backend within the budget, or the end.
 func (n *Node) again(op *Op) {
 	cost := 1.0
-	if op.mayHaveRun() == nil { // no work for the backends yet: a fleet replaced in bulk turns many away
+	if op.MayHaveRun() == nil { // no work for the backends yet: a fleet replaced in bulk turns many away
 		cost = 0
 	}
 	felled := n.fell() && slices.ContainsFunc(op.Pushes, func(p *Push) bool { return p.ending == Reset })
@@ -959,7 +959,7 @@
 	case !n.hasTurn(op):
 		return OutOfTurn
 	}
-	if p := op.mayHaveRun(); p != nil {
+	if p := op.MayHaveRun(); p != nil {
 		switch first := p.Backend; {
 		case op.cat.Effect == AtMostOnce:
 			return MayHaveRun
@@ -1042,7 +1042,7 @@
 		return
 	}
 	kind := DoDeadLetter
-	if op.mayHaveRun() == nil || op.cat.Effect == Redeliverable ||
+	if op.MayHaveRun() == nil || op.cat.Effect == Redeliverable ||
 		op.cat.Effect == Deduplicated && op.cat.Group == GroupAll {
 		kind = DoNack
 	}
--- a/balance/types.go
+++ b/balance/types.go
@@ -274,8 +274,8 @@
 	return false
 }
 
-// mayHaveRun gives the first push that is not known never to have run.
-func (o *Op) mayHaveRun() *Push {
+// MayHaveRun gives the first push that is not known never to have run.
+func (o *Op) MayHaveRun() *Push {
 	for _, p := range o.Pushes {
 		if p.out || !p.ending.NeverRan() {
 			return p
--- a/cmd/pearknot-lab/instances.go
+++ b/cmd/pearknot-lab/instances.go
@@ -73,7 +73,7 @@
 	}, func(s control.Service) error {
 		out.Store(!s.In)
 		return nil
-	}, nil, nil, nil))
+	}, nil, nil, nil, nil))
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			fmt.Fprintln(os.Stderr, name, err)
--- a/internal/agent/rig_test.go
+++ b/internal/agent/rig_test.go
@@ -124,7 +124,7 @@
 		defer mu.Unlock()
 		in = s.In
 		return nil
-	}, nil, nil, nil))
+	}, nil, nil, nil, nil))
 	go func() { _ = s.Serve(l) }()
 	if c.Behaviour == "dies" {
 		time.AfterFunc(300*time.Millisecond, func() { os.Exit(9) })
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -41,7 +41,7 @@
 			return refuse
 		}
 		return nil
-	}, nil, nil, nil))
+	}, nil, nil, nil, nil))
 	c := NewClient(path, time.Second)
 	var s Status
 	require.NoError(t, c.Call(t.Context(), "GET", StatusPath, nil, &s))
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -89,10 +89,21 @@
 }
 
 // Node serves a node's socket. Dump writes its capture out; nil is a node without one to write, without certificates, or
-// that takes all clients.
+// that takes all clients, or shares nothing.
 func Node(status func(context.Context) (Status, error), service func(Service) error, dump func() (string, error), certs Certificates,
-	clients func() front.Clients) http.Handler {
+	clients func() front.Clients, peers func(context.Context) (estate.Picture, error)) http.Handler {
 	m := http.NewServeMux()
+	m.HandleFunc("GET "+PeersPath, func(w http.ResponseWriter, r *http.Request) {
+		if peers == nil {
+			Fail(w, http.StatusNotFound, "this node shares nothing: it was started without --peers")
+			return
+		}
+		if told, err := peers(r.Context()); err != nil {
+			Fail(w, http.StatusServiceUnavailable, err.Error())
+		} else {
+			Answer(w, http.StatusOK, told)
+		}
+	})
 	m.HandleFunc("GET "+ClientsPath, func(w http.ResponseWriter, _ *http.Request) {
 		if clients == nil {
 			Fail(w, http.StatusNotFound, "this node takes all clients: it was started without --edge")
@@ -156,18 +167,3 @@
 	})
 	return m
 }
-
-// WithPeers serves a look at the links and logs that a node shares with others, before all else.
-func WithPeers(h http.Handler, look func(context.Context) (estate.Picture, error)) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != PeersPath || r.Method != http.MethodGet {
-			h.ServeHTTP(w, r)
-			return
-		}
-		if told, err := look(r.Context()); err != nil {
-			Fail(w, http.StatusServiceUnavailable, err.Error())
-		} else {
-			Answer(w, http.StatusOK, told)
-		}
-	})
-}
--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -93,7 +93,6 @@
 
 // Beat is what a process says of itself now and then.
 type Beat struct {
-	Life    uint64
 	Leaving bool
 	Nonce   uint64   // to be given back, so that an old beat is known from one of now
 	Echo    []uint64 // the nonces that came from each member
@@ -181,7 +180,7 @@
 func New(t Terms, now float64) *House {
 	h := &House{t: t, now: now, self: NewPid(t.Self, t.Life), logs: make([]*log, len(t.Members)), seats: make([]uint64, len(t.Members)),
 		peers: make([]peer, len(t.Members)), asks: map[uint64]*ask{}, mine: map[string]bool{}, tickAt: now, beatAt: now,
-		steerAt: now + steerEvery, cleanAt: now + forgetEvery, born: now, doubt: now + SilentFor, known: make([]uint64, len(t.Members)), nonce: 1}
+		steerAt: now + steerEvery, cleanAt: now + forgetEvery, born: now, doubt: now + SilentFor, known: make([]uint64, len(t.Members)), nonce: t.Life}
 	for k := range h.seats {
 		h.seats[k] = uint64(h.self) + 1
 	}
@@ -214,14 +213,12 @@
 func (h *House) Leave(now float64) {
 	h.now, h.leaving, h.beatAt = now, true, now
 	h.steer()
-	h.work()
 }
 
 // Look asks what is known of a key; the answer comes as a Reply.
 func (h *House) Look(now float64, id uint64, key string, print uint64, until float64) {
 	h.now = now
 	h.send(&ask{id: id, until: until, log: h.LogOf(key), look: true, record: Record{Key: key, Op: Op{Print: print}}})
-	h.work()
 }
 
 // Write has a record written; Done comes when a majority holds it.
@@ -236,7 +233,6 @@
 	}
 	r.Owner = h.self
 	h.send(&ask{id: id, until: until, log: h.LogOf(r.Key), record: r})
-	h.work()
 }
 
 // leads gives the member that leads a log, as far as is known.
@@ -280,9 +276,11 @@
 	}
 }
 
-func (h *House) frame(to int, f *Frame) {
+func (h *House) frame(to int, f *Frame) { h.out = append(h.out, Out{To: to, Frame: encode(f)}) }
+
+func encode(f *Frame) []byte {
 	f.Version = Version
-	h.out = append(h.out, Out{To: to, Frame: snapshot.Append(nil, f)})
+	return snapshot.Append(nil, f)
 }
 
 // serve answers an ask, if this process leads its log.
@@ -382,7 +380,6 @@
 	default:
 		return errFrame
 	}
-	h.work()
 	return nil
 }
 
@@ -484,7 +481,6 @@
 			}
 		}
 	}
-	h.work()
 }
 
 // cut tells whether this process hears so few that no majority of any log's copies can be among them. One that has just
@@ -513,7 +509,7 @@
 }
 
 func (h *House) beat() {
-	b := Beat{Life: h.t.Life, Leaving: h.leaving, Nonce: h.nonce, Echo: make([]uint64, len(h.peers))}
+	b := Beat{Leaving: h.leaving, Nonce: h.nonce, Echo: make([]uint64, len(h.peers))}
 	for m := range h.peers {
 		if p := &h.peers[m]; p.beat != nil {
 			b.Echo[m] = p.beat.Nonce
@@ -522,9 +518,10 @@
 	for slot := range h.logs {
 		b.Logs = append(b.Logs, h.state(slot))
 	}
+	data := encode(&Frame{Kind: beatFrame, Beat: b})
 	for m := range h.peers {
 		if m != h.t.Self && h.peers[m].linked {
-			h.frame(m, &Frame{Kind: beatFrame, Beat: b})
+			h.out = append(h.out, Out{To: m, Frame: data})
 		}
 	}
 }
@@ -668,10 +665,9 @@
 		if l == nil || !l.leads || l.began == 0 {
 			continue
 		}
-		if len(l.conf.GetVotersOutgoing()) > 0 || l.changing && h.now-l.since < restAfter {
+		if len(l.conf.GetVotersOutgoing()) > 0 || l.changed > 0 && h.now-l.changed < restAfter {
 			continue
 		}
-		l.changing = false
 		if !h.rearrange(slot, l) {
 			h.pass(slot, l)
 		}
@@ -721,7 +717,7 @@
 	}
 	c := &pb.ConfChangeV2{Transition: pb.ConfChangeTransition_ConfChangeTransitionAuto.Enum(), Changes: changes}
 	if l.rn.ProposeConfChange(c) == nil {
-		l.changing, l.since = true, h.now
+		l.changed = h.now
 	}
 	return true
 }
@@ -764,13 +760,14 @@
 			delete(l.claimed, key)
 		}
 	}
-	for _, e := range sorted(l.ledger.open) {
-		if !h.gone(e.Owner) && h.now < e.Op.GiveUp+overdueFor && (e.Owner != h.self || h.mine[e.Key]) {
-			continue
-		}
-		if _, already := l.claimed[e.Key]; already {
-			continue
+	due := map[string]*Entry{}
+	for key, e := range l.ledger.open {
+		_, already := l.claimed[key]
+		if !already && (h.gone(e.Owner) || h.now >= e.Op.GiveUp+overdueFor || e.Owner == h.self && !h.mine[key]) {
+			due[key] = e
 		}
+	}
+	for _, e := range sorted(due) {
 		l.claimed[e.Key] = h.now
 		_ = l.rn.Propose(snapshot.Append(nil, &Record{Kind: Assign, Key: e.Key, Owner: e.Owner, To: h.self, At: h.now}))
 	}
@@ -790,7 +787,7 @@
 			if l.leads != led {
 				h.beatAt = h.now
 				clear(l.claimed)
-				l.changing = false
+				l.changed = 0
 				verb := "leads"
 				if led {
 					verb = "leads no more"
@@ -804,9 +801,7 @@
 func (h *House) post(l *log, m *pb.Message) {
 	to := of(m.GetTo())
 	if p := &h.peers[to.Member()]; to == h.self || p.pid != to || !p.linked {
-		if m.GetType() == pb.MsgSnap {
-			l.rn.ReportSnapshot(m.GetTo(), 2)
-		}
+		l.sent(m, false)
 		return
 	}
 	data, err := proto.Marshal(m)
@@ -814,9 +809,7 @@
 		return
 	}
 	h.frame(to.Member(), &Frame{Kind: raftFrame, Log: l.slot, Gen: l.gen, Raft: data})
-	if m.GetType() == pb.MsgSnap { // the link keeps the order, and what is lost is asked for again
-		l.rn.ReportSnapshot(m.GetTo(), 1)
-	}
+	l.sent(m, true)
 }
 
 // applied hears of each record that a log has taken.
@@ -831,13 +824,16 @@
 		}
 		return
 	}
-	if r.Asker != 0 && l.rn.BasicStatus().RaftState.String() == "StateLeader" {
+	if r.Asker != 0 && l.leading() {
 		h.answer(r.Asker, r.Seq, code, o)
 	}
 }
 
-// Next gives the next thing to do, if there is one.
+// Next gives the next thing to do, if there is one. The logs are worked at here: what came in together goes out together.
 func (h *House) Next() (Out, bool) {
+	if len(h.out) == 0 {
+		h.work()
+	}
 	if len(h.out) == 0 {
 		return Out{}, false
 	}
--- a/internal/estate/log.go
+++ b/internal/estate/log.go
@@ -16,9 +16,12 @@
 const (
 	heartbeatTicks = 2
 	electionTicks  = 20
-	compactEvery   = 2000 // records between two images of a ledger
-	keptBehind     = 500  // records kept for a follower that lags
 	mostInFlight   = 8 << 20
+	leastWeight    = 256 << 10 // of records before an image is made
+
+	// HeldTimes is how much of a process's memory a log takes at most, in times of what its ledger may hold: the ledger, its image,
+	// and records of a quarter of that since, which are let go of as an image is made. Whoever lags behind is given the image.
+	HeldTimes = 2.5
 )
 
 // log is one replicated log as this process has it: a raft node, and what its records come to.
@@ -34,13 +37,12 @@
 	silent   int // ticks without a word of the leader
 	patience int
 	applied  uint64
-	imaged   uint64
+	weight   int    // of the records since the image
 	began    uint64 // the term in which it leads and has applied what came before; 0 is none
 	leads    bool
-	since    float64            // when it began to lead
 	claimed  map[string]float64 // keys proposed for an heir, and when
-	changing bool
-	outSince float64 // when its leader first said that it is whole without this one; 0 is not
+	changed  float64            // when a change of voters was proposed that is not over; 0 is none
+	outSince float64            // when its leader first said that it is whole without this one; 0 is not
 }
 
 // quiet is a logger that says nothing: what a raft node tells of is told by the log's own lines.
@@ -66,7 +68,7 @@
 		if err := l.store.ApplySnapshot(first); err != nil {
 			return nil, err
 		}
-		l.applied, l.imaged = 1, 1
+		l.applied = 1
 	}
 	var err error
 	l.rn, err = raft.NewRawNode(&raft.Config{ID: seat, ElectionTick: electionTicks, HeartbeatTick: heartbeatTicks, Storage: l.store,
@@ -127,7 +129,7 @@
 					l.ledger.restore(m)
 				}
 				l.conf = rd.Snapshot.GetMetadata().GetConfState()
-				l.applied, l.imaged = rd.Snapshot.GetMetadata().GetIndex(), rd.Snapshot.GetMetadata().GetIndex()
+				l.applied, l.weight = rd.Snapshot.GetMetadata().GetIndex(), 0
 			}
 		}
 		_ = l.store.Append(rd.Entries)
@@ -142,19 +144,17 @@
 		}
 		l.rn.Advance(rd)
 	}
-	s := l.rn.BasicStatus()
-	l.leads = s.RaftState == raft.StateLeader
-	if !l.leads {
+	if l.leads = l.leading(); !l.leads {
 		l.began = 0
 	}
-	if l.applied > l.imaged+compactEvery {
+	if l.weight > max(l.ledger.most/4, leastWeight) {
 		l.image()
-		_ = l.store.Compact(l.applied - keptBehind) // what the image holds
 	}
 }
 
 func (l *log) take(e *pb.Entry, told func(*Record, Code, Outcome)) {
 	l.applied = e.GetIndex()
+	l.weight += len(e.GetData()) + 64
 	switch e.GetType() {
 	case pb.EntryConfChangeV2:
 		var c pb.ConfChangeV2
@@ -162,7 +162,7 @@
 			l.conf = l.rn.ApplyConfChange(&c)
 			l.image() // whoever is new takes only an image that names it
 		}
-		l.changing = false
+		l.changed = 0
 	case pb.EntryNormal:
 		if len(e.GetData()) == 0 { // a leader's first
 			if s := l.rn.BasicStatus(); s.RaftState == raft.StateLeader && s.HardState.GetTerm() == e.GetTerm() {
@@ -179,13 +179,29 @@
 	}
 }
 
-// image keeps what the records come to by now.
+// image keeps what the records come to by now, and lets go of them.
 func (l *log) image() {
 	if _, err := l.store.CreateSnapshot(l.applied, l.conf, snapshot.Append(nil, l.ledger.image())); err == nil {
-		l.imaged = l.applied
+		_ = l.store.Compact(l.applied)
+		l.weight = 0
 	}
 }
 
+// sent tells of an image that has gone out, or could not. The link keeps the order, and what is lost is asked for again.
+func (l *log) sent(m *pb.Message, out bool) {
+	if m.GetType() != pb.MsgSnap {
+		return
+	}
+	how := raft.SnapshotFailure
+	if out {
+		how = raft.SnapshotFinish
+	}
+	l.rn.ReportSnapshot(m.GetTo(), how)
+}
+
+// leading tells whether it leads at this moment, also in the middle of work.
+func (l *log) leading() bool { return l.rn.BasicStatus().RaftState == raft.StateLeader }
+
 // serves tells whether it leads, knows all that was committed before, and has as many copies as are meant to be.
 func (l *log) serves(copies int) bool {
 	return l.leads && l.began > 0 && len(l.conf.GetVoters()) >= copies
--- a/internal/estate/picture.go
+++ b/internal/estate/picture.go
@@ -22,7 +22,6 @@
 	Of      string   `json:"of"`
 	Holds   bool     `json:"holds"`
 	Leader  string   `json:"leader"` // empty is unknown
-	Serves  bool     `json:"serves"` // here, or as far as is known
 	Whole   bool     `json:"whole"`  // by its leader's word: as many as are meant to hold it do, and live
 	Term    uint64   `json:"term"`
 	Voters  []string `json:"voters"`
@@ -30,6 +29,7 @@
 	InHand  int      `json:"in_hand"`
 	Records int      `json:"records"`
 	Bytes   int      `json:"bytes"`
+	Held    int      `json:"held_bytes"` // with the image and the records that are passed on
 }
 
 // Picture gives it.
@@ -43,7 +43,7 @@
 	for slot, l := range h.logs {
 		s := LogState{Of: h.t.Members[slot]}
 		if lead, known := h.leads(slot); known {
-			s.Leader, s.Serves = h.t.Members[lead], true
+			s.Leader = h.t.Members[lead]
 			if lead == h.t.Self {
 				s.Whole = h.state(slot).Whole
 			} else if b := h.peers[lead].beat; b != nil {
@@ -61,6 +61,10 @@
 				s.Lag = last - l.applied
 			}
 			s.InHand, s.Records, s.Bytes = len(l.ledger.open), len(l.ledger.entries), l.ledger.bytes
+			s.Held = s.Bytes + l.weight
+			if image, err := l.store.Snapshot(); err == nil {
+				s.Held += len(image.GetData())
+			}
 		}
 		x.Logs = append(x.Logs, s)
 	}
--- a/internal/estate/record.go
+++ b/internal/estate/record.go
@@ -314,18 +314,6 @@
 	return all
 }
 
-// Until is when a further push of an op must have begun at the latest, by what its effect allows.
-func (o *Op) Until(pushes []Push) float64 {
-	if o.Effect == balance.Deduplicated {
-		for _, p := range pushes {
-			if !p.Over || !p.Ending.NeverRan() {
-				return min(o.GiveUp, p.At+o.Remembered)
-			}
-		}
-	}
-	return o.GiveUp
-}
-
 // Duty is what an heir does with an op that it has taken over.
 type Duty uint8
 
--- a/internal/estate/sim_test.go
+++ b/internal/estate/sim_test.go
@@ -293,7 +293,7 @@
 			refused(r.Code)
 		case s.now-r.Asked > FreshFor: // too old a word: asked again
 			s.push(k, key, op, before, refused)
-		case s.now >= op.Until(before):
+		case s.now >= until(op, before):
 			refused(Alone)
 		default:
 			if number == 0 {
@@ -311,6 +311,15 @@
 	})
 }
 
+// until is when a further push of an op must have begun at the latest, by what its effect allows.
+func until(op Op, pushes []Push) float64 {
+	first := (&Entry{Pushes: pushes}).MayHaveRun()
+	if first != nil && op.Effect == balance.Deduplicated {
+		return min(op.GiveUp, first.At+op.Remembered)
+	}
+	return op.GiveUp
+}
+
 // effect is what a push does at a backend; marks are shared by all and kept for a while.
 func (s *sim) effect(key string, op Op) {
 	if op.Effect == balance.Deduplicated {
--- a/internal/node/kept.go
+++ b/internal/node/kept.go
@@ -1,14 +1,16 @@
 package node
 
 import (
+	"bufio"
 	"bytes"
 	"math"
 	"net/http"
+	"net/textproto"
+	"slices"
 
 	"pearknot/balance"
 	"pearknot/internal/estate"
 	"pearknot/internal/peers"
-	"pearknot/internal/terms"
 	"pearknot/internal/upstream"
 )
 
@@ -19,13 +21,12 @@
 
 // Kept is what an op that other processes keep is known by.
 type Kept struct {
-	Key    string
-	Print  uint64 // of method, path and body
-	GoOn   bool   // where no majority answers: unprotected
-	Most   int    // bytes of an answer that are kept
-	heir   bool   // taken over
-	begun  bool   // it has a record
-	before []estate.Push
+	Key   string
+	Print uint64 // of method, path and body
+	GoOn  bool   // where no majority answers: unprotected
+	Most  int    // bytes of an answer that are kept
+	heir  bool   // taken over
+	begun bool   // it has a record
 }
 
 // Keep has ops that carry Kept kept by peers; it is called before Start.
@@ -39,7 +40,6 @@
 	if p.Number == 0 {
 		r.Op = n.describe(op)
 	}
-	op.Kept.before = append(op.Kept.before, is)
 	module := n.module
 	n.keeper.Write(r, min(op.GiveUp, n.now+recordWithin), func(reply estate.Reply) {
 		n.box.Put(func() {
@@ -82,9 +82,8 @@
 		k.begun = true
 		// What is out of time by then, or by the module's word, is not sent; its ending says that it never ran.
 		until := reply.Asked + estate.FreshFor
-		if d := op.Under.Categories[op.Category]; p.Number > 0 && d.Effect == balance.Deduplicated {
-			e := estate.Op{Effect: d.Effect, Remembered: d.Remembered, GiveUp: op.GiveUp}
-			until = min(until, e.Until(k.before[:p.Number]))
+		if c := op.Under.Categories[op.Category]; c.Effect == balance.Deduplicated {
+			until = min(until, op.MayHaveRun().SentAt+c.Remembered) // this one, if no other
 		}
 		call.Before = n.clock.At(until)
 		n.send(p, call)
@@ -108,38 +107,29 @@
 
 // keepEnd tells of a push that never ran: an heir may then send the op on.
 func (n *Node) keepEnd(op *Op, p *balance.Push, how balance.Ending) {
-	if op.Kept == nil || !op.Kept.begun || !how.NeverRan() || p.Number >= len(op.Kept.before) {
-		return
+	if op.Kept != nil && op.Kept.begun && how.NeverRan() {
+		r := estate.Record{Kind: estate.End, Key: op.Kept.Key, Push: estate.Push{Number: p.Number, Ending: how}}
+		n.keeper.Write(r, op.GiveUp, func(estate.Reply) {})
 	}
-	is := &op.Kept.before[p.Number]
-	is.Over, is.Ending = true, how
-	n.keeper.Write(estate.Record{Kind: estate.End, Key: op.Kept.Key, Push: *is}, op.GiveUp, func(estate.Reply) {})
 }
 
 // finish gives an op's final answer; one that is kept gets it once it is written down.
 func (n *Node) finish(op *Op, a Answer) {
-	k := op.Kept
-	if k == nil || op.answered || !k.begun && a.Final == Nacked && len(k.before) == 0 {
+	if op.Kept == nil || op.answered || len(op.Pushes) == 0 { // of the last nobody else has heard
 		op.finish(a)
 		return
 	}
 	op.leave()
-	for i, p := range op.Pushes {
-		if i < len(k.before) && !p.Out() && i < len(op.calls) && p.Ending().NeverRan() {
-			k.before[i].Over, k.before[i].Ending = true, p.Ending()
-		}
-	}
 	o := estate.Outcome{Final: estate.DeadLettered, Status: http.StatusBadGateway}
-	c := op.Under.Categories[op.Category]
 	switch {
 	case a.Final == Acked:
-		o = pack(a.Reply, k.Most)
-	case a.Final == Nacked && (&estate.Entry{Op: estate.Op{Effect: c.Effect}, Pushes: k.before}).Nackable():
+		o = pack(a.Reply, op.Kept.Most)
+	case a.Final == Nacked && (op.MayHaveRun() == nil || op.Under.Categories[op.Category].Effect == balance.Redeliverable):
 		o = estate.Outcome{Final: estate.Nacked}
 	case a.Final == Nacked: // its key would be free again, and the mark forgotten before it comes back
 		a = Answer{Final: DeadLettered}
 	}
-	n.conclude(op, k.Key, a, o)
+	n.conclude(op, op.Kept.Key, a, o)
 }
 
 func (n *Node) conclude(op *Op, key string, a Answer, o estate.Outcome) {
@@ -175,10 +165,8 @@
 	switch o.Final {
 	case estate.Acked:
 		r := &upstream.Reply{Status: o.Status, Header: http.Header{}, Body: o.Body}
-		for line := range bytes.SplitSeq(o.Header, []byte("\r\n")) {
-			if name, value, ok := bytes.Cut(line, []byte(": ")); ok {
-				r.Header.Add(string(name), string(value))
-			}
+		if h, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(append(o.Header, "\r\n"...)))).ReadMIMEHeader(); err == nil {
+			r.Header = http.Header(h)
 		}
 		if o.NotKept {
 			r.Header.Set("Pearknot-Answer", "not kept")
@@ -226,20 +214,14 @@
 // revive makes an op of an entry.
 func (n *Node) revive(e *estate.Entry) *Op {
 	m := upstream.Unpack(e.Op.Message)
-	category := -1
-	for k, name := range n.told.Categories {
-		if name == e.Op.Category {
-			category = k
-		}
-	}
+	category := slices.Index(n.told.Categories, e.Op.Category)
 	if m == nil || category < 0 {
 		return nil
 	}
 	op := NewOp(m)
-	op.Kept = &Kept{Key: e.Key, Print: e.Op.Print, heir: true, begun: true, before: e.Pushes, Most: upstream.MostHeld}
+	op.Kept = &Kept{Key: e.Key, Print: e.Op.Print, heir: true, begun: true, Most: upstream.MostHeld}
 	op.Under, op.Category, op.Hint, op.HasHint, op.Repeat, op.Op.Key = n.told.Terms, category, e.Op.Hint, e.Op.HasHint, e.Op.Repeat, e.Op.About
-	op.Tenant = tenant(n.told, e.Op.Tenant)
-	op.GiveUp = e.Op.GiveUp
+	op.Tenant, op.GiveUp = max(slices.Index(n.told.Tenants, e.Op.Tenant), 0), e.Op.GiveUp
 	for _, p := range e.Pushes {
 		b := &balance.Backend{Ref: ref(p.Backend), Zone: p.Zone, Cell: p.Cell}
 		if known := n.backends[p.Backend]; known != nil {
@@ -254,12 +236,3 @@
 	}
 	return op
 }
-
-func tenant(told *terms.Deployment, name string) int {
-	for k, t := range told.Tenants {
-		if t == name {
-			return k
-		}
-	}
-	return 0
-}
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -21,7 +21,6 @@
 
 const (
 	mostHello = 1 << 10
-	mostFrame = 4 << 20 // an image of a ledger may be as large
 
 	shakeWithin  = 2 * time.Second
 	dialWithin   = time.Second
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -39,11 +39,14 @@
 
 const (
 	mostQueued = 4096    // frames to one member
-	mostBytes  = 8 << 20 // and their size
+	beside     = 4 << 20 // bytes of a frame, or of a queue, beside an image of a ledger
 	oddEvery   = time.Second
 	bindEvery  = 50 * time.Millisecond // while a process before this one still has the address
 )
 
+// mostFrame is the size of the largest frame: an image of a ledger that is full. Of two of them one may be queued behind the other.
+func (t *Terms) mostFrame() int { return t.Most + t.Most/4 + beside }
+
 // Descriptors is what links take at most of the node's limit: two a member, a listener, and some that prove nothing.
 func (t *Terms) Descriptors() int { return 2*len(t.Members) + 1 + mostUnproven }
 
@@ -208,7 +211,7 @@
 	if o == nil {
 		return
 	}
-	if o.bytes.Add(int64(len(frame))) > mostBytes {
+	if o.bytes.Add(int64(len(frame))) > int64(2*p.t.mostFrame()) {
 		p.broke(to, o)
 		return
 	}
@@ -412,7 +415,7 @@
 	})
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(silentWithin))
-		data, err := readFrame(r, mostFrame)
+		data, err := readFrame(r, uint32(p.t.mostFrame()))
 		if err != nil {
 			p.box.Put(func() {
 				if p.members[from].in == c {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -45,8 +46,11 @@
 var key, other = bytes.Repeat([]byte{1}, 32), bytes.Repeat([]byte{2}, 32)
 
 // three starts a fleet, the third member by terms of its own.
-func three(t *testing.T, spoil func(*Terms)) (all []*Peers, logs []*lines) {
+func three(t *testing.T, spoil func(*Terms), change ...func(*Terms)) (all []*Peers, logs []*lines) {
 	terms := Terms{Fleet: "f", Copies: 3, Keys: [][]byte{key}, Most: 1 << 20, Keep: 60e3}
+	for _, f := range change {
+		f(&terms)
+	}
 	for _, name := range []string{"a", "b", "c"} {
 		terms.Members = append(terms.Members, Member{name, free(t)})
 	}
@@ -179,3 +183,65 @@
 		t.Fatal("it goes on")
 	}
 }
+
+// Records as large as they may be: what a process keeps of its logs stays within what it was told, and a member that comes back
+// is given ledgers that are full. Records once piled up by count alone, and an image larger than a frame ended each link that it went on.
+func TestFullLedgersFitWhatTheyMay(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	const most = 6 << 20
+	all, _ := three(t, func(t *Terms) {}, func(t *Terms) { t.Most = most })
+	write := func(r estate.Record) estate.Code {
+		told := make(chan estate.Reply, 1)
+		all[0].Write(r, all[0].clock.Now()+3000, func(r estate.Reply) { told <- r })
+		return (<-told).Code
+	}
+	require.Eventually(t, func() bool { return whole(t, all[0]) }, 10*time.Second, 10*time.Millisecond)
+	message, full := bytes.Repeat([]byte("x"), 60<<10), 0
+	for k := range 700 { // what comes and goes leaves nothing behind
+		key := fmt.Sprint("gone ", k)
+		require.Equal(t, estate.Done, write(estate.Record{Kind: estate.Begin, Key: key, Op: estate.Op{GiveUp: all[0].clock.Now() + 600e3, Message: message}}))
+		require.Equal(t, estate.Done, write(estate.Record{Kind: estate.Finish, Key: key, Outcome: estate.Outcome{Final: estate.Nacked}}))
+	}
+	for k := 0; k < 2000 && full < 50; k++ {
+		switch code := write(estate.Record{Kind: estate.Begin, Key: fmt.Sprint(k), Op: estate.Op{GiveUp: all[0].clock.Now() + 600e3, Message: message}}); code {
+		case estate.Done:
+		case estate.Full: // one log after the other
+			full++
+		default:
+			require.Fail(t, code.String())
+		}
+	}
+	require.Equal(t, 50, full)
+	s, err := all[0].State(t.Context())
+	require.NoError(t, err)
+	for _, l := range s.Logs {
+		require.LessOrEqual(t, l.Bytes, most)
+		require.LessOrEqual(t, l.Held, int(estate.HeldTimes*most), "ledger, its image and records since")
+		require.Greater(t, l.Bytes, most*8/10)
+	}
+	all[2].Stop()
+	again := restart(t, all[2])
+	require.Eventually(t, func() bool { return whole(t, again) && whole(t, all[0]) }, 20*time.Second, 50*time.Millisecond, "it is given all three ledgers, full")
+	for _, p := range append(all, again) {
+		p.Stop()
+	}
+}
+
+func whole(t *testing.T, p *Peers) bool {
+	s, err := p.State(t.Context())
+	require.NoError(t, err)
+	for _, l := range s.Logs {
+		if !l.Whole {
+			return false
+		}
+	}
+	return true
+}
+
+// restart starts a member's next life.
+func restart(t *testing.T, old *Peers) *Peers {
+	p := New(old.t, clock.New(), func(estate.Entry) {}, old.log)
+	p.Start()
+	t.Cleanup(p.Stop)
+	return p
+}
--- a/internal/serve/control.go
+++ b/internal/serve/control.go
@@ -62,15 +62,15 @@
 	if o.Edge != "" {
 		clients = f.Clients
 	}
-	handler := control.Node(status, service, dump, keeper, clients)
+	var peers func(context.Context) (estate.Picture, error)
 	if links != nil {
-		handler = control.WithPeers(handler, func(ctx context.Context) (estate.Picture, error) {
+		peers = func(ctx context.Context) (estate.Picture, error) {
 			ctx, cancel := context.WithTimeout(ctx, lookWithin)
 			defer cancel()
 			return links.State(ctx)
-		})
+		}
 	}
-	server := control.Server(handler)
+	server := control.Server(control.Node(status, service, dump, keeper, clients, peers))
 	go func() {
 		if err := server.Serve(control.Limited(l)); !errors.Is(err, http.ErrServerClosed) {
 			log.Error("control socket ended", "error", err)
--- a/internal/serve/peers.go
+++ b/internal/serve/peers.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 
+	"pearknot/internal/estate"
 	"pearknot/internal/front"
 	"pearknot/internal/peers"
 	"pearknot/internal/strict"
@@ -75,7 +76,7 @@
 		}
 	}
 	p := &Peers{at: at, header: f.Header, most: int(f.AnswersKB * 1024), categories: map[string]bool{},
-		terms: peers.Terms{Fleet: f.Fleet, Copies: f.Copies, Keep: f.KeepS * 1e3, Most: int(f.MemoryMB * (1 << 20) / float64(f.Copies)), Self: -1}}
+		terms: peers.Terms{Fleet: f.Fleet, Copies: f.Copies, Keep: f.KeepS * 1e3, Most: int(f.MemoryMB * (1 << 20) / float64(f.Copies) / estate.HeldTimes), Self: -1}}
 	seen := map[string]bool{}
 	for k, m := range f.Member {
 		key := fmt.Sprintf("member.%d.", k)
