Schedules among processes are the lab's: pearknot-lab schedules, judged from outside

Need: the fleet in virtual time stood in the core's tests, looked into its ledgers to judge, and could be played by nobody else. Now internal/lab/among asks for each key at the end as a client would; Many plays and shrinks; a flaw in which nobody takes over shows that 'survives' notices as well as 'once', which five others show.

--- /dev/null
+++ b/cmd/pearknot-lab/schedules.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"pearknot/internal/command"
+	"pearknot/internal/lab/among"
+)
+
+// schedulesCommand looks for a broken promise among processes that keep each other's ops, in virtual time.
+func schedulesCommand() *cobra.Command {
+	var from, seeds uint64
+	var members, copies int
+	c := &cobra.Command{Use: "schedules", Args: cobra.NoArgs,
+		Short: "Play drawn schedules of kills, freezes and cut links among processes that keep each other's ops; 3 where a promise is broken",
+		RunE: func(c *cobra.Command, _ []string) error {
+			if copies != 3 && copies != 5 || members < copies || members > 64 || seeds < 1 {
+				return command.Usage(fmt.Errorf("%d seeds of %d members with %d copies: give one at least, 3 or 5 copies, and as many members or up to 64", seeds, members, copies))
+			}
+			sum, err := among.Many(c.Context(), from, seeds, members, copies)
+			fmt.Fprintf(c.OutOrStdout(), "%d schedules, %d ops taken over, %d of %d logs served at the end, %d broken\n",
+				sum.Schedules, sum.TookOver, sum.Served, sum.Logs, len(sum.Broken))
+			for _, b := range sum.Broken {
+				fmt.Fprintln(c.OutOrStdout(), b)
+			}
+			if err == nil && len(sum.Broken) > 0 {
+				return &command.Error{Status: command.No, Err: fmt.Errorf("%d of %d schedules break a promise", len(sum.Broken), sum.Schedules), Silent: true}
+			}
+			return err
+		}}
+	c.Flags().Uint64Var(&from, "from", 0, "first seed")
+	c.Flags().Uint64Var(&seeds, "seeds", 100, "how many, two schedules each")
+	c.Flags().IntVar(&members, "members", 5, "processes")
+	c.Flags().IntVar(&copies, "copies", 3, "processes that hold each log: 3 or 5")
+	return c
+}
--- a/internal/estate/estate.go
+++ b/internal/estate/estate.go
@@ -469,7 +469,7 @@
 		h.steer()
 	}
 	for _, l := range h.logs {
-		if l != nil && l.serves(h.t.Copies) {
+		if l != nil && l.serves(h.t.Copies) && h.t.Flaw != NoHeirs {
 			h.inherit(l)
 		}
 	}
--- a/internal/estate/record.go
+++ b/internal/estate/record.go
@@ -162,6 +162,7 @@
 	NoFence       // whoever speaks is heard, whose op it is or not
 	NoKeys        // a key in hand is given out again
 	NoPushes      // an heir is not told of pushes that have begun
+	NoHeirs       // nobody takes over
 )
 
 func newLedger(most int, keep float64, flaw Flaw) *Ledger {
--- /dev/null
+++ b/internal/lab/among/among.go
@@ -0,0 +1,588 @@
+// Package among plays processes that keep each other's ops in virtual time: the core of takeover, links that can be cut, delayed
+// and slowed, processes that are killed and frozen, clients that come back with their keys or come to two nodes at once, and
+// backends that count effects. One seed makes one history. What is judged is what clients and backends saw.
+package among
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"pearknot/balance"
+	"pearknot/internal/estate"
+	"pearknot/internal/rules"
+)
+
+// Fault is one thing that goes wrong, in ms from the start. Kinds are kill, freeze, cut (a link, both ways), oneway, alone (all
+// links of a process), slow and flap.
+type Fault struct {
+	At, Until float64
+	Kind      string
+	A, B      int // processes
+}
+
+type event struct {
+	at  float64
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int      { return len(e) }
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+type proc struct {
+	house  *estate.House
+	life   uint64
+	up     bool
+	frozen bool
+	queue  []func() // what comes while it is frozen
+	waits  map[uint64]func(estate.Reply)
+	ids    uint64
+}
+
+type client struct {
+	key    string
+	effect balance.Effect
+	giveUp float64
+}
+
+// Fleet is the processes, their links and their backends.
+type Fleet struct {
+	Trace func(format string, args ...any) // is told what happens; nil is nobody
+
+	// Parts left out on purpose, by which tests show that what is judged notices.
+	Flaw     estate.Flaw
+	Early    bool // pushes begin before their record is written
+	SameLife bool // a process that is started again goes by its old life
+
+	Finals   int // outcomes that were written
+	TookOver int // ops
+
+	now     float64
+	seq     int
+	events  events
+	rng     *rand.Rand
+	procs   []*proc
+	down    [][]bool // links that carry nothing, from and to
+	delay   [][]float64
+	arrives [][]float64 // latest arrival, so that a link keeps its order
+	linked  [][]bool
+	copies  int
+	keys    *rules.Keys
+	marks   map[string]float64
+}
+
+// New makes a fleet whose load, delays and backends follow from a seed.
+func New(seed uint64, members, copies int) *Fleet {
+	s := &Fleet{rng: rand.New(rand.NewPCG(seed, 17)), copies: copies, keys: rules.NewKeys(), marks: map[string]float64{}, now: 1e6}
+	for range members {
+		s.procs = append(s.procs, &proc{})
+		s.down = append(s.down, make([]bool, members))
+		s.delay = append(s.delay, make([]float64, members))
+		s.arrives = append(s.arrives, make([]float64, members))
+		s.linked = append(s.linked, make([]bool, members))
+	}
+	return s
+}
+
+func (s *Fleet) trace(format string, args ...any) {
+	if s.Trace != nil {
+		s.Trace(format, args...)
+	}
+}
+
+func (s *Fleet) after(ms float64, do func()) {
+	s.seq++
+	heap.Push(&s.events, event{s.now + ms, s.seq, do})
+}
+
+// in runs something in a process, when it can run.
+func (s *Fleet) in(k int, life uint64, do func()) {
+	p := s.procs[k]
+	switch {
+	case !p.up || p.life != life:
+	case p.frozen:
+		p.queue = append(p.queue, do)
+	default:
+		do()
+		s.pull(k)
+	}
+}
+
+func (s *Fleet) start(k int) {
+	p := s.procs[k]
+	life := uint64(s.now)
+	if s.SameLife && p.life != 0 {
+		life = p.life
+	}
+	var names []string
+	for m := range s.procs {
+		names = append(names, fmt.Sprintf("n%d", m))
+	}
+	*p = proc{life: life, up: true, waits: map[uint64]func(estate.Reply){},
+		house: estate.New(estate.Terms{Members: names, Self: k, Life: life, Copies: s.copies, Seed: s.rng.Uint64(), Most: 1 << 20, Keep: 60e3, Flaw: s.Flaw}, s.now)}
+	for m := range s.procs {
+		if m != k {
+			s.after(20+s.rng.Float64()*20, func() { s.relink(k, m) })
+		}
+	}
+	s.tick(k, life)
+}
+
+func (s *Fleet) tick(k int, life uint64) {
+	p := s.procs[k]
+	if !p.up || p.life != life {
+		return
+	}
+	s.in(k, life, func() { p.house.Tick(s.now) })
+	s.after(estate.TickMs, func() { s.tick(k, life) })
+}
+
+// relink brings a link up both ways, if nothing is in its way.
+func (s *Fleet) relink(a, b int) {
+	pa, pb := s.procs[a], s.procs[b]
+	if !pa.up || !pb.up || pa.frozen || pb.frozen || s.down[a][b] || s.down[b][a] {
+		return
+	}
+	for _, x := range [2][2]int{{a, b}, {b, a}} {
+		k, m := x[0], x[1]
+		pid := s.procs[m].house.Self()
+		s.linked[k][m] = true
+		s.in(k, s.procs[k].life, func() { s.procs[k].house.Linked(s.now, m, pid) })
+	}
+}
+
+func (s *Fleet) unlink(a, b int) {
+	for _, x := range [2][2]int{{a, b}, {b, a}} {
+		k, m := x[0], x[1]
+		if s.linked[k][m] {
+			s.linked[k][m] = false
+			s.in(k, s.procs[k].life, func() { s.procs[k].house.Broken(s.now, m) })
+		}
+	}
+}
+
+func (s *Fleet) pull(k int) {
+	p := s.procs[k]
+	for {
+		o, more := p.house.Next()
+		if !more {
+			return
+		}
+		switch {
+		case o.Frame != nil:
+			s.carry(k, o.To, o.Frame)
+		case o.Reply != nil:
+			if f := p.waits[o.Reply.ID]; f != nil {
+				delete(p.waits, o.Reply.ID)
+				f(*o.Reply)
+			}
+		case o.Inherit != nil:
+			s.TookOver++
+			s.inherit(k, o.Inherit)
+		case o.Log != "":
+			s.trace("%.0f n%d %s", s.now, k, o.Log)
+		}
+	}
+}
+
+func (s *Fleet) carry(from, to int, frame []byte) {
+	if s.down[from][to] || !s.linked[from][to] {
+		return
+	}
+	life, sender := s.procs[to].life, s.procs[from].life
+	at := max(s.now+0.1+s.rng.Float64()*0.4+s.delay[from][to]*s.rng.Float64(), s.arrives[from][to])
+	s.arrives[from][to] = at
+	s.after(at-s.now, func() {
+		if s.linked[to][from] && s.procs[from].life == sender {
+			s.in(to, life, func() {
+				if err := s.procs[to].house.Take(s.now, from, frame); err != nil {
+					panic(err)
+				}
+			})
+		}
+	})
+}
+
+func (s *Fleet) write(k int, r estate.Record, until float64, f func(estate.Reply)) {
+	p := s.procs[k]
+	p.ids++
+	p.waits[p.ids] = f
+	p.house.Write(s.now, p.ids, r, until)
+}
+
+// come is a client's try at a node.
+func (s *Fleet) come(k int, c client) {
+	p := s.procs[k]
+	life := p.life
+	s.in(k, life, func() {
+		p.ids++
+		p.waits[p.ids] = func(r estate.Reply) {
+			switch r.Code {
+			case estate.Free:
+				s.take(k, c)
+			case estate.InHand:
+				if s.now+50 < c.giveUp {
+					s.after(50, func() { s.come(k, c) })
+				}
+			case estate.Over:
+				s.given(c.key, r.Outcome)
+			}
+		}
+		p.house.Look(s.now, p.ids, c.key, 1, min(s.now+500, c.giveUp))
+	})
+}
+
+func (s *Fleet) given(key string, o estate.Outcome) {
+	s.keys.Outcome(s.now, key, fmt.Sprint(o.Final, string(o.Body)))
+}
+
+func (s *Fleet) take(k int, c client) {
+	op := estate.Op{Print: 1, Effect: c.effect, Remembered: 800, GiveUp: c.giveUp, Message: []byte("op " + c.key)}
+	s.push(k, c.key, op, nil, func(code estate.Code) {
+		if code == estate.InHand {
+			s.after(50, func() { s.come(k, c) })
+		}
+	})
+}
+
+// push begins one as a node does: its record first.
+func (s *Fleet) push(k int, key string, op estate.Op, before []estate.Push, refused func(estate.Code)) {
+	number := len(before)
+	p := s.procs[k]
+	life := p.life
+	b := fmt.Sprintf("b%d", s.rng.IntN(5))
+	is := estate.Push{Number: number, Backend: b, At: s.now}
+	all := append(slices.Clone(before), is)
+	run := func(b string) {
+		s.after(1+s.rng.Float64()*120, func() { // at the backend, whatever becomes of the process
+			lost := s.rng.Float64() < 0.15
+			ran := s.rng.Float64() > 0.1
+			if ran {
+				s.effect(key, op)
+			}
+			s.in(k, life, func() {
+				switch {
+				case !ran:
+					s.write(k, estate.Record{Kind: estate.End, Key: key, Push: estate.Push{Number: number, Ending: balance.NoConnection}}, op.GiveUp+1000, func(estate.Reply) {})
+					if number < 2 && s.now < op.GiveUp {
+						all[number].Over, all[number].Ending = true, balance.NoConnection
+						s.push(k, key, op, all, func(estate.Code) {})
+					} else if all[number].Over, all[number].Ending = true, balance.NoConnection; (&estate.Entry{Op: op, Pushes: all}).Nackable() {
+						s.finish(k, key, estate.Outcome{Final: estate.Nacked})
+					} else {
+						s.finish(k, key, estate.Outcome{Final: estate.DeadLettered})
+					}
+				case lost && op.Effect == balance.Redeliverable && number < 2:
+					s.push(k, key, op, all, func(estate.Code) {})
+				case lost:
+					s.finish(k, key, estate.Outcome{Final: estate.DeadLettered})
+				default:
+					s.finish(k, key, estate.Outcome{Final: estate.Acked, Body: []byte(b)})
+				}
+			})
+		})
+	}
+	if s.Early {
+		run(b)
+	}
+	s.write(k, estate.Record{Kind: estate.Begin, Key: key, Op: op, Push: is}, min(op.GiveUp, s.now+500), func(r estate.Reply) {
+		s.trace("%.0f n%d begin %s %d: %v asked %.0f", s.now, k, key, number, r.Code, r.Asked)
+		switch {
+		case r.Code != estate.Done:
+			refused(r.Code)
+		case s.now-r.Asked > estate.FreshFor: // too old a word: asked again
+			s.push(k, key, op, before, refused)
+		case s.now >= until(op, before):
+			refused(estate.Alone)
+		default:
+			if number == 0 {
+				s.keys.Taken(s.now, key, op.Effect, op.GiveUp)
+			}
+			if !s.Early {
+				// It may be frozen right between its look at the clock and the write; a mark that is forgotten meanwhile helps no more.
+				if op.Effect != balance.Deduplicated && s.rng.Float64() < 0.05 {
+					s.after(0.2, func() { s.in(k, life, func() { run(b) }) })
+				} else {
+					run(b)
+				}
+			}
+		}
+	})
+}
+
+// until is when a further push of an op must have begun at the latest, by what its effect allows.
+func until(op estate.Op, pushes []estate.Push) float64 {
+	first := (&estate.Entry{Pushes: pushes}).MayHaveRun()
+	if first != nil && op.Effect == balance.Deduplicated {
+		return min(op.GiveUp, first.At+op.Remembered)
+	}
+	return op.GiveUp
+}
+
+// effect is what a push does at a backend; marks are shared by all and kept for a while.
+func (s *Fleet) effect(key string, op estate.Op) {
+	if op.Effect == balance.Deduplicated {
+		if at, marked := s.marks[key]; marked && s.now-at < op.Remembered+estate.SilentFor {
+			return
+		}
+		s.marks[key] = s.now
+	}
+	s.keys.Ran(s.now, key, op.Effect)
+	s.trace("%.0f effect of %s", s.now, key)
+}
+
+func (s *Fleet) finish(k int, key string, o estate.Outcome) {
+	s.write(k, estate.Record{Kind: estate.Finish, Key: key, Outcome: o}, s.now+1500, func(r estate.Reply) {
+		s.trace("%.0f n%d finish %s %v: %v", s.now, k, key, o.Final, r.Code)
+		if r.Code == estate.Done && o.Final != estate.Nacked {
+			s.Finals++
+			s.given(key, o)
+		}
+		if r.Code == estate.Over {
+			s.given(key, r.Outcome)
+		}
+	})
+}
+
+func (s *Fleet) inherit(k int, e *estate.Entry) {
+	s.trace("%.0f n%d inherits %s", s.now, k, e.Key)
+	switch duty, _ := e.Succeed(s.now); duty {
+	case estate.NackIt:
+		s.finish(k, e.Key, estate.Outcome{Final: estate.Nacked})
+	case estate.DeadLetter:
+		s.finish(k, e.Key, estate.Outcome{Final: estate.DeadLettered})
+	default:
+		if len(e.Pushes) > 4 {
+			s.finish(k, e.Key, estate.Outcome{Final: estate.DeadLettered})
+			return
+		}
+		s.push(k, e.Key, e.Op, e.Pushes, func(estate.Code) { s.finish(k, e.Key, estate.Outcome{Final: estate.DeadLettered}) })
+	}
+}
+
+// Schedule draws faults by a seed: kills and freezes one after the other, or, where harsh, all kinds and several at once.
+func Schedule(seed uint64, members int, harsh bool) (all []Fault) {
+	rng := rand.New(rand.NewPCG(seed, 99))
+	n := 1 + rng.IntN(3)
+	if harsh {
+		n = 3 + rng.IntN(6)
+	}
+	kinds := []string{"kill", "freeze", "cut", "oneway", "slow", "flap", "alone"}
+	at := 3500.0
+	for range n {
+		f := Fault{At: at, Kind: kinds[rng.IntN(len(kinds))], A: rng.IntN(members)}
+		f.B = (f.A + 1 + rng.IntN(members-1)) % members
+		f.Until = f.At + 100 + rng.Float64()*3000
+		if harsh {
+			at += rng.Float64() * 1500
+		} else {
+			f.Kind = kinds[rng.IntN(2)]
+			at = f.Until + 4000
+		}
+		all = append(all, f)
+	}
+	return all
+}
+
+func (s *Fleet) fault(f Fault) {
+	cut := func(pairs [][2]int, both, on bool) {
+		for _, x := range pairs {
+			a, b := x[0], x[1]
+			s.down[a][b] = on
+			if both {
+				s.down[b][a] = on
+			}
+			if on { // silence ends a link after a while
+				s.after(400, func() {
+					if s.down[a][b] {
+						s.unlink(a, b)
+					}
+				})
+			} else {
+				s.unlink(a, b)
+				s.after(30, func() { s.relink(a, b) })
+			}
+		}
+	}
+	others := func(a int) (all [][2]int) {
+		for m := range s.procs {
+			if m != a {
+				all = append(all, [2]int{a, m})
+			}
+		}
+		return all
+	}
+	end := func(do func()) { s.after(f.Until-f.At, do) }
+	p := s.procs[f.A]
+	switch f.Kind {
+	case "kill":
+		if !p.up {
+			return
+		}
+		p.up, p.frozen = false, false
+		for m := range s.procs {
+			if m != f.A {
+				s.unlink(f.A, m)
+			}
+		}
+		end(func() {
+			if !p.up {
+				s.start(f.A)
+			}
+		})
+	case "freeze":
+		if !p.up || p.frozen {
+			return
+		}
+		life := p.life
+		p.frozen = true
+		s.after(600, func() { // peers end a silent link
+			for m := range s.procs {
+				if m != f.A && p.frozen && p.life == life {
+					s.unlink(f.A, m)
+				}
+			}
+		})
+		end(func() {
+			if !p.up || p.life != life {
+				return
+			}
+			p.frozen = false
+			for _, do := range p.queue {
+				do()
+				s.pull(f.A)
+			}
+			p.queue = nil
+			for m := range s.procs {
+				if m != f.A && !s.linked[f.A][m] {
+					s.after(20, func() { s.relink(f.A, m) })
+				}
+			}
+		})
+	case "cut":
+		cut([][2]int{{f.A, f.B}}, true, true)
+		end(func() { cut([][2]int{{f.A, f.B}}, true, false) })
+	case "oneway":
+		cut([][2]int{{f.A, f.B}}, false, true)
+		end(func() { cut([][2]int{{f.A, f.B}}, false, false) })
+	case "alone":
+		cut(others(f.A), true, true)
+		end(func() { cut(others(f.A), true, false) })
+	case "slow":
+		for m := range s.procs {
+			s.delay[f.A][m] = 800
+		}
+		end(func() {
+			for m := range s.procs {
+				s.delay[f.A][m] = 0
+			}
+		})
+	case "flap":
+		for at := f.At; at < f.Until; at += 250 {
+			s.after(at-f.At, func() { s.unlink(f.A, f.B); s.after(120, func() { s.relink(f.A, f.B) }) })
+		}
+	}
+}
+
+// Shrink leaves out faults while it still goes wrong.
+func Shrink(faults []Fault, wrong func([]Fault) bool) []Fault {
+	for k := 0; k < len(faults); {
+		if less := slices.Delete(slices.Clone(faults), k, k+1); wrong(less) {
+			faults = less
+		} else {
+			k++
+		}
+	}
+	return faults
+}
+
+const (
+	startUp  = 2500.0 // ms before the load begins
+	windDown = 6000.0 // and from its end to the end of all
+	lastLook = 1500.0 // before that each key is asked for once more
+	grace    = 3000.0 // past its time, within which an op has its final state
+)
+
+// Run plays faults over a load for so many ms, and tells what was broken. At the end each key is asked for at some process that
+// can answer; a log that nobody leads by then tells nothing, and Served counts it.
+func (s *Fleet) Run(faults []Fault, until float64) []rules.Breach {
+	base, keys := s.now, 0
+	for k := range s.procs {
+		s.after(float64(k)*3, func() { s.start(k) })
+	}
+	for _, f := range faults {
+		s.after(f.At, func() { s.fault(f) })
+	}
+	var load func()
+	load = func() {
+		keys++
+		c := client{key: fmt.Sprintf("k%d", keys), effect: balance.Effect(keys % 3), giveUp: s.now + 1500 + s.rng.Float64()*1500}
+		s.come(s.rng.IntN(len(s.procs)), c)
+		if s.rng.Float64() < 0.4 { // comes back with its key, or comes to two nodes at once
+			again := s.rng.IntN(len(s.procs))
+			s.after(s.rng.Float64()*1200*float64(s.rng.IntN(2)), func() { s.come(again, c) })
+		}
+		if s.now-base < until-windDown {
+			s.after(8+s.rng.Float64()*30, load)
+		}
+	}
+	s.after(startUp, load)
+	s.after(until-lastLook, func() {
+		for n := range keys {
+			s.ask(fmt.Sprintf("k%d", n+1))
+		}
+	})
+	for len(s.events) > 0 && s.now-base < until {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do()
+	}
+	return s.keys.Judge(s.now, grace)
+}
+
+// ask tells the judge whether a key's op is over.
+func (s *Fleet) ask(key string) {
+	for k, p := range s.procs {
+		if !p.up || p.frozen {
+			continue
+		}
+		s.in(k, p.life, func() {
+			p.ids++
+			p.waits[p.ids] = func(r estate.Reply) {
+				if r.Code != estate.InHand {
+					s.keys.Ended(s.now, key)
+				}
+			}
+			p.house.Look(s.now, p.ids, key, 1, s.now+lastLook*0.8)
+		})
+		return
+	}
+}
+
+// Served tells how many logs have a leader that serves them, by its own word.
+func (s *Fleet) Served() (n int) {
+	for _, p := range s.procs {
+		if p.up {
+			x := p.house.Picture()
+			for _, l := range x.Logs {
+				if l.Leader == x.Self {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
