An askWithin under 1 ms is refused: the module would have asked for the list without end

Cause: Next asks anew after half of AskWithin (ListFailed: a third at most); at 0, or so little that it is nothing beside the clock, the next call is due at once, before all other decisions, and Next never comes to an end.

terms refuses less than 1 ms by the key, at the start and at SIGHUP; experiments refuse fleet.ask_within_ms likewise, which goes past terms. The new rows of TestFaults, TestFollows and TestBadFiles fail without.

--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -273,10 +273,11 @@
 		"clients.dead_node_ms": e.Clients.DeadNodeMs, "rules.drain_grace_ms": e.Rules.DrainGraceMs,
 		"rules.max_come_back_ms": e.Rules.MaxComeBackMs, "fleet.connect_ms": e.Fleet.ConnectMs, "fleet.idle_ms": e.Fleet.IdleMs,
 		"rules.settle_ms": e.Rules.SettleMs, "rules.connection_price": e.Rules.ConnectionPrice, "backend.warm_within_ms": e.Backend.WarmWithinMs, "backend.overload_for_ms": e.Backend.OverloadForMs,
-		"fleet.ask_within_ms": e.Fleet.AskWithinMs, "clients.day_seconds": e.Clients.DaySeconds, "fleet.node_cores": e.Fleet.NodeCores}
+		"clients.day_seconds": e.Clients.DaySeconds, "fleet.node_cores": e.Fleet.NodeCores}
 	for _, key := range slices.Sorted(maps.Keys(plain)) { // of several faults always the same is told
 		c.within(key, plain[key], 0, 1e9)
 	}
+	c.within("fleet.ask_within_ms", e.Fleet.AskWithinMs, 1, 1e9) // as the node's settings have it
 	c.must(e.Backend.Queue >= 0, "backend.queue", "%d is below 0", e.Backend.Queue)
 	c.within("backend.cold_from", e.Backend.ColdFrom, 0.01, 1)
 	c.within("backend.fall_multiple", e.Backend.FallMultiple, 1, 1e6)
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -36,6 +36,7 @@
 	for name, c := range map[string]struct{ text, want string }{
 		"unknown key":      {strings.Replace(small, "load", "laod", 1), "e.toml:5:1: unknown key clients.laod"},
 		"negative number":  {strings.Replace(small, "work_ms = 20", "work_ms = -20", 1), "e.toml:9:1: category.0.work_ms: -20 is not 0.01 to 1e+06"},
+		"asks for ever":    {strings.Replace(small, "[fleet]\n", "[fleet]\nask_within_ms = 0\n", 1), "fleet.ask_within_ms: 0 is not 1 to 1e+09"},
 		"zone not there":   {small + "[[trouble]]\nkind = 'cut'\nzone = 'c'\n", `e.toml:16:1: trouble.0.zone: "c" is not among the fleet's zones`},
 		"unknown trouble":  {small + "[[trouble]]\nkind = 'flood'\n", `e.toml:15:1: trouble.0.kind: "flood" is none of`},
 		"no factor":        {small + "[[trouble]]\nkind = 'slow'\nshare = 0.1\n", "e.toml:14:3: trouble.0.factor: give it above 0"},
--- a/internal/terms/change_test.go
+++ b/internal/terms/change_test.go
@@ -29,6 +29,7 @@
 		"TTL of no number":     {change(`"ttl":3000.0`, `"ttl":null`), "categories.1.ttl"},
 		"target latency 0":     {change(`"targetLatency":750.0`, `"targetLatency":0`), "categories.1.targetLatency"},
 		"target below 0":       {change(`"targetLatency":750.0`, `"targetLatency":-1`), "categories.1.targetLatency"},
+		"asks for ever":        {change(`"askWithin":10000.0`, `"askWithin":0`), "rules.askWithin is 0"},
 		"short of a TTL":       {change(`"ttl":3000.0,`, ``), "categories.1.ttl"},
 		"short of a group":     {change(`"dedupScope":"cell",`, ``), "categories.1.dedupScope"},
 		"short of a bound":     {change(`"connIdle":15000.0,`, ``), "bounds.connIdle"},
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -47,6 +47,10 @@
 // mostNodes is what the wire's numbers of instances can count.
 const mostNodes = math.MaxUint32
 
+// leastAskWithin is in ms, a timer's step: the module asks for the list anew after a part of the time, and where that is
+// nothing beside its clock it would ask without end before it looked at anything else.
+const leastAskWithin = 1
+
 // FromLines reads path=value lines.
 func FromLines(data []byte) (*Deployment, error) {
 	p := &pairs{values: map[string]string{}}
@@ -165,7 +169,7 @@
 		ComeBack:      p.flag("bounds.retryAfter"),
 		MaxComeBack:   optional(p, "bounds.maxRetryAfter", p.number, 0),
 		MustAsk:       p.word("registryMode", "automatic", "subscribe") == 1,
-		AskWithin:     p.number("rules.askWithin"),
+		AskWithin:     p.within(leastAskWithin, math.MaxFloat64)("rules.askWithin"),
 		ColdFrom:      p.number("rules.coldFrom"),
 		WarmWithin:    p.number("rules.warmWithin"),
 		FallMultiple:  p.number("rules.fallMultiple"),
