A rejection with no wait foreseen says when to come back as well

Cause: giveUp tells part of the wait that is foreseen, which is 0 where nothing is held and no push has waited yet (a first connection that is refused, say); an outcome kept by other processes and settings without maxRetryAfter tell none either, and a wait under half a millisecond went out as 0.000.

The front words every rejection in one place: where clients may be told, a wait under 1 ms becomes one of 50 to 100 ms, spread, within maxRetryAfter. 100 ms is the module's look at its backends: sooner it decides by the same picture.

The test fails without; it has a backend refuse the first connection.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -39,6 +40,11 @@
 	// sooner, a client's op may be on its way, and fails with the connection if it is the first there.
 	idleAtLeast = 2 * time.Second
 
+	// What Retry-After can tell is a thousandth of a second. Where a wait of less is foreseen, what turned the op away is no queue
+	// (backends that refuse, or end connections): the module looks at them anew every 100 ms, and decides as before until then.
+	soonest    = 1.0   // ms
+	unforeseen = 100.0 // ms
+
 	streamed = 16 << 10 // bytes of a long answer at a time
 
 	oddEvery = time.Second // between two log lines of malformed ops
@@ -413,8 +419,8 @@
 		}
 		f.write(w, c, http.StatusOK, a.Reply.Body)
 	case node.Nacked:
-		if a.ComeBack > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(a.ComeBack/1e3, 'f', 3, 64))
+		if wait := f.comeBack(a); wait > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(wait/1e3, 'f', 3, 64))
 		}
 		f.write(w, c, http.StatusServiceUnavailable, nil)
 	case node.AskAgain:
@@ -425,6 +431,20 @@
 	}
 }
 
+// comeBack is when a client that is turned away is to come again, in ms: as foreseen, or where no wait was, a little later all
+// the same, where clients may be told. Those who are turned away together don't come together.
+func (f *Front) comeBack(a node.Answer) float64 {
+	t := f.told.Load().Terms
+	if a.ComeBack >= soonest || !t.ComeBack {
+		return a.ComeBack
+	}
+	wait := unforeseen * (0.5 + 0.5*rand.Float64())
+	if t.MaxComeBack > 0 {
+		wait = min(wait, t.MaxComeBack)
+	}
+	return wait
+}
+
 func (f *Front) write(w http.ResponseWriter, c *client, status int, body []byte) {
 	f.head(w, c, status, int64(len(body)))
 	_, _ = w.Write(body) // a client that is gone is no fault
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -1,19 +1,24 @@
 package front
 
 import (
+	"bufio"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"pearknot/balance"
 	"pearknot/internal/clock"
+	"pearknot/internal/members"
+	"pearknot/internal/node"
 	"pearknot/internal/sockets"
 	"pearknot/internal/terms"
 )
@@ -146,6 +151,50 @@
 	assert.Equal(t, int64(1), f.open.Load())
 }
 
+// An op that is turned away with no wait foreseen, here by a backend that refuses the first connection, tells when to come back
+// as well, within the settings' bound; those turned away together hear of different times. Where clients aren't told, none does.
+func TestTurnedAwayWithNoWaitForeseen(t *testing.T) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	defer unix.Close(fd)
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})) // nobody listens there, nor can another
+	at, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	refuses := net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: at.(*unix.SockaddrInet4).Port}
+	for name, c := range map[string]struct {
+		told        bool
+		most        float64
+		least, last float64 // ms
+	}{
+		"told":         {told: true, most: 2000, least: 50, last: 100},
+		"a low bound":  {told: true, most: 30, least: 30, last: 30},
+		"without one":  {told: true, least: 50, last: 100},
+		"not told":     {most: 2000},
+		"nor by bound": {},
+	} {
+		f, _, _ := fronted(t, 64, &balance.Terms{Seed: 1, Nodes: 1, MaxPushes: 1, ComeBack: c.told, MaxComeBack: c.most, FallMultiple: 3,
+			OverloadFor: 1000, Categories: []balance.Category{{TargetLatency: 60e3, Benefit: 1}}},
+			&members.List{Whole: true, Members: []members.Member{{Name: "s", Address: refuses.String(), State: balance.Ready, Weight: 1}}})
+		answer, err := http.ReadResponse(bufio.NewReader(connected(t, f, opOf("a", 0))), nil)
+		require.NoError(t, err)
+		require.NoError(t, answer.Body.Close())
+		require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode, name)
+		if !c.told {
+			assert.Empty(t, answer.Header.Get("Retry-After"), name)
+			continue
+		}
+		wait, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
+		require.NoError(t, err, name)
+		assert.LessOrEqual(t, c.least, wait*1e3, name)
+		assert.LessOrEqual(t, wait*1e3, c.last, name)
+	}
+	f := &Front{}
+	f.told.Store(&terms.Deployment{Terms: &balance.Terms{ComeBack: true, MaxComeBack: 2000}})
+	assert.NotEqual(t, f.comeBack(node.Answer{}), f.comeBack(node.Answer{}), "spread")
+	assert.Equal(t, 7.0, f.comeBack(node.Answer{ComeBack: 7}), "as foreseen")
+	assert.Less(t, 49.0, f.comeBack(node.Answer{ComeBack: 0.4}), "which would be told as 0.000")
+}
+
 // A fault of the front is a dead letter: net/http would end the connection and lose the op.
 func TestFaultIsAnswered(t *testing.T) {
 	c, _ := pair(t)
