What a request costs the module grows no more with the number of tenants

Cause: excess added up all tenants' rates and quotas for each op.

The sum is not bit for bit the walk's: a tenant's rate under a thousandth counted as nothing there, and floats are added in another order.

--- a/balance/measure.go
+++ b/balance/measure.go
@@ -313,14 +313,12 @@
 	}
 	w := &n.t.Tenants[op.Tenant]
 	w.rate.set(n.now, w.rate.get(n.now, rateHalf)+1)
-	rates, quotas := 0.0, 0.0
-	for i := range n.t.Tenants {
-		rates, quotas = rates+n.t.Tenants[i].rate.get(n.now, rateHalf), quotas+n.t.Tenants[i].Quota
-	}
+	n.t.rates.set(n.now, n.t.rates.get(n.now, rateHalf)+1) // all fade alike, and so does their sum
 	if w.Quota == 0 {
 		return
 	}
-	own, all := w.rate.sum+mixPrior*w.Quota/quotas, rates+mixPrior
+	quotas := n.t.quotas()
+	own, all := w.rate.sum+mixPrior*w.Quota/quotas, n.t.rates.sum+mixPrior
 	odds := own * (quotas - w.Quota) / math.Max((all-own)*w.Quota, 1e-9)
 	if quotas == w.Quota {
 		odds = math.Inf(1)
@@ -329,6 +327,16 @@
 	op.excess = math.Max(0, 1-1/odds)
 }
 
+// quotas is the sum of all tenants', added up when it is first asked for.
+func (t *Terms) quotas() float64 {
+	if t.quota == 0 {
+		for _, w := range t.Tenants {
+			t.quota += w.Quota
+		}
+	}
+	return t.quota
+}
+
 // waited takes how long a push waited behind others: no one wait, silence neither, is more than the target.
 func (n *Node) waited(p *Push, wait float64) {
 	wait = math.Min(math.Max(0, wait), p.Op.cat.TargetLatency)
--- a/balance/snapshot.go
+++ b/balance/snapshot.go
@@ -41,6 +41,7 @@
 	Doubted                                                                bool
 	FellAt, AloneAt                                                        float64
 	Answers                                                                [2]float64
+	Rates                                                                  [2]float64 // of all tenants together
 }
 
 // SnapQuantile, SnapMean and the others below are parts of a Snapshot.
@@ -152,7 +153,8 @@
 		backendAt[b] = i
 	}
 	s := &Snapshot{Now: n.now, Armed: n.armed, SweepAt: n.sweepAt, Round: n.round, Extra: n.extra, Doubt: n.doubt, Weight: n.weight, AskAt: n.askAt, Window: n.window, Heard: n.heard,
-		Tracked: n.tracked, Stirred: n.stirred, Idle: n.idle, Failures: n.failures, Of: n.of, Whole: n.whole, Doubted: n.doubted, FellAt: n.fellAt, AloneAt: n.aloneAt, Answers: [2]float64{n.answers.sum, n.answers.at}, Seq: n.seq, Chance: [2]uint64{n.rng.x, n.rng.carry},
+		Tracked: n.tracked, Stirred: n.stirred, Idle: n.idle, Failures: n.failures, Of: n.of, Whole: n.whole, Doubted: n.doubted, FellAt: n.fellAt, AloneAt: n.aloneAt, Answers: [2]float64{n.answers.sum, n.answers.at},
+		Rates: [2]float64{n.t.rates.sum, n.t.rates.at}, Seq: n.seq, Chance: [2]uint64{n.rng.x, n.rng.carry},
 		Hints: slices.Clone(n.cutoff.ring), HintNext: n.cutoff.next, Stretch: snapQuantile(n.stretch),
 		Value: SnapMean{n.value.value, n.value.seen}, Work: SnapMean{n.work.value, n.work.seen},
 		Service: SnapMean{n.service.value, n.service.seen}, PaceAll: [2]float64{n.paces.all.time, n.paces.all.work},
@@ -299,6 +301,14 @@
 	for i, r := range s.Tenants {
 		t.Tenants[i].rate = fader{r[0], r[1]}
 	}
+	t.rates = fader{s.Rates[0], s.Rates[1]}
+	if s.Rates == [2]float64{} { // of a build that kept no sum
+		for i := range t.Tenants {
+			if x := t.Tenants[i].rate.get(s.Now, rateHalf); x > 0 {
+				t.rates.set(s.Now, t.rates.sum+x)
+			}
+		}
+	}
 	for _, x := range s.Backends {
 		if len(x.SpentAt) != len(x.Spent) || len(x.Out)%2 != 0 || x.Zone < 0 || x.Kind < 0 || x.Zone > mostPlaces || x.Kind > mostPlaces {
 			return nil, nil, nil, errors.New("snapshot of an odd backend")
--- a/balance/types.go
+++ b/balance/types.go
@@ -73,6 +73,9 @@
 	RemovalNotBinding bool    // gone, or missing from the list, without draining is a hint and no order
 	WarmKeys          bool    // a backend that met a key lately has less work with it
 	ConnectionPrice   float64 // of open connections; above 0 backends take few of them
+
+	rates fader   // of all tenants together
+	quota float64 // theirs, once added up
 }
 
 // State is what the list says of a backend.
