The simulated cluster counts what its links carry, quiet and with requests kept

Need: what links between processes cost by their number has to be measured on the core itself, without load and faults. Change: Up and Pass play a cluster that has nothing to do, Keep gives it requests whose records and outcomes are kept; frames and their bytes are counted. Run begins by Up, with the same events in the same order.

--- a/internal/lab/among/among.go
+++ b/internal/lab/among/among.go
@@ -69,7 +69,10 @@
 
 	Finals   int // outcomes that were written
 	TookOver int // ops
+	Frames   int // that links have carried
+	Bytes    int // of these
 
+	kept    int // requests that Keep has made
 	now     float64
 	seq     int
 	events  events
@@ -202,6 +205,8 @@
 	if s.down[from][to] || !s.linked[from][to] {
 		return
 	}
+	s.Frames++
+	s.Bytes += len(frame)
 	life, sender := s.procs[to].life, s.procs[from].life
 	at := max(s.now+0.1+s.rng.Float64()*0.4+s.delay[from][to]*s.rng.Float64(), s.arrives[from][to])
 	s.arrives[from][to] = at
@@ -520,9 +525,7 @@
 // can answer; a log that nobody leads by then tells nothing, and Served counts it.
 func (s *Fleet) Run(faults []Fault, until float64) []rules.Breach {
 	base, keys := s.now, 0
-	for k := range s.procs {
-		s.after(float64(k)*3, func() { s.start(k) })
-	}
+	s.Up()
 	for _, f := range faults {
 		s.after(f.At, func() { s.fault(f) })
 	}
