pearknot-lab capacity: slopes, a target's costs beside their limits, docs/CAPACITY.md

Need: nobody could tell what the program costs at 1,500 nodes before 12,000 backends, 400 services and 140,000 tenants, nor what carries it there. Change: internal/lab/capacity measures slopes with the program's own code at four sizes or more, five runs each (links, module, settings, a real node's start, reload, memory and added time, the watch on discovery, the agent, capture, takeover's records), fits each as constant, linear, n log n or square by its residual, and puts a strict target file into them: each role's and event's cost, its limit, share, how far it was extrapolated, and what carries it, or "missing". Processor time where possible; time on the wall is marked and gives no verdict. Exit status 3 where a limit is passed. The page holds what the command prints of the stored figures; a test renders it anew, and finds each figure that its words tell in the tables.

--- a/cmd/pearknot-lab/main_test.go
+++ b/cmd/pearknot-lab/main_test.go
@@ -38,7 +38,9 @@
 		{"sweep ../../experiments/calm.toml --virtual --over fleet.zone=3", 2, "unknown key fleet.zone"},
 		{"sweep ../../experiments/calm.toml --virtual --over fleet.nodes=0", 2, "fleet.nodes: 0 is not 1 to 5000"},
 		{"compare /nowhere /nowhere", 2, "/nowhere"}, {"report /nowhere", 2, "/nowhere"}, {"demo --seconds 1", 2, "--seconds 1"},
-		{"node --config /nowhere", 2, "/nowhere"},
+		{"node --config /nowhere", 2, "/nowhere"}, {"capacity --target /nowhere", 2, "/nowhere"}, {"capacity --target " + bad, 2, bad + ":1:1: unknown key seconds"},
+		{"capacity --target ../../experiments/capacity/target.toml --from /nowhere", 2, "/nowhere"},
+		{"capacity --target ../../experiments/capacity/target.toml --pearknot x --only nonsense", 2, `no such row: "nonsense"; there are links, `},
 	} {
 		status, out, errs := call(t, strings.Fields(c.args)...)
 		assert.Equal(t, c.status, status, c.args)
