--- a/cmd/pearknot-lab/capacity.go
+++ b/cmd/pearknot-lab/capacity.go
@@ -15,7 +15,7 @@
 
 // capacityCommand measures slopes and tells what a fleet of a size would cost by them.
 func capacityCommand() *cobra.Command {
-	p, target, only, out, from, page, quick := &plan{}, "", "", "", "", "", false
+	p, target, only, out, from, update, page, quick := &plan{}, "", "", "", "", "", "", false
 	c := &cobra.Command{Use: "capacity", Args: cobra.NoArgs, Short: "Measure what things cost by their sizes, and what a fleet of a target's size would: 3 where a limit is passed",
 		Long: `Measures slopes, each at four sizes or more and five runs, with the program's own code, fits each as what it is (constant,
 linear, n log n, square), and puts a target's figures into them: each role's cost beside its limit. Processor time is that of the
@@ -23,11 +23,19 @@
 
 Exit status: 3 where a limit is passed, 2 where the target can't be read, 1 where a row can't be measured.`,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if update != "" && (quick || from != "" || out != "") {
+				return command.Usage(errors.New("--update goes with neither --quick nor --from nor --out"))
+			}
 			t, err := capacity.Read(target)
 			if err != nil {
 				return command.Missing(err)
 			}
-			var r *capacity.Result
+			var r, stood *capacity.Result
+			if update != "" { // before minutes of measuring
+				if stood, err = capacity.ReadResult(update); err != nil {
+					return command.Usage(err)
+				}
+			}
 			if from != "" {
 				if r, err = capacity.ReadResult(from); err != nil {
 					return command.Usage(err)
@@ -35,6 +43,12 @@
 			} else if r, err = p.capacity(c, only, quick); err != nil {
 				return err
 			}
+			if stood != nil {
+				if err := stood.Update(r); err != nil {
+					return command.Usage(err)
+				}
+				r, out = stood, update
+			}
 			if out != "" {
 				if err := os.WriteFile(out, r.Text(), 0o644); err != nil {
 					return err
@@ -57,6 +71,7 @@
 	c.Flags().BoolVar(&quick, "quick", false, "few runs at small sizes: does it run, no more")
 	c.Flags().StringVar(&out, "out", "", "write what was measured to a file")
 	c.Flags().StringVar(&from, "from", "", "measure nothing: tell what a file of --out means for the target")
+	c.Flags().StringVar(&update, "update", "", "put what was measured in the place of what stood in a file of --out")
 	c.Flags().StringVar(&page, "page", "", "put the tables between the marks of this page, too")
 	c.Flags().StringVar(&p.pearknot, "pearknot", "", "the node's program; else the one beside this, else it is built")
 	return c
--- a/cmd/pearknot-lab/main_test.go
+++ b/cmd/pearknot-lab/main_test.go
@@ -40,6 +40,8 @@
 		{"compare /nowhere /nowhere", 2, "/nowhere"}, {"report /nowhere", 2, "/nowhere"}, {"demo --seconds 1", 2, "--seconds 1"},
 		{"node --config /nowhere", 2, "/nowhere"}, {"capacity --target /nowhere", 2, "/nowhere"}, {"capacity --target " + bad, 2, bad + ":1:1: unknown key seconds"},
 		{"capacity --target ../../experiments/capacity/target.toml --from /nowhere", 2, "/nowhere"},
+		{"capacity --quick --update x", 2, "--update goes with neither"},
+		{"capacity --target ../../experiments/capacity/target.toml --update /nowhere", 2, "/nowhere"},
 		{"capacity --target ../../experiments/capacity/target.toml --pearknot x --only nonsense", 2, `no such row: "nonsense"; there are links, `},
 	} {
 		status, out, errs := call(t, strings.Fields(c.args)...)
--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -246,6 +246,15 @@
 	}
 }
 
+func TestUpdate(t *testing.T) {
+	line := func(k float64) func(float64) float64 { return func(n float64) float64 { return k * n } }
+	r := &Result{Machine: "m", Load: Load{3, 9}, Slopes: []*Slope{slope("a", line(1), 1, 2), slope("b", line(1), 1, 2)}}
+	require.NoError(t, r.Update(&Result{Machine: "m", Part: "b", Load: Load{2, 4}, Slopes: []*Slope{slope("b", line(3), 1, 2), slope("c", line(1), 1, 2)}}))
+	assert.Equal(t, &Result{Machine: "m", Load: Load{2, 9}, Slopes: []*Slope{slope("a", line(1), 1, 2), slope("b", line(3), 1, 2), slope("c", line(1), 1, 2)}}, r)
+	assert.ErrorContains(t, r.Update(&Result{Machine: "n"}), "measured on n, and what stood on m")
+	assert.Error(t, r.Update(&Result{Machine: "m", Quick: true}))
+}
+
 // Keys name one slope each, and each key that a cost asks for is some row's.
 func TestKeys(t *testing.T) {
 	target, err := Read(targetFile)
--- a/internal/lab/capacity/measure.go
+++ b/internal/lab/capacity/measure.go
@@ -64,6 +64,22 @@
 	return r, nil
 }
 
+// Update puts what was measured again in the place of what stood.
+func (r *Result) Update(with *Result) error {
+	if with.Machine != r.Machine || with.Quick != r.Quick {
+		return fmt.Errorf("measured on %s, and what stood on %s: they don't go into one table", with.Machine, r.Machine)
+	}
+	for _, s := range with.Slopes {
+		if k := slices.IndexFunc(r.Slopes, func(x *Slope) bool { return x.Key == s.Key }); k >= 0 {
+			r.Slopes[k] = s
+		} else {
+			r.Slopes = append(r.Slopes, s)
+		}
+	}
+	r.Load = Load{min(r.Load.Least, with.Load.Least), max(r.Load.Most, with.Load.Most)}
+	return nil
+}
+
 // Text is the result as it is written.
 func (r *Result) Text() []byte {
 	data, err := json.MarshalIndent(r, "", " ")
