Two cases of the ramp's test leave something in the window

Their cases emptied the window whole, where both sums begin anew at 0.

Change: the cases keep a part of the window.

--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -475,9 +475,9 @@
 			{"over two thirds", 1, func(r *ramped) { r.send(0, 50, nodes, 40).send(0, 0, nodes, 83) }},
 			{"over two thirds, an untold one the last", 1, func(r *ramped) { r.send(0, 0, nodes, 83).send(0, 50, nodes, 40) }},
 			{"told, and out of the window by then", 0, func(r *ramped) {
-				r.send(0, 0, nodes, 122).send(2000, 0, nodes, 122).send(4000, 50, nodes, 284)
+				r.send(0, 0, nodes, 122).send(1000, 0, nodes, 40).send(2000, 50, nodes, 164)
 			}},
-			{"not told, and out of the window by then", 1, func(r *ramped) { r.send(0, 50, nodes, 122).send(2000, 0, nodes, 204) }},
+			{"not told, and out of the window by then", 1, func(r *ramped) { r.send(0, 50, nodes, 122).send(1000, 50, nodes, 1).send(2000, 0, nodes, 203) }},
 			{"told of the start before", 0, func(r *ramped) { r.start(5, 1).send(0, 0, nodes, 123) }},
 			{"told and killed since", 0, func(r *ramped) {
 				for n := range nodes {
