Experiments have backends that join, and two cold ramps before 20 and 30 nodes

The lab had backends that come back, none that nobody knew before.

Change: a trouble "join" on both hosts: its backends are in no list, and down (virtual) or refuse (sockets), until they start cold.

Simulated servers.

--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -166,6 +166,7 @@
 	Costly   = "costly"    // a share of one category's ops costs more by a factor
 	Lies     = "lies"      // load reports are wrong by a factor
 	Shrink   = "shrink"    // backends drain and go, and come back cold
+	Join     = "join"      // backends that nobody knew before start, cold
 	Cordon   = "cordon"    // an operator takes backends out at all nodes, and puts them back; on sockets only, as the next two
 	Quiesce  = "quiesce"   // an operator sends nodes' clients away, and has them taken again
 	Upgrade  = "upgrade"   // a new process of nodes takes over, once
@@ -188,7 +189,7 @@
 }
 
 // Kinds lists them all.
-var Kinds = []string{Swallow, Errors, Pauses, Slow, Crash, Vanish, Cut, ListLate, ListDown, Nodes, Burst, Costly, Lies, Shrink}
+var Kinds = []string{Swallow, Errors, Pauses, Slow, Crash, Vanish, Cut, ListLate, ListDown, Nodes, Burst, Costly, Lies, Shrink, Join}
 
 // Calls are further kinds, an operator's, which need real processes.
 var Calls = []string{Cordon, Quiesce, Upgrade}
@@ -346,7 +347,7 @@
 		c.must(slices.Contains(e.Fleet.Zones, t.Zone), at+"zone", "%q is not among the fleet's zones", t.Zone)
 	}
 	switch t.Kind {
-	case Swallow, Errors, Pauses, Slow, Crash, Vanish, Lies, Shrink, Nodes, Cordon, Quiesce, Upgrade, Stuck, Squeeze:
+	case Swallow, Errors, Pauses, Slow, Crash, Vanish, Lies, Shrink, Join, Nodes, Cordon, Quiesce, Upgrade, Stuck, Squeeze:
 		c.must(t.Share > 0 || t.Count > 0, at+"share", "give share or count above 0")
 	case Cut:
 		c.must(t.Zone != "" && len(e.Fleet.Zones) > 1, at+"zone", "give the zone that is cut off, of two at least")
@@ -361,6 +362,8 @@
 		c.must(t.EveryMs > 0 && t.PauseMs > 0 && t.PauseMs < t.EveryMs, at+"pause_ms", "give it and a longer every_ms")
 	}
 	switch t.Kind {
+	case Join:
+		c.must(t.At > 0, at+"at_s", "give it above 0")
 	case Fell:
 		c.must(t.PauseMs > 0, at+"pause_ms", "give it above 0")
 	}
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -44,6 +44,7 @@
 		"costly unnamed":   {small + "[[trouble]]\nkind = 'costly'\nchance = 0.1\nfactor = 2\n", "trouble.0.category"},
 		"pause over every": {small + "[[trouble]]\nkind = 'pauses'\nshare = 1\nevery_ms = 5\npause_ms = 6\n", "e.toml:18:1: trouble.0.pause_ms"},
 		"ramp":             {strings.Replace(small, "load = 0.5", "load = 0.5\nramp = [[0,1],[0,2]]", 1), "e.toml:6:1: clients.ramp: point 1"},
+		"joins at once":    {small + "[[trouble]]\nkind = 'join'\nshare = 0.1\n", "trouble.0.at_s: give it above 0"},
 		"word":             {strings.Replace(small, "redeliverable", "idempotent", 1), "e.toml:10:1: category.0.effect"},
 	} {
 		_, err := Decode("e.toml", []byte(c.text))
--- a/internal/lab/loopback/list.go
+++ b/internal/lab/loopback/list.go
@@ -47,11 +47,13 @@
 	Targets []entry `json:"targets"`
 }
 
-func newList(h *hub, backends []*backend) *list {
+func newList(h *hub, backends []*backend, joining map[int]bool) *list {
 	l := &list{hub: h, backends: backends, roll: roll.New(h.e.List.LinesPerSecond), news: make(chan struct{})}
 	l.timer = time.AfterFunc(time.Hour, l.publish)
 	for _, b := range backends {
-		l.roll.Set(0, 0, roll.Entry{Backend: b.number, State: balance.Ready})
+		if !joining[b.number] {
+			l.roll.Set(0, 0, roll.Entry{Backend: b.number, State: balance.Ready})
+		}
 	}
 	l.roll.Advance(0)
 	return l
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -145,6 +145,7 @@
 
 // build starts backends, list and nodes, and waits until all nodes are ready.
 func (w *world) build(ctx context.Context) error {
+	joining := trouble.Joining(w.e, w.switches)
 	for k := range w.e.Fleet.Backends {
 		m := machine.New(w.e.MachineKind(k), rand.New(rand.NewPCG(w.random, uint64(k)+1000)))
 		b, err := newBackend(w.hub, k, k%len(w.e.Fleet.Zones), w.e.MachineOf(k), len(w.e.Fleet.Zones), m)
@@ -153,7 +154,7 @@
 		}
 		w.backends = append(w.backends, b)
 	}
-	w.list = newList(w.hub, w.backends)
+	w.list = newList(w.hub, w.backends, joining)
 	if w.o.TLS != nil {
 		var err error
 		if w.secure, err = w.newSecure(*w.o.TLS); err != nil {
@@ -225,7 +226,12 @@
 // begin starts the clock of the experiment: the load, the troubles, the looks.
 func (w *world) begin(ctx context.Context) error {
 	w.startAt(w.clock.Now())
+	joining := trouble.Joining(w.e, w.switches)
 	for _, b := range w.backends {
+		if joining[b.number] { // its ports were held until all others had theirs
+			b.stop(false)
+			continue
+		}
 		if err := b.start(true); err != nil {
 			return err
 		}
@@ -331,6 +337,10 @@
 			err = w.crash(w.backends[k], s.On, t.Kind == experiment.Vanish)
 		case experiment.Shrink:
 			err = w.shrink(ctx, w.backends[k], s.On)
+		case experiment.Join:
+			if s.On {
+				err = w.crash(w.backends[k], false, false)
+			}
 		case experiment.Nodes:
 			n := w.nodes[k]
 			if s.On {
--- a/internal/lab/trouble/trouble.go
+++ b/internal/lab/trouble/trouble.go
@@ -65,6 +65,19 @@
 	return all
 }
 
+// Joining are the backends that are not there from the start.
+func Joining(e *experiment.Experiment, switches []Switch) map[int]bool {
+	all := map[int]bool{}
+	for _, s := range switches {
+		if e.Trouble[s.Index].Kind == experiment.Join {
+			for _, k := range s.Targets {
+				all[k] = true
+			}
+		}
+	}
+	return all
+}
+
 // State is what is on.
 type State struct {
 	e  *experiment.Experiment
--- a/internal/lab/trouble/trouble_test.go
+++ b/internal/lab/trouble/trouble_test.go
@@ -118,3 +118,33 @@
 	assert.InDelta(t, 3, s.Machine(1).Slow, 1e-9)
 	assert.False(t, s.Cut(0, 1))
 }
+
+// Those that join are not there before, whoever else is hit.
+func TestJoining(t *testing.T) {
+	e := file(t, `
+[[trouble]]
+kind = "join"
+at_s = 10
+count = 3
+[[trouble]]
+kind = "join"
+at_s = 20
+zone = "b"
+share = 1
+[[trouble]]
+kind = "crash"
+at_s = 5
+share = 1
+`)
+	s := Schedule(e, 3)
+	joining := Joining(e, s)
+	for _, w := range s {
+		for _, k := range w.Targets {
+			if e.Trouble[w.Index].Kind == experiment.Join {
+				assert.True(t, joining[k], k)
+			}
+		}
+	}
+	assert.GreaterOrEqual(t, len(joining), 4)
+	assert.LessOrEqual(t, len(joining), 7)
+}
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -163,12 +163,16 @@
 	zones := len(e.Fleet.Zones)
 	h.byZone, h.turn = make([][]*node, zones), make([]int, zones)
 	h.worked = make([]float64, e.Fleet.Backends)
+	joining := trouble.Joining(e, h.switches)
 	for k := range e.Fleet.Backends {
 		kind := e.MachineOf(k)
 		b := &backend{Machine: machine.New(e.MachineKind(k), rand.New(rand.NewPCG(seed, uint64(k)+1000))), number: k,
 			zone: k % zones, kind: kind, inHand: map[uint64]*push{}}
-		b.Start(0, true)
 		h.backends = append(h.backends, b)
+		if joining[k] {
+			continue
+		}
+		b.Start(0, true)
 		h.tell(rules.Event{Kind: rules.BackendStarted, Backend: k, Zone: b.zone, Cell: k, Speed: b.Standing()})
 		h.roll.Set(0, 0, roll.Entry{Backend: k, State: balance.Ready})
 	}
@@ -837,6 +841,12 @@
 		for _, k := range w.Targets {
 			h.shrink(h.backends[k], w.On)
 		}
+	case experiment.Join:
+		for _, k := range w.Targets {
+			if w.On {
+				h.comeBack(h.backends[k])
+			}
+		}
 	case experiment.Nodes:
 		for _, k := range w.Targets {
 			if n := h.nodes[k]; w.On {
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -197,3 +197,34 @@
 	require.False(t, r.Rules.Kept)
 	assert.Contains(t, fmt.Sprint(r.Rules.Breaches), "order kept")
 }
+
+// Twenty and thirty nodes that know nothing of one another keep a cold backend's ramp in their sum, when new backends join and
+// others come back cold under a burst. That the days could break it is shown by a build without the share, in cmd/pearknot-lab.
+func TestColdRamps(t *testing.T) {
+	for _, name := range []string{"cold-ramp-20", "cold-ramp-30"} {
+		for _, seed := range shipped(t, name).Seeds {
+			t.Run(fmt.Sprint(name, " seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				e := shipped(t, name)
+				starts, pushed := map[int]float64{}, 0
+				r, err := Run(e, seed, Options{Watch: func(ev rules.Event) {
+					switch ev.Kind {
+					case rules.BackendStarted:
+						starts[ev.Backend] = ev.Started
+					case rules.PushBegun:
+						from, started := starts[ev.Backend]
+						assert.True(t, started, "backend %d before it joined", ev.Backend)
+						if from > 0 && ev.At < from+e.Backend.WarmWithinMs {
+							pushed++
+						}
+					}
+				}})
+				require.NoError(t, err)
+				assert.True(t, r.Rules.Kept, r.Rules.Breaches)
+				assert.Zero(t, r.Fallen)
+				assert.Len(t, starts, e.Fleet.Backends, "all have joined")
+				assert.Greater(t, pushed, 300, "to cold ones")
+			})
+		}
+	}
+}
