A cold backend's budget lets an op through by what it is then charged

Cause: balance.go's gate asked coldRoom with op.work, the hint alone, while send charges at least half of the category's mean. The less a hint says the likelier its op was let through, by its part and by lots alike (chance by 1/work), and what went was of mean work all the same. Ruled out: absent and exact hints and the lab's rough ones (0.3) keep all rules there; the sums of the auditor agree with the machines', which fell.

The test fails without the change on each of its four seeds.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -974,7 +974,7 @@
 			return MayHaveRun
 		}
 	}
-	if !n.coldRoom(b, op.work) {
+	if !n.coldRoom(b, math.Max(op.work, op.cat.work.value/2)) {
 		return ColdBudget
 	}
 	return Open
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -228,3 +228,27 @@
 		}
 	}
 }
+
+// Hints that say nothing of their op let the light-hinted ones through to cold backends, whatever they cost: what is charged for
+// them is what they are let through by.
+func TestColdRampsUnderWrongHints(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) {
+			t.Parallel()
+			e := shipped(t, "cold-ramp-30")
+			e.Fleet.Zones, e.Fleet.Backends, e.List.LagMs, e.Clients.Hints, e.Clients.Retries = []string{"east", "hill", "west"}, 10, 3000, "misleading", 0
+			e.Backend.ColdFrom, e.Backend.WarmWithinMs, e.Backend.OverloadForMs = 0.35, 20e3, 500
+			for k := range e.Category {
+				e.Category[k].TargetMs, e.Category[k].TTLMs = 8000, 16000
+			}
+			for k, share := range []float64{0.29, 0.33, 0} {
+				e.Trouble[k].Share = share
+			}
+			e.Trouble[2].Factor = 1.92
+			r, err := Run(e, seed+1, Options{})
+			require.NoError(t, err)
+			assert.Zero(t, r.Rules.Counts[rules.RampsKept-1], r.Rules.Breaches)
+			assert.Zero(t, r.Fallen)
+		})
+	}
+}
