--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -197,3 +197,58 @@
 	require.False(t, r.Rules.Kept)
 	assert.Contains(t, fmt.Sprint(r.Rules.Breaches), "order kept")
 }
+
+// Twenty and thirty nodes that know nothing of one another keep a cold backend's ramp in their sum, when new backends join and
+// others come back cold under a burst. That the days could break it is shown by a build without the share, in cmd/pearknot-lab.
+func TestColdRamps(t *testing.T) {
+	for _, name := range []string{"cold-ramp-20", "cold-ramp-30"} {
+		for _, seed := range shipped(t, name).Seeds {
+			t.Run(fmt.Sprint(name, " seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				e := shipped(t, name)
+				starts, pushed := map[int]float64{}, 0
+				r, err := Run(e, seed, Options{Watch: func(ev rules.Event) {
+					switch ev.Kind {
+					case rules.BackendStarted:
+						starts[ev.Backend] = ev.Started
+					case rules.PushBegun:
+						from, started := starts[ev.Backend]
+						assert.True(t, started, "backend %d before it joined", ev.Backend)
+						if from > 0 && ev.At < from+e.Backend.WarmWithinMs {
+							pushed++
+						}
+					}
+				}})
+				require.NoError(t, err)
+				assert.True(t, r.Rules.Kept, r.Rules.Breaches)
+				assert.Zero(t, r.Fallen)
+				assert.Len(t, starts, e.Fleet.Backends, "all have joined")
+				assert.Greater(t, pushed, 300, "to cold ones")
+			})
+		}
+	}
+}
+
+// Hints that say nothing of their op let the light-hinted ones through to cold backends, whatever they cost: what is charged for
+// them is what they are let through by.
+func TestColdRampsUnderWrongHints(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) {
+			t.Parallel()
+			e := shipped(t, "cold-ramp-30")
+			e.Fleet.Zones, e.Fleet.Backends, e.List.LagMs, e.Clients.Hints, e.Clients.Retries = []string{"east", "hill", "west"}, 10, 3000, "misleading", 0
+			e.Backend.ColdFrom, e.Backend.WarmWithinMs, e.Backend.OverloadForMs = 0.35, 20e3, 500
+			for k := range e.Category {
+				e.Category[k].TargetMs, e.Category[k].TTLMs = 8000, 16000
+			}
+			for k, share := range []float64{0.29, 0.33, 0} {
+				e.Trouble[k].Share = share
+			}
+			e.Trouble[2].Factor = 1.92
+			r, err := Run(e, seed+1, Options{})
+			require.NoError(t, err)
+			assert.Zero(t, r.Rules.Counts[rules.RampsKept-1], r.Rules.Breaches)
+			assert.Zero(t, r.Fallen)
+		})
+	}
+}
