Idle clients no longer cost the node its connections to backends

Seen: with idle clients in all that clients may have and more in the listener's queue, each op of a busy client dialled its backend anew: four dials for four ops, in all ten of the cases in which clients come again as soon as they are shut.

Cause: serve.shed had backends' idle connections closed every 0.1 s as long as any client waited. A client that waits while clients have their share (three quarters) gets none of what backends give back. Ruled out: the backend's own closing, wear, time idle (12 s).

Now backends give back where a backend was refused a descriptor, the limit has moved below what is open, or a client waits within its share (Budget.Spare).

--- a/cmd/pearknot/upgrade_test.go
+++ b/cmd/pearknot/upgrade_test.go
@@ -64,7 +64,7 @@
 }
 
 // reserved is an address that nobody else gets meanwhile: bound, and not listened at.
-func reserved(t *testing.T) string {
+func reserved(t testing.TB) string {
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = unix.Close(fd) })
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -279,7 +279,7 @@
 }
 
 // shed frees descriptors whenever they run out, and goes on while clients wait.
-func shed(ctx context.Context, budget *sockets.Budget, pressed <-chan struct{}, owners ...func()) {
+func shed(ctx context.Context, budget *sockets.Budget, pressed <-chan struct{}, backends, clients func()) {
 	for {
 		var again <-chan time.Time
 		if budget.Waiting() {
@@ -291,8 +291,9 @@
 		case <-again:
 		case <-pressed:
 		}
-		for _, owner := range owners {
-			owner()
+		if budget.Spare() {
+			backends()
 		}
+		clients()
 	}
 }
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -16,6 +16,7 @@
 	clients  int
 	peers    int
 	waiting  bool // a client, for a socket
+	refused  bool // a backend, a socket, since Spare last told
 	closed   bool
 	pressure func()
 }
@@ -74,11 +75,23 @@
 	return b.waiting
 }
 
+// Spare tells whether backends' idle sockets are to be given back. Where clients wait that have all of their share, none of
+// these would come to them, and each op would have to connect anew.
+func (b *Budget) Spare() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := b.clients + b.peers
+	spare := b.refused || all > b.most || b.waiting && all == b.most && b.clients < b.mostClients()
+	b.refused = false
+	return spare
+}
+
 // Peer takes a backend's socket, if one is left.
 func (b *Budget) Peer() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.clients+b.peers >= b.most {
+		b.refused = true
 		b.pressure()
 		return false
 	}
