An op that came during a standstill is read though its time to come is over

Seen: a busy client's new connection was closed with its op unread, once in 120 cases of idle clients on a crowded machine.

Cause: the time to read an op (2.2 s from the connection's start) runs while the process doesn't. front/conn.go, client.Read: once it is over, a read fails without a look at what lies there, and net/http closes. Ruled out: shedding, which looks for unread bytes.

Now a read whose time is over takes what is there, where nothing of the op was read before, on plain connections; a limit that net/http sets only to end a read still does, and a client that has begun and is slow has no more time than before. Over TLS it stays as it was.

--- a/cmd/pearknot/pearknot_test.go
+++ b/cmd/pearknot/pearknot_test.go
@@ -441,6 +441,38 @@
 	assert.Zero(t, w.times("kept")+w.times("new"))
 }
 
+// A node stands still for longer than an op may take to come, while ops come whole on connections that were there before. Two of three
+// were closed with their op unread.
+func TestOpsThatComeDuringAStandstill(t *testing.T) {
+	w := start(t, 1024, func(http.ResponseWriter, *http.Request) {})
+	open := func() int {
+		files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.process.Process.Pid))
+		require.NoError(t, err)
+		return len(files)
+	}
+	before, conns := open(), make([]net.Conn, 20)
+	for k := range conns {
+		c, err := net.Dial("tcp", w.address)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		conns[k] = c
+	}
+	require.Eventually(t, func() bool { return open() >= before+len(conns)-2 }, 20*time.Second, time.Millisecond) // but for two of the start's own
+	require.NoError(t, w.process.Process.Signal(syscall.SIGSTOP))
+	for k, c := range conns {
+		_, err := fmt.Fprintf(c, "GET /api HTTP/1.1\r\nHost: s\r\nX-Trace-Id: %d\r\nX-Qos: check\r\nX-Expires-In-Ms: 20000\r\n\r\n", k)
+		require.NoError(t, err)
+	}
+	<-time.After(2500 * time.Millisecond) // the standstill
+	require.NoError(t, w.process.Process.Signal(syscall.SIGCONT))
+	for _, c := range conns {
+		answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if assert.NoError(t, err) {
+			assert.Contains(t, []int{200, 503}, answer.StatusCode)
+		}
+	}
+}
+
 func TestCommandLine(t *testing.T) {
 	dir := t.TempDir()
 	write := func(name, text string) string {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -69,6 +69,7 @@
 	inHand  bool
 	closed  bool
 	framing framing
+	cut     bool // whatever is there is not to be read now
 	crossed bool // bytes came behind an op that was not answered yet
 	leaving
 }
@@ -83,9 +84,38 @@
 	return c.tcp.CloseWrite()
 }
 
+// longPast tells a limit that only ends a read, as net/http sets one, from one whose time is over.
+const longPast = -24 * time.Hour
+
+// SetReadDeadline notes what it is for.
+func (c *client) SetReadDeadline(limit time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = !limit.IsZero() && time.Until(limit) < longPast
+	return c.Conn.SetReadDeadline(limit)
+}
+
+// lateWithin is for reading what there is after a standstill.
+const lateWithin = 200 * time.Millisecond
+
+// late tells whether the time for an op ran out while its first bytes lay there: the process stood still, not the client, which
+// may have sent an op whole, and is owed its answer.
+func (c *client) late() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cut || c.closed || c.framing.stage != between || c.Conn != net.Conn(c.tcp) {
+		return false
+	}
+	n, _ := c.peek()
+	return n > 0 && c.tcp.SetReadDeadline(time.Now().Add(lateWithin)) == nil
+}
+
 // Read follows what net/http reads, which is one byte alone where it looks for a client that leaves.
 func (c *client) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.late() {
+		n, err = c.Conn.Read(b)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.framing.see(b[:n]) {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -1,13 +1,16 @@
 package front
 
 import (
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -134,6 +137,40 @@
 }
 
 // A node with as many ops open as it may have turns the next away before it is taken, and says when to come back.
+// The process stood still while an op came on a connection that was there before: the time to read it is over as it is looked
+// at first. It was closed with the op unread, which is lost with it.
+func TestALateReadTakesWhatIsThere(t *testing.T) {
+	c, far := pair(t)
+	over := func() { require.NoError(t, c.SetReadDeadline(time.Now().Add(-time.Second))) }
+	late := func() string {
+		b := make([]byte, 99)
+		n, err := c.Read(b)
+		if n == 0 {
+			require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		}
+		return string(b[:n])
+	}
+	send := func(text string) {
+		_, err := io.WriteString(far, text)
+		require.NoError(t, err)
+		require.Eventually(t, c.waits, 20*time.Second, time.Millisecond)
+	}
+	over()
+	assert.Empty(t, late(), "a client that sent nothing")
+	const op = "GET /api HTTP/1.1\r\nHost: s\r\n\r\n"
+	send(op)
+	require.NoError(t, c.SetReadDeadline(time.Unix(1, 0))) // net/http's, that ends a read
+	assert.Empty(t, late())
+	over()
+	assert.Equal(t, op, late())
+	over()
+	send(op[:9])
+	assert.Equal(t, op[:9], late())
+	over()
+	send(op[9:])
+	assert.Empty(t, late(), "one that was heard, and was slow with the rest")
+}
+
 func TestMostHeld(t *testing.T) {
 	f := &Front{budget: sockets.New(64, func() {})}
 	f.told.Store(&terms.Deployment{MostHeld: 1, Terms: &balance.Terms{ComeBack: true, MaxComeBack: 1500}})
