Links' handshake, frames and keys are a package of their own

The control plane's processes are to prove the fleet's key as peers do. The tests of peers pass unchanged.

--- a/internal/peers/link.go
+++ b/internal/peers/link/link.go
@@ -1,4 +1,6 @@
-package peers
+// Package link is how two processes of a fleet open a connection and what goes over it: each proves that it has the fleet's
+// key, then frames of bytes. Who may call is for the taker to say, by the name that the caller has proven.
+package link
 
 import (
 	"bufio"
@@ -12,7 +14,6 @@
 	"net"
 	"time"
 
-	"pearknot/internal/estate"
 	"pearknot/internal/snapshot"
 )
 
@@ -20,18 +21,12 @@
 const version = 1
 
 const (
-	mostHello = 1 << 10
-
-	shakeWithin  = 2 * time.Second
-	dialWithin   = time.Second
-	writeWithin  = time.Second
-	silentWithin = estate.SilentFor * time.Millisecond // a beat comes ten times as often
-	againFrom    = 50 * time.Millisecond               // between two tries to connect, growing
-	againUpTo    = time.Second
+	mostHello   = 1 << 10
+	shakeWithin = 2 * time.Second
 )
 
-// hello is what either side says first. A proof is a keyed hash of all that both have said.
-type hello struct {
+// Hello is what either side says first. A proof is a keyed hash of all that both have said.
+type Hello struct {
 	Version  int
 	Fleet    string
 	From, To string
@@ -40,22 +35,24 @@
 }
 
 type proof struct {
-	Hello hello
+	Hello Hello
 	Sum   []byte
 }
 
-var errKey = errors.New("wrong key")
+// ErrKey is a proof by a key that this process does not take.
+var ErrKey = errors.New("wrong key")
 
-func newHello(fleet, from, to string, life uint64) hello {
-	h := hello{Version: version, Fleet: fleet, From: from, To: to, Life: life, Nonce: make([]byte, 16)}
+// NewHello is what a process says first on one connection.
+func NewHello(fleet, from, to string, life uint64) Hello {
+	h := Hello{Version: version, Fleet: fleet, From: from, To: to, Life: life, Nonce: make([]byte, 16)}
 	_, _ = rand.Read(h.Nonce) // never fails
 	return h
 }
 
-func sum(key []byte, side string, first, second *hello) []byte {
+func sum(key []byte, side string, first, second *Hello) []byte {
 	m := hmac.New(sha256.New, key)
 	_, _ = io.WriteString(m, side)
-	for _, h := range []*hello{first, second} {
+	for _, h := range []*Hello{first, second} {
 		part := snapshot.Append(nil, h)
 		_ = binary.Write(m, binary.BigEndian, uint32(len(part)))
 		_, _ = m.Write(part)
@@ -63,7 +60,7 @@
 	return m.Sum(nil)
 }
 
-func proven(keys [][]byte, side string, first, second *hello, given []byte) bool {
+func proven(keys [][]byte, side string, first, second *Hello, given []byte) bool {
 	for _, key := range keys {
 		if hmac.Equal(given, sum(key, side, first, second)) {
 			return true
@@ -72,14 +69,16 @@
 	return false
 }
 
-func writeFrame(to io.Writer, data []byte) error {
+// WriteFrame writes a frame in one piece.
+func WriteFrame(to io.Writer, data []byte) error {
 	whole := make([]byte, 4, 4+len(data))
 	binary.BigEndian.PutUint32(whole, uint32(len(data)))
 	_, err := to.Write(append(whole, data...))
 	return err
 }
 
-func readFrame(from io.Reader, most uint32) ([]byte, error) {
+// ReadFrame reads a frame; one that says to be longer than that is an error, and nothing of it is read.
+func ReadFrame(from io.Reader, most uint32) ([]byte, error) {
 	var head [4]byte
 	if _, err := io.ReadFull(from, head[:]); err != nil {
 		return nil, err
@@ -93,7 +92,7 @@
 	return data, err
 }
 
-func (h *hello) fits(fleet, from, to string) error {
+func (h *Hello) fits(fleet, from, to string) error {
 	switch {
 	case h.Version != version:
 		return fmt.Errorf("link of version %d, this build has %d", h.Version, version)
@@ -107,15 +106,15 @@
 	return nil
 }
 
-// call opens a link to a member: this process's frames go out on it.
-func call(c net.Conn, keys [][]byte, fleet, from, to string, life uint64) (theirs uint64, err error) {
+// Call opens a link to a process by its name, and gives its life.
+func Call(c net.Conn, keys [][]byte, fleet, from, to string, life uint64) (theirs uint64, err error) {
 	_ = c.SetDeadline(time.Now().Add(shakeWithin))
 	defer func() { _ = c.SetDeadline(time.Time{}) }()
-	mine := newHello(fleet, from, to, life)
-	if err := writeFrame(c, snapshot.Append(nil, &mine)); err != nil {
+	mine := NewHello(fleet, from, to, life)
+	if err := WriteFrame(c, snapshot.Append(nil, &mine)); err != nil {
 		return 0, err
 	}
-	data, err := readFrame(c, mostHello)
+	data, err := ReadFrame(c, mostHello)
 	if err != nil {
 		return 0, err
 	}
@@ -127,36 +126,36 @@
 		return 0, err
 	}
 	if !proven(keys, "taken", &mine, &p.Hello, p.Sum) {
-		return 0, errKey
+		return 0, ErrKey
 	}
-	return p.Hello.Life, writeFrame(c, sum(keys[0], "calls", &mine, &p.Hello))
+	return p.Hello.Life, WriteFrame(c, sum(keys[0], "calls", &mine, &p.Hello))
 }
 
-// take answers a link's opening, and tells whose it is.
-func take(c net.Conn, r *bufio.Reader, keys [][]byte, fleet, self string, life uint64) (from string, theirs uint64, err error) {
+// Take answers a link's opening, and tells whose it is: any name that the key's holder gives itself.
+func Take(c net.Conn, r *bufio.Reader, keys [][]byte, fleet, self string, life uint64) (from string, theirs uint64, err error) {
 	_ = c.SetDeadline(time.Now().Add(shakeWithin))
 	defer func() { _ = c.SetDeadline(time.Time{}) }()
-	data, err := readFrame(r, mostHello)
+	data, err := ReadFrame(r, mostHello)
 	if err != nil {
 		return "", 0, err
 	}
-	h := &hello{}
+	h := &Hello{}
 	if err := snapshot.Read(data, h); err != nil {
 		return "", 0, err
 	}
 	if err := h.fits(fleet, "", self); err != nil {
 		return "", 0, err
 	}
-	mine := newHello(fleet, self, h.From, life)
-	if err := writeFrame(c, snapshot.Append(nil, &proof{mine, sum(keys[0], "taken", h, &mine)})); err != nil {
+	mine := NewHello(fleet, self, h.From, life)
+	if err := WriteFrame(c, snapshot.Append(nil, &proof{mine, sum(keys[0], "taken", h, &mine)})); err != nil {
 		return "", 0, err
 	}
-	given, err := readFrame(r, mostHello)
+	given, err := ReadFrame(r, mostHello)
 	if err != nil {
 		return "", 0, err
 	}
 	if !proven(keys, "calls", h, &mine, given) {
-		return "", 0, errKey
+		return "", 0, ErrKey
 	}
 	return h.From, h.Life, nil
 }
--- /dev/null
+++ b/internal/peers/link_test.go
@@ -0,0 +1,6 @@
+package peers
+
+import "pearknot/internal/peers/link"
+
+// What the tests here speak by hand is the links' own.
+var newHello, call, writeFrame = link.NewHello, link.Call, link.WriteFrame
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -18,6 +18,7 @@
 	"pearknot/internal/clock"
 	"pearknot/internal/estate"
 	"pearknot/internal/mailbox"
+	"pearknot/internal/peers/link"
 )
 
 // Member is one process of the fleet.
@@ -42,6 +43,12 @@
 	beside     = 4 << 20 // bytes of a frame, or of a queue, beside an image of a ledger
 	oddEvery   = time.Second
 	bindEvery  = 50 * time.Millisecond // while a process before this one still has the address
+
+	dialWithin   = time.Second
+	writeWithin  = time.Second
+	silentWithin = estate.SilentFor * time.Millisecond // a beat comes ten times as often
+	againFrom    = 50 * time.Millisecond               // between two tries to connect, growing
+	againUpTo    = time.Second
 )
 
 // mostFrame is the size of the largest frame: an image of a ledger that is full. Of two of them one may be queued behind the other.
@@ -284,12 +291,12 @@
 		c, err := d.DialContext(p.ctx, "tcp", to.Address)
 		if err == nil {
 			var life uint64
-			if life, err = call(c, p.t.Keys, p.t.Fleet, p.t.Members[p.t.Self].Name, to.Name, p.life); err == nil {
+			if life, err = link.Call(c, p.t.Keys, p.t.Fleet, p.t.Members[p.t.Self].Name, to.Name, p.life); err == nil {
 				wait = againFrom
 				p.carry(k, c, life)
 			} else {
 				_ = c.Close()
-				if p.ctx.Err() == nil && err == errKey {
+				if p.ctx.Err() == nil && err == link.ErrKey {
 					p.sayOdd(to.Name, err)
 				}
 			}
@@ -336,7 +343,7 @@
 			return
 		}
 		_ = c.SetWriteDeadline(time.Now().Add(writeWithin))
-		err := writeFrame(w, frame)
+		err := link.WriteFrame(w, frame)
 		o.bytes.Add(-int64(len(frame)))
 		if err == nil && len(o.frames) == 0 {
 			err = w.Flush()
@@ -391,7 +398,7 @@
 	stop := context.AfterFunc(p.ctx, func() { _ = c.Close() })
 	defer stop()
 	r := bufio.NewReaderSize(c, 64<<10)
-	name, life, err := take(c, r, p.t.Keys, p.t.Fleet, p.t.Members[p.t.Self].Name, p.life)
+	name, life, err := link.Take(c, r, p.t.Keys, p.t.Fleet, p.t.Members[p.t.Self].Name, p.life)
 	from := -1
 	for k, m := range p.t.Members {
 		if m.Name == name && k != p.t.Self {
@@ -415,7 +422,7 @@
 	})
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(silentWithin))
-		data, err := readFrame(r, uint32(p.t.mostFrame()))
+		data, err := link.ReadFrame(r, uint32(p.t.mostFrame()))
 		if err != nil {
 			p.box.Put(func() {
 				if p.members[from].in == c {
