--- a/internal/agent/store.go
+++ b/internal/agent/store.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io/fs"
 	"log/slog"
 	"os"
@@ -20,6 +19,7 @@
 	"go.etcd.io/bbolt"
 	berrors "go.etcd.io/bbolt/errors"
 
+	"pearknot/internal/durable"
 	"pearknot/internal/fleet"
 )
 
@@ -43,8 +43,7 @@
 	log   *slog.Logger
 }
 
-// errDamaged is a state file that can't be trusted.
-var errDamaged = errors.New("damaged")
+var errDamaged = durable.ErrDamaged
 
 // errBusy is a state that another agent has.
 var errBusy = errors.New("another agent has it")
@@ -155,7 +154,7 @@
 			}
 		}
 		for k, v := range changed {
-			if err := b.Put([]byte(k), sealed(v)); err != nil {
+			if err := b.Put([]byte(k), durable.Seal(v)); err != nil {
 				return err
 			}
 		}
@@ -173,29 +172,13 @@
 	if err != nil {
 		return err
 	}
-	if err := renameio.WriteFile(filepath.Join(s.dir, snapshotFile), sealed(string(data)), 0o600); err != nil {
+	if err := renameio.WriteFile(filepath.Join(s.dir, snapshotFile), durable.Seal(string(data)), 0o600); err != nil {
 		return err
 	}
 	s.fresh = false
 	return nil
 }
 
-// sealed puts a value behind its checksum.
-func sealed(v string) []byte {
-	return append(binary.BigEndian.AppendUint64(make([]byte, 0, 8+len(v)), xxhash.Sum64String(v)), v...)
-}
-
-func unsealed(data []byte) (string, error) {
-	if len(data) < 8 {
-		return "", errDamaged
-	}
-	v := string(data[8:])
-	if binary.BigEndian.Uint64(data) != xxhash.Sum64String(v) {
-		return "", errDamaged
-	}
-	return v, nil
-}
-
 // total is a checksum over all keys and values, whatever their order.
 func total(all map[string]string) []byte {
 	sum := uint64(len(all))
@@ -210,7 +193,7 @@
 	if _, err := os.Stat(path); err != nil {
 		return nil, err
 	}
-	if err := metas(path); err != nil {
+	if err := durable.Heads(path); err != nil {
 		return nil, err
 	}
 	// A file that was cut short is mapped beyond its end, and one with flipped bytes may send the reader anywhere.
@@ -247,7 +230,7 @@
 				sum = append([]byte{}, v...)
 				return nil
 			}
-			value, err := unsealed(v)
+			value, err := durable.Unseal(v)
 			kept[string(k)] = value
 			return err
 		})
@@ -261,29 +244,6 @@
 	return kept, version(kept, path)
 }
 
-// metas sees that both of the file's heads are whole. The library goes on with the older one where the newer is not, and
-// so with a state from before the last step: here that is a damage, and what runs is believed instead.
-func metas(path string) error {
-	f, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	const head, size = 16, 64 // of a page, and of what stands there, its checksum last
-	for page := range 2 {
-		b := make([]byte, head+size)
-		if _, err := f.ReadAt(b, int64(page*os.Getpagesize())); err != nil {
-			return fmt.Errorf("%s: %w: head %d: %v", path, errDamaged, page, err)
-		}
-		h := fnv.New64a()
-		_, _ = h.Write(b[head : head+size-8])
-		if binary.LittleEndian.Uint64(b[head+size-8:]) != h.Sum64() {
-			return fmt.Errorf("%s: %w: head %d", path, errDamaged, page)
-		}
-	}
-	return nil
-}
-
 func version(kept map[string]string, path string) error {
 	if v := kept["schema"]; v != "" && v != fmt.Sprint(schema) {
 		return fmt.Errorf("%s: %w: version %s, this agent has %d", path, errSchema, v, schema)
@@ -296,7 +256,7 @@
 	if err != nil {
 		return nil, err
 	}
-	text, err := unsealed(data)
+	text, err := durable.Unseal(data)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
