--- /dev/null
+++ b/internal/controlplane/client/call.go
@@ -0,0 +1,237 @@
+package client
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"pearknot/internal/controlplane"
+)
+
+const (
+	answerWithin = 5 * time.Second // a call of one member, a change's commit among them
+	statusWithin = 2 * time.Second
+	retryEvery   = 200 * time.Millisecond
+	freshWithin  = 2000.0 // ms; an answer that is older is compared with others'
+	operator     = "operator"
+)
+
+// ConflictError is a change made from another version than the head.
+type ConflictError struct{ Base, Head uint64 }
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("made from version %d, and the head is %d: another change came first", e.Base, e.Head)
+}
+
+// InvalidError is a text that no node could put in force.
+type InvalidError struct{ Why string }
+
+func (e *InvalidError) Error() string { return e.Why }
+
+// ErrAbsent is a version that nobody who answered has.
+var ErrAbsent = errors.New("no such version is kept")
+
+// ask makes one call of one member.
+func (p *Plane) ask(ctx context.Context, m Member, within time.Duration, c *Call, text []byte) (a *Answer, its []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	frames, err := Pieces(c, text)
+	if err != nil {
+		return nil, nil, err
+	}
+	pipe, err := Open(ctx, p.Fleet, p.Keys, operator, m, ForCall)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", m.Name, err)
+	}
+	stop := context.AfterFunc(ctx, pipe.Close)
+	defer stop()
+	for _, f := range frames {
+		pipe.Send(f)
+	}
+	var g Gathered
+	err = pipe.Run(controlplane.MostFrame, 0, func(data []byte) {
+		if whole, e := g.Add(data); e != nil || whole {
+			if e == nil {
+				a = &Answer{}
+				if its, e = g.Read(a); e != nil {
+					a = nil
+				}
+			}
+			pipe.Close()
+		}
+	}, nil)
+	if a == nil {
+		return nil, nil, fmt.Errorf("%s: no answer: %w", m.Name, cmp.Or(ctx.Err(), err))
+	}
+	return a, its, nil
+}
+
+func (p *Plane) voters() (all []Member) {
+	for _, m := range p.Members {
+		if m.Voter {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
+// atLeader calls until the leader has answered, or ctx ends. A call whose answer was lost is made again: a change by its ID comes
+// into force once.
+func (p *Plane) atLeader(ctx context.Context, c *Call, text []byte) (*Answer, []byte, error) {
+	voters := p.voters()
+	next, failed := rand.IntN(len(voters)), errors.New("no voter leads")
+	unsure := false
+	for {
+		m := voters[next%len(voters)]
+		next++
+		a, its, err := p.ask(ctx, m, answerWithin, c, text)
+		wait := retryEvery
+		switch {
+		case err != nil:
+			failed, unsure = err, unsure || c.Op == OpApply
+			wait = retryEvery / 4
+		case a.Code == controlplane.NotLeader:
+			if k := slices.IndexFunc(voters, func(v Member) bool { return v.Name == a.Leader }); k >= 0 && a.Leader != m.Name {
+				next, wait = k, retryEvery/20
+			}
+			failed = fmt.Errorf("%s does not lead, and knows of leader %q", m.Name, a.Leader)
+		case a.Code == controlplane.Lost:
+			failed, unsure = fmt.Errorf("%s lost the lead", m.Name), true
+		case a.Code == controlplane.Busy:
+			failed = fmt.Errorf("%s has too many changes in hand", m.Name)
+		default:
+			return a, its, nil
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			if unsure {
+				return nil, nil, fmt.Errorf("change %016x may have come into force or may still: see the log: %w", c.ID, failed)
+			}
+			return nil, nil, failed
+		}
+	}
+}
+
+// Head asks the leader for the head's version.
+func (p *Plane) Head(ctx context.Context) (uint64, error) {
+	a, _, err := p.atLeader(ctx, &Call{Op: OpHead}, nil)
+	if err != nil {
+		return 0, err
+	}
+	return a.Version, nil
+}
+
+// Apply makes the next version, from base; it is on a majority's disks when this returns.
+func (p *Plane) Apply(ctx context.Context, base uint64, text []byte, by, reason string) (uint64, error) {
+	c := &Call{Op: OpApply, Base: base, ID: max(rand.Uint64(), 1), By: by, Reason: reason}
+	a, _, err := p.atLeader(ctx, c, text)
+	if err != nil {
+		return 0, err
+	}
+	switch a.Code {
+	case controlplane.Done:
+		return a.Version, nil
+	case controlplane.Conflict:
+		return 0, &ConflictError{base, a.Version}
+	}
+	return 0, &InvalidError{a.Why}
+}
+
+// freshest asks the voters in turn until one answers that is fresh, else takes the freshest; members that are no voters are asked
+// where no voter answers.
+func (p *Plane) freshest(ctx context.Context, c *Call) (best *Answer, text []byte, err error) {
+	order := p.voters()
+	rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	for _, m := range p.Members {
+		if !m.Voter {
+			order = append(order, m)
+		}
+	}
+	for _, m := range order {
+		if best != nil && !m.Voter {
+			break
+		}
+		a, its, e := p.ask(ctx, m, statusWithin, c, nil)
+		switch {
+		case e != nil:
+			err = e
+			continue
+		case best == nil, best.Code != controlplane.Done && a.Code == controlplane.Done, age(a) < age(best) && a.Code == best.Code:
+			best, text = a, its
+		}
+		if best.Code == controlplane.Done && age(best) < freshWithin {
+			break
+		}
+	}
+	switch {
+	case best == nil:
+		return nil, nil, err
+	case best.Code != controlplane.Done:
+		return nil, nil, ErrAbsent
+	}
+	return best, text, nil
+}
+
+func age(a *Answer) float64 {
+	if a.AgeMs == nil {
+		return 1e18
+	}
+	return *a.AgeMs
+}
+
+// Get gives a version's text, the head's where version is 0, and how old the answer may be (ms; nil is unknown).
+func (p *Plane) Get(ctx context.Context, version uint64) (uint64, []byte, *float64, error) {
+	a, text, err := p.freshest(ctx, &Call{Op: OpGet, Version: version})
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	return a.Version, text, a.AgeMs, nil
+}
+
+// Log gives the last changes, newest last.
+func (p *Plane) Log(ctx context.Context, most int) ([]Entry, *float64, error) {
+	a, _, err := p.freshest(ctx, &Call{Op: OpLog, Most: most})
+	if err != nil {
+		return nil, nil, err
+	}
+	return a.Log, a.AgeMs, nil
+}
+
+// Rollback makes a next version with an earlier one's text.
+func (p *Plane) Rollback(ctx context.Context, to, base uint64, by, reason string) (uint64, error) {
+	_, text, _, err := p.Get(ctx, to)
+	if err != nil {
+		return 0, err
+	}
+	return p.Apply(ctx, base, text, by, reason)
+}
+
+// Asked is what a member answered, or why it did not.
+type Asked struct {
+	Member Member
+	Status *MemberStatus
+	Err    error
+}
+
+// Statuses asks all members at once.
+func (p *Plane) Statuses(ctx context.Context) []Asked {
+	all := make([]Asked, len(p.Members))
+	var wg sync.WaitGroup
+	for k, m := range p.Members {
+		wg.Go(func() {
+			a, _, err := p.ask(ctx, m, statusWithin, &Call{Op: OpStatus}, nil)
+			all[k] = Asked{Member: m, Err: err}
+			if err == nil {
+				all[k].Status = a.Status
+			}
+		})
+	}
+	wg.Wait()
+	return all
+}
