--- a/cmd/pearknot/main.go
+++ b/cmd/pearknot/main.go
@@ -46,7 +46,7 @@
 	check.Short = "Read the configuration, tell what it says, and end"
 	root.AddCommand(serveCommand, check, &cobra.Command{Use: "version", Short: "Tell the version", Args: cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "pearknot", command.Version()) }},
-		agentCommand(), fleetCommand(), replayCommand(), explainCommand(), captureCommand(), certsCommand(), clientsCommand(), callCommand(), peersCommand())
+		agentCommand(), fleetCommand(), replayCommand(), explainCommand(), captureCommand(), certsCommand(), clientsCommand(), callCommand(), peersCommand(), controlPlaneCommand(), configCommand())
 	root.SetArgs(longFlags(args))
 	root.SetOut(out)
 	root.SetErr(errs)
@@ -73,7 +73,7 @@
 
 // nodeCommand serves or checks.
 func nodeCommand(use, what string) *cobra.Command {
-	var file, logFile, captureFile, tlsFile, peersFile string
+	var file, logFile, captureFile, tlsFile, peersFile, planeFile string
 	var o serve.Options
 	level := slog.LevelInfo
 	c := &cobra.Command{Use: use, Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
@@ -122,6 +122,11 @@
 				return command.Usage(err)
 			}
 		}
+		if planeFile != "" {
+			if o.Plane, err = readPlane(planeFile); err != nil {
+				return err
+			}
+		}
 		o.Decide, o.Version, o.Token = node.Module, command.Version(), os.Getenv(serve.TokenVariable)
 		if e := os.Getenv(serve.EpochVariable); e != "" {
 			if o.Epoch, err = strconv.ParseUint(e, 10, 64); err != nil {
@@ -138,6 +143,7 @@
 		c.Flags().StringVar(&captureFile, "capture", "", "file of a capture, such as deploy/capture.toml")
 		c.Flags().StringVar(&tlsFile, "tls", "", "file of a TLS listener and its certificates, such as deploy/tls.toml")
 		c.Flags().StringVar(&peersFile, "peers", "", "file of the processes that keep each other's ops, such as deploy/peers.toml")
+		c.Flags().StringVar(&planeFile, "control-plane", "", "file of the control plane whose settings it follows, such as deploy/control-plane.toml")
 		c.Flags().BoolVar(&o.Held, "held", false, "stay out of service until the control socket says otherwise")
 		c.Flags().StringVar(&logFile, "log-file", "", "log to a file, rotated, and not to standard error")
 	}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -42,6 +42,25 @@
 	Open      int64   `json:"open_ops"`
 	MemoryMB  float64 `json:"memory_mb"` // that the runtime has of the system
 	TLS       *TLS    `json:"tls,omitempty"`
+
+	ControlPlane *ControlPlane `json:"control_plane,omitempty"`
+}
+
+// ControlPlane is what a node that follows one has of it.
+type ControlPlane struct {
+	InForce uint64   `json:"in_force"` // version; 0 is the file's settings
+	Held    uint64   `json:"held"`
+	Digest  string   `json:"digest,omitempty"` // SHA-256 of the text in force
+	AgeMs   *float64 `json:"age_ms,omitempty"` // it has all that was acknowledged so long ago; none before the first contact
+	Member  string   `json:"member,omitempty"` // that it follows
+	Refused uint64   `json:"refused,omitempty"`
+	Why     string   `json:"why,omitempty"`
+
+	BytesIn   int64 `json:"bytes_in"`
+	BytesOut  int64 `json:"bytes_out"`
+	FramesIn  int64 `json:"frames_in"`
+	FramesOut int64 `json:"frames_out"`
+	Dials     int64 `json:"dials"`
 }
 
 // TLS is what a node serves beside plain connections.
--- a/internal/controlplane/client/call.go
+++ b/internal/controlplane/client/call.go
@@ -194,7 +194,7 @@
 	return a.Version, text, a.AgeMs, nil
 }
 
-// Log gives the last changes, newest last.
+// Log gives the last changes, newest first.
 func (p *Plane) Log(ctx context.Context, most int) ([]Entry, *float64, error) {
 	a, _, err := p.freshest(ctx, &Call{Op: OpLog, Most: most})
 	if err != nil {
@@ -226,6 +226,9 @@
 	for k, m := range p.Members {
 		wg.Go(func() {
 			a, _, err := p.ask(ctx, m, statusWithin, &Call{Op: OpStatus}, nil)
+			if err == nil && a.Status == nil {
+				err = fmt.Errorf("%s: no status: %s", m.Name, a.Why)
+			}
 			all[k] = Asked{Member: m, Err: err}
 			if err == nil {
 				all[k].Status = a.Status
--- a/internal/controlplane/client/client.go
+++ b/internal/controlplane/client/client.go
@@ -117,7 +117,7 @@
 func (c *Client) run() {
 	tick := time.NewTicker(controlplane.TickMs * time.Millisecond)
 	defer tick.Stop()
-	defer func() { c.follow.hangup() }()
+	defer func() { c.follow.Hangup() }()
 	var notes []func()
 	member := ""
 	for {
@@ -165,7 +165,7 @@
 		}
 		text := next.Text.Text()
 		if err := c.apply(next.Version, text); err != nil {
-			if c.ctx.Err() != nil {
+			if c.ctx.Err() != nil || errors.Is(err, context.Canceled) { // that is no word on the version
 				return
 			}
 			c.log.Error("version of the settings refused, the one before holds", "version", next.Version, "error", err)
--- a/internal/controlplane/client/disk.go
+++ b/internal/controlplane/client/disk.go
@@ -75,6 +75,9 @@
 	return nil
 }
 
+// Owned tells whether this process is the one that writes.
+func (d *Disk) Owned() bool { return d.lock != nil }
+
 // Keep writes a version, whole or not at all; it is durable when it returns.
 func (d *Disk) Keep(version uint64, text []byte) error {
 	if err := d.own(); err != nil {
--- a/internal/controlplane/client/link.go
+++ b/internal/controlplane/client/link.go
@@ -110,7 +110,7 @@
 		case o.Dial:
 			f.dial(o.Member)
 		case o.Hangup:
-			f.hangup()
+			f.Hangup()
 		case o.Frame != nil:
 			if f.pipe != nil {
 				f.pipe.Send(o.Frame)
@@ -139,7 +139,8 @@
 	c.FramesOut += framesOut
 }
 
-func (f *Following) hangup() {
+// Hangup ends the connection, or the dial.
+func (f *Following) Hangup() {
 	f.life++
 	if f.cancel != nil {
 		f.cancel()
@@ -153,7 +154,7 @@
 }
 
 func (f *Following) dial(k int) {
-	f.hangup()
+	f.Hangup()
 	f.Dials++
 	life, to := f.life, f.terms.Members[k]
 	ctx, cancel := context.WithCancel(f.ctx)
@@ -201,7 +202,7 @@
 func (f *Following) lost(life uint64) {
 	f.put(func() {
 		if f.life == life {
-			f.hangup()
+			f.Hangup()
 			f.Lost(f.now())
 		}
 	})
--- a/internal/peers/link/link.go
+++ b/internal/peers/link/link.go
@@ -85,13 +85,20 @@
 	}
 	size := binary.BigEndian.Uint32(head[:])
 	if size > most {
-		return nil, fmt.Errorf("frame of %d bytes, %d at most", size, most)
+		return nil, &LongError{size, most}
 	}
 	data := make([]byte, size)
 	_, err := io.ReadFull(from, data)
 	return data, err
 }
 
+// LongError is a frame that says to be longer than any may be.
+type LongError struct{ Size, Most uint32 }
+
+func (e *LongError) Error() string {
+	return fmt.Sprintf("frame of %d bytes, %d at most", e.Size, e.Most)
+}
+
 func (h *Hello) fits(fleet, from, to string) error {
 	switch {
 	case h.Version != version:
--- a/internal/peers/link/pipe.go
+++ b/internal/peers/link/pipe.go
@@ -61,6 +61,9 @@
 	return waiting
 }
 
+// Waiting is how many bytes are queued.
+func (p *Pipe) Waiting() int64 { return p.queued.Load() }
+
 // Close ends it; Run returns.
 func (p *Pipe) Close() {
 	p.mine.Store(true)
--- a/internal/serve/control.go
+++ b/internal/serve/control.go
@@ -23,7 +23,7 @@
 
 // openControl serves the node's control socket until it is closed.
 func openControl(p *Place, o Options, n *node.Node, f *front.Front, dump func() (string, error), certificates *acme.Instance,
-	links *peers.Peers, started float64, log *slog.Logger) (io.Closer, error) {
+	links *peers.Peers, settings *shared, started float64, log *slog.Logger) (io.Closer, error) {
 	l, err := control.Listen(o.Control)
 	if err != nil {
 		return nil, err
@@ -44,6 +44,9 @@
 			s.TLS = &control.TLS{Listen: f.SecureAddress(), Dir: o.TLS.Acme.Dir, Handshakes: f.Handshakes(), Certificates: certificates.Status()}
 			s.TLS.Orders, s.TLS.OrderedBy = certificates.Orders()
 		}
+		if settings != nil {
+			s.ControlPlane = settings.state(ctx)
+		}
 		return s, nil
 	}
 	service := func(s control.Service) error {
--- a/internal/serve/place.go
+++ b/internal/serve/place.go
@@ -39,7 +39,9 @@
 	tlsListen string        // in the place of that file's
 	edge      string        // a file as --edge names one
 	known     *members.List // nil where the node never had one
-	keys      []string      // that the file has beside its settings
+	knownText json.RawMessage
+	version   uint64   // of the settings, by the control plane; 0 is the file's
+	keys      []string // that the file has beside its settings
 	now       atomic.Pointer[reading]
 }
 
@@ -117,18 +119,32 @@
 	for key := range keys.Limits {
 		p.keys = append(p.keys, "limits."+key)
 	}
-	p.names = members.Names{Zones: p.told.Zones, Kinds: p.told.Kinds}
-	if len(read.Known) > 0 && string(read.Known) != "null" {
-		if p.known, err = p.names.Decode(read.Known, log); err != nil {
-			log.Warn("known list skipped", "error", err) // the list itself will tell
-		} else if !p.known.Whole { // a watch from its version would never tell of the rest
-			log.Warn("known list skipped", "error", "changes alone")
-			p.known = nil
-		}
-	}
+	p.knownText = read.Known
+	p.readKnown(log)
 	return p, nil
 }
 
+// readKnown reads the list that the file has, by the names that the settings give.
+func (p *Place) readKnown(log *slog.Logger) {
+	p.names, p.known = members.Names{Zones: p.told.Zones, Kinds: p.told.Kinds}, nil
+	if len(p.knownText) == 0 || string(p.knownText) == "null" {
+		return
+	}
+	var err error
+	if p.known, err = p.names.Decode(p.knownText, log); err != nil {
+		log.Warn("known list skipped", "error", err) // the list itself will tell
+	} else if !p.known.Whole { // a watch from its version would never tell of the rest
+		log.Warn("known list skipped", "error", "changes alone")
+		p.known = nil
+	}
+}
+
+// adopt has a node start with settings that are not the file's.
+func (p *Place) adopt(d *terms.Deployment, version uint64, log *slog.Logger) {
+	p.told, p.version = d, version
+	p.readKnown(log)
+}
+
 // wrong names the place of what can't be read.
 func wrong(file string, data []byte, err error) error {
 	at := int64(len(data))
@@ -149,7 +165,8 @@
 var mayGo = []string{"known", "tls", "tls_listen", "edge"}
 
 // reread takes up a new text of the file, whole or not at all: where the list is asked for, and the whole list from there;
-// and the settings, by retune. Addresses and limits need a start.
+// and the settings, by retune. Addresses and limits need a start. Once the control plane has put settings in force, the file's
+// are read and no more.
 func (p *Place) reread(move func(address string), retune func(*terms.Deployment) error, log *slog.Logger) {
 	next, err := Read(p.file, log)
 	if err == nil {
@@ -159,19 +176,25 @@
 			}
 		}
 	}
-	if err == nil {
+	ours := p.version == 0
+	if err == nil && ours {
 		if err = next.told.Follows(p.told); err != nil {
 			err = fmt.Errorf("%s: %w", p.file, err)
 		}
 	}
-	if err == nil {
+	if err == nil && ours {
 		err = retune(next.told)
 	}
 	if err != nil {
 		log.Error("new configuration not taken, the old one holds", "error", err)
 		return
 	}
-	p.told, p.keys = next.told, next.keys
+	p.keys = next.keys
+	if ours {
+		p.told = next.told
+	} else {
+		log.Info("settings of the file not taken: the control plane's hold", "version", p.version)
+	}
 	if next.name != p.name || next.listen != p.listen || next.sockets != p.sockets || next.memory != p.memory ||
 		next.cores != p.cores || next.tls != p.tls || next.tlsListen != p.tlsListen || next.edge != p.edge || next.control != p.control {
 		log.Warn("new configuration differs in what only a start takes up")
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -17,6 +17,7 @@
 	"pearknot/internal/acme"
 	"pearknot/internal/clock"
 	"pearknot/internal/console"
+	"pearknot/internal/controlplane/client"
 	"pearknot/internal/front"
 	"pearknot/internal/members"
 	"pearknot/internal/node"
@@ -43,14 +44,15 @@
 type Options struct {
 	Decide  node.Decide // makes its decision module
 	Version string
-	Control string   // path of its control socket; none is served where empty
-	Held    bool     // out of service until the control socket says otherwise
-	Token   string   // that the control socket answers with
-	Epoch   uint64   // the agent's count of its restarts
-	Capture *Capture // where all that the module is told goes; nil is nowhere
-	TLS     *TLS     // nil is none
-	Edge    string   // file of admission; all clients are let in where empty
-	Peers   *Peers   // nil shares nothing
+	Control string        // path of its control socket; none is served where empty
+	Held    bool          // out of service until the control socket says otherwise
+	Token   string        // that the control socket answers with
+	Epoch   uint64        // the agent's count of its restarts
+	Capture *Capture      // where all that the module is told goes; nil is nowhere
+	TLS     *TLS          // nil is none
+	Edge    string        // file of admission; all clients are let in where empty
+	Peers   *Peers        // nil shares nothing
+	Plane   *client.Plane // the control plane that it follows; nil is none
 }
 
 // Hear has SIGHUP wait for Run, from before the configuration is read: one that nobody heard would end the process. One that
@@ -94,6 +96,17 @@
 		}
 		limit -= o.Peers.terms.Descriptors()
 	}
+	var settings *shared
+	var asks chan ask
+	if o.Plane != nil {
+		var err error
+		if settings, err = openShared(p, o.Plane, now, log); err != nil {
+			return err
+		}
+		asks = settings.asks
+		defer settings.stop()
+		limit -= client.Descriptors
+	}
 	budget := sockets.New(limit, func() {
 		select {
 		case pressed <- struct{}{}:
@@ -193,7 +206,7 @@
 		return err
 	}
 	if o.Control != "" {
-		c, err := openControl(p, o, n, f, dump, certificates, links, now.Now(), log)
+		c, err := openControl(p, o, n, f, dump, certificates, links, settings, now.Now(), log)
 		if err != nil {
 			return err
 		}
@@ -204,6 +217,17 @@
 	failed := make(chan error, 1)
 	go func() { failed <- f.Serve() }()
 	both.begin()
+	retune := func(d *terms.Deployment) error {
+		if err := n.Retune(over, d); err != nil {
+			return err
+		}
+		f.Retune(d)
+		retime(d)
+		return nil
+	}
+	if settings != nil {
+		settings.client.Start()
+	}
 	var heeding sync.WaitGroup
 	defer func() { end(); heeding.Wait() }()
 	heeding.Go(func() { // through the drain, too: what a list that is followed no more would tell counts all the same
@@ -211,15 +235,10 @@
 			select {
 			case <-over.Done():
 				return
+			case a := <-asks:
+				a.told <- settings.take(a, retune)
 			case <-again:
-				p.reread(watch.Move, func(d *terms.Deployment) error {
-					if err := n.Retune(over, d); err != nil {
-						return err
-					}
-					f.Retune(d)
-					retime(d)
-					return nil
-				}, log)
+				p.reread(watch.Move, retune, log)
 				if o.Edge != "" {
 					if limits, err := ReadEdge(o.Edge); err != nil {
 						log.Error("new limits of clients not taken, the old ones hold", "error", err)
--- a/internal/terms/json.go
+++ b/internal/terms/json.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -11,12 +12,56 @@
 
 // FromJSON reads nested settings, whose paths are those of the lines.
 func FromJSON(data []byte) (*Deployment, error) {
-	var tree map[string]any
+	tree, err := decode(data)
+	if err != nil {
+		return nil, err
+	}
+	return fromTree(tree)
+}
+
+// ownKeys are those that tell nodes of one deployment apart.
+var ownKeys = []string{"az", "me"}
+
+// Shared reads settings that all nodes of a deployment are given alike: where a node stands and which one it is are as own has
+// them, and the seed; whatever the shared text says of them counts for nobody. Without an own, for a check, they are 0.
+func Shared(data []byte, own *Deployment) (*Deployment, error) {
+	tree, err := decode(data)
+	if err != nil {
+		return nil, err
+	}
+	for _, key := range ownKeys {
+		delete(tree, key)
+	}
+	number := func(x int) json.Number { return json.Number(strconv.Itoa(x)) }
+	switch {
+	case own == nil:
+		tree["az"], tree["me"] = number(0), number(0)
+	case own.keys.plain["me"]:
+		tree["me"] = number(own.Terms.Number)
+		fallthrough
+	default:
+		tree["az"] = number(own.Terms.Zone)
+	}
+	d, err := fromTree(tree)
+	if err == nil && own != nil {
+		d.Terms.Seed = own.Terms.Seed
+	}
+	return d, err
+}
+
+func decode(data []byte) (tree map[string]any, err error) {
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.UseNumber() // a number keeps its text, as in the lines
 	if err := d.Decode(&tree); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if tree == nil {
+		return nil, errors.New("settings: no object")
+	}
+	return tree, nil
+}
+
+func fromTree(tree map[string]any) (*Deployment, error) {
 	p := &pairs{values: map[string]string{}}
 	p.flatten("", tree)
 	told, err := p.deployment()
