--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -46,10 +46,11 @@
 
 // VoterTerms are a voter's own.
 type VoterTerms struct {
-	ID     uint64
-	Voters []uint64
-	Seed   uint64
-	Flaw   Flaw
+	ID      uint64
+	Voters  []uint64
+	Seed    uint64
+	Entries int // bytes of entries between two images; 0 is the usual, 1 MB or a quarter of the text
+	Flaw    Flaw
 }
 
 // Stored is what a voter's store holds. Keep does to it what a store must do at a Persist.
