--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -50,6 +50,7 @@
 	Voters  []uint64
 	Seed    uint64
 	Entries int // bytes of entries between two images; 0 is the usual, 1 MB or a quarter of the text
+	Kept    int // changes kept, the same for all voters; 0 is the usual, 4,096
 	Flaw    Flaw
 }
 
@@ -167,6 +168,7 @@
 type FollowerTerms struct {
 	Name, Region, Kind string
 	Members            []Target
+	Kept               int // changes that a member keeps; 0 is the usual, 4,096. A node keeps none
 	Seed               uint64
 	Flaw               Flaw
 }
--- a/internal/controlplane/follower.go
+++ b/internal/controlplane/follower.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	silentAfter  = 3000.0 // ms without a frame, after which another member is tried
+	silentAfter  = 2500.0 // ms without a frame, after which another member is tried
 	dialWithin   = 1000.0
 	againFrom    = 200.0 // between two tries, growing to
 	againUpTo    = 2000.0
@@ -71,7 +71,7 @@
 func NewFollower(t FollowerTerms, c Copy, now float64) *Follower {
 	most := 0
 	if t.Kind == KindMember {
-		most = mostKept
+		most = cmp.Or(t.Kept, mostKept)
 	}
 	f := &Follower{t: t, chance: rand.New(rand.NewPCG(t.Seed, xxhash.Sum64String(t.Name))), h: newHistory(0, nothing(), most),
 		wait: againFrom, rest: restFrom, freshAt: math.Inf(-1), askedAt: math.Inf(-1)}
@@ -187,11 +187,7 @@
 	}
 	if kind == frameHello {
 		s.Digest, s.Region, s.Kind = doc.digest[:], f.t.Region, f.t.Kind
-		if f.bad > 0 {
-			s.Held = 0 // nothing that this follower could go on from
-			d := nothing().digest
-			s.Digest = d[:]
-		}
+		s.Whole = f.bad > 0
 	}
 	f.out = append(f.out, FollowerOutput{Frame: frame(kind, &s)})
 	f.toldAt, f.changed = now, false
--- a/internal/controlplane/history.go
+++ b/internal/controlplane/history.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 
@@ -170,7 +171,7 @@
 var errImage = errors.New("odd image of a history")
 
 // readImage makes a history of its image.
-func readImage(data []byte) (*History, error) {
+func readImage(data []byte, most int) (*History, error) {
 	data, err := unpack(data, mostImage)
 	if err != nil {
 		return nil, errImage
@@ -183,7 +184,7 @@
 	if err != nil {
 		return nil, errImage
 	}
-	h := newHistory(m.Version, doc, mostKept)
+	h := newHistory(m.Version, doc, cmp.Or(most, mostKept))
 	for n := range m.Kept {
 		c, err := m.Kept[n].Change.change()
 		undo, odd := toSplices(m.Kept[n].Undo)
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -21,6 +21,7 @@
 	mostAhead   = 64 << 10  // of what was missed, unread
 	quickChunk  = 600.0     // ms: a chunk that was had so soon is followed by larger ones
 	slowChunk   = 1200.0    // and so late, by smaller ones
+	silentConn  = 10e3      // ms without a status, after which a connection is given up
 	mostLeases  = 16 << 10  // followers known: ten times the fleet
 	mostComes   = 4096      // versions whose time of arrival is known
 	wholeAgain  = 256 << 10 // bytes of changes since a packed whole, after which it is packed anew
@@ -112,7 +113,7 @@
 			break
 		}
 	}
-	c := &conn{id: id, name: name, beatAt: now + s.chance.Float64()*HeartbeatMs, credit: mostChunk}
+	c := &conn{id: id, name: name, beatAt: now + s.chance.Float64()*HeartbeatMs, credit: mostChunk, heardAt: now}
 	s.conns[id] = c
 	s.order = append(s.order, c)
 }
@@ -178,8 +179,8 @@
 		}
 		c.heard, c.live, c.whole, c.at, c.got, c.chunkAt = true, false, nil, 0, 0, 0
 		c.sent = st.Held
-		if have, known := s.h.digestAt(st.Held); known && have != Digest(st.Digest) {
-			c.sent = math.MaxUint64 // another's: never the head's, so that the whole goes
+		if have, known := s.h.digestAt(st.Held); st.Whole || known && have != Digest(st.Digest) {
+			c.sent = math.MaxUint64 // nobody's: the whole goes
 		}
 		c.beatAt = min(c.beatAt, now+s.chance.Float64()*HeartbeatMs/4) // how old it can be is known soon
 	}
@@ -301,6 +302,10 @@
 	s.ticked = now
 	s.credit = min(s.credit+past*serverRate, 2*TickMs*serverRate)
 	for _, c := range slices.Clone(s.order) {
+		if now-c.heardAt > silentConn {
+			s.hangup(c, "it is silent")
+			continue
+		}
 		c.credit = min(c.credit+past*wholeRate, 2*mostChunk)
 		if c.heard && now >= c.beatAt {
 			c.beatAt = max(c.beatAt+HeartbeatMs, now+HeartbeatMs/2)
--- a/internal/controlplane/voter.go
+++ b/internal/controlplane/voter.go
@@ -32,7 +32,8 @@
 	mostMessage    = mostImage + 1<<20
 )
 
-// Voter is one of those that agree on the history. What Next gives is to be carried out in order.
+// Voter is one of those that agree on the history. What Next gives is to be carried out in order, to its end, before anything else is
+// asked of it: History and FreshAt are ahead of a Persist that is still to come.
 type Voter struct {
 	t        VoterTerms
 	rn       *raft.RawNode
@@ -146,7 +147,7 @@
 		return nil, fmt.Errorf("voter's store: %w", err)
 	}
 	m := s.Snapshot.GetMetadata()
-	h, err := readImage(s.Snapshot.GetData())
+	h, err := readImage(s.Snapshot.GetData(), t.Kept)
 	if err != nil {
 		return nil, fmt.Errorf("voter's store: %w", err)
 	}
@@ -267,7 +268,7 @@
 		if s.GetIndex() == 0 || s.GetTerm() == 0 || s.GetIndex() > math.MaxUint64/2 || s.GetTerm() > m.GetTerm() || !proto.Equal(s.GetConfState(), v.conf) {
 			return false
 		}
-		_, err := readImage(m.GetSnapshot().GetData())
+		_, err := readImage(m.GetSnapshot().GetData(), v.t.Kept)
 		return err == nil
 	case pb.MsgReadIndex, pb.MsgReadIndexResp:
 		return len(m.GetEntries()) == 1 && m.GetEntries()[0] != nil && len(m.GetEntries()[0].GetData()) <= 64
@@ -369,7 +370,7 @@
 			v.out = append(v.out, VoterOutput{Persist: &p})
 		}
 		if p.Snapshot != nil {
-			if h, err := readImage(p.Snapshot.GetData()); err == nil && v.store.ApplySnapshot(p.Snapshot) == nil { // it was read before
+			if h, err := readImage(p.Snapshot.GetData(), v.t.Kept); err == nil && v.store.ApplySnapshot(p.Snapshot) == nil { // it was read before
 				v.history, v.conf = h, p.Snapshot.GetMetadata().GetConfState()
 				v.applied, v.weight = p.Snapshot.GetMetadata().GetIndex(), 0
 				v.out = append(v.out, VoterOutput{Restored: true})
--- a/internal/controlplane/wire.go
+++ b/internal/controlplane/wire.go
@@ -46,6 +46,7 @@
 	Got                    uint64 // bytes of the whole that is coming
 	Digest                 []byte // hello only, as what follows
 	Region, Kind           string
+	Whole                  bool // what it holds is no good to go on from
 }
 
 // heartbeat is what a server says each second, once it has heard a status.
