--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -16,12 +16,11 @@
 
 const (
 	NoFlaw          Flaw = iota
-	OutOfOrder           // a follower applies whatever change comes, whichever version it holds
+	OutOfOrder           // a follower applies whatever change comes, whichever version it holds; one out of turn unchecked
 	DigestUnchecked      // a follower doesn't compare digests
 	AckEarly             // a leader answers once it has the proposal itself
 	StaleServe           // a voter that leads takes itself for fresh without asking the others
 	ReceiptAge           // a follower counts an age from a heartbeat's receipt
-	PersistLate          // a voter sends before it has written
 	BaseUnchecked        // the state machine takes a change to whatever version it has
 )
 
--- a/internal/controlplane/follower.go
+++ b/internal/controlplane/follower.go
@@ -238,7 +238,7 @@
 		return nil
 	}
 	next, err := doc.splice(c.Splices)
-	if err == nil && next.digest != c.Digest && f.t.Flaw != DigestUnchecked && f.t.Flaw != OutOfOrder {
+	if err == nil && next.digest != c.Digest && f.t.Flaw != DigestUnchecked && c.Version == version+1 {
 		err = errDigest
 	}
 	if err != nil {
@@ -329,7 +329,7 @@
 	switch {
 	case b.Sent > version && b.Sent <= b.Head, f.in == nil && b.Whole > 0, f.in != nil && b.Whole > uint64(len(f.in.data)):
 		f.askAgain(now) // something of it was lost
-	case b.Head == version && b.Digest != doc.digest.start() && f.t.Flaw != DigestUnchecked && f.t.Flaw != OutOfOrder:
+	case b.Head == version && b.Digest != doc.digest.start() && f.t.Flaw != DigestUnchecked:
 		if now-f.askedAt >= askEvery {
 			return f.wrong(now)
 		}
--- a/internal/controlplane/voter.go
+++ b/internal/controlplane/voter.go
@@ -365,7 +365,6 @@
 		if len(rd.Entries) > 0 {
 			p.Entries = rd.Entries
 		}
-		written := len(v.out)
 		if rd.MustSync || p.Snapshot != nil { // a commit alone is told again
 			v.out = append(v.out, VoterOutput{Persist: &p})
 		}
@@ -380,10 +379,6 @@
 		for _, m := range rd.Messages {
 			v.send(m)
 		}
-		if v.t.Flaw == PersistLate && written < len(v.out) && v.out[written].Persist != nil {
-			late := v.out[written]
-			v.out = append(slices.Delete(v.out, written, written+1), late)
-		}
 		for _, s := range rd.ReadStates {
 			for k := range v.reads {
 				if v.reads[k].context == string(s.RequestCtx) {
--- a/internal/lab/simplane/simplane.go
+++ b/internal/lab/simplane/simplane.go
@@ -89,6 +89,8 @@
 	Flaw controlplane.Flaw
 	// Mangle loses, doubles, swaps and corrupts frames, which TCP doesn't: only digests, versions and heartbeats are left then.
 	Mangle bool
+	// Unsynced is a store that says a write is done 3 s before it is.
+	Unsynced bool
 
 	Conflicts, Acknowledged, Wholes int
 
@@ -238,6 +240,14 @@
 		}
 		switch {
 		case o.Persist != nil:
+			if s.Unsynced {
+				s.after(3000, func() {
+					if p.up && p.life == life {
+						p.store.Keep(o.Persist)
+					}
+				})
+				break
+			}
 			p.busy = true
 			s.after(0.2+s.rng.Float64()*s.rng.Float64()*20, func() {
 				if p.up && p.life == life {
