Faults between processes of the control plane: tests, and what they showed

Seen by them, and mended here: a node that left a stale member for another that was stale too (the deposed leader, cut one way) stayed there for 5 to 7.5 s, so that a change acknowledged meanwhile came 6 s late: it now looks again after 1 to 1.5 s, growing as before. A frame of 16 KB on a link of 1 KB/s was taken for a silence, and the whole never came: parts of a frame count as heard. An operator's command asked a frozen voter first, for 2 s: all are asked who leads. The fault-injecting links pass a slow piece on as it would come.

--- a/cmd/pearknot/controlplane_test.go
+++ b/cmd/pearknot/controlplane_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -59,7 +60,7 @@
 func tenants(n int, ttl int) string {
 	var b strings.Builder
 	for k := range n {
-		fmt.Fprintf(&b, `%s{"name":"tenant-%05d","quotaPerS":%d}`, map[bool]string{true: ",\n"}[k > 0], k, 50+k%7)
+		fmt.Fprintf(&b, `%s{"name":"tenant-%05d","quotaPerS":%d}`, map[bool]string{true: ",\n"}[k > 0], k, 50+uint32(k)*2654435761%90000)
 	}
 	s := strings.Replace(settings, `"tenants":[]`, `"tenants":[`+b.String()+`]`, 1)
 	return strings.Replace(s, `"ttl":4000`, fmt.Sprintf(`"ttl":%d`, ttl), 1)
@@ -168,15 +169,19 @@
 	p.t.Helper()
 	begun := time.Now()
 	if !assert.Eventually(p.t, f, d, 10*time.Millisecond, what) {
-		var logs strings.Builder
-		for name, x := range p.processes {
-			fmt.Fprintf(&logs, "--- %s\n%s", name, x.log)
-		}
-		p.t.Fatalf("not within %v: %s\n%s", d, what, &logs)
+		p.t.Fatalf("not within %v: %s\n%s", d, what, p.logs())
 	}
 	p.t.Logf("%v: %s", time.Since(begun).Round(10*time.Millisecond), what)
 }
 
+func (p *plane) logs() string {
+	var logs strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(p.processes)) {
+		fmt.Fprintf(&logs, "--- %s\n%s", name, p.processes[name].log)
+	}
+	return logs.String()
+}
+
 func (p *plane) statuses() []client.Asked {
 	ctx, cancel := context.WithTimeout(p.t.Context(), 2*time.Second)
 	defer cancel()
@@ -199,9 +204,12 @@
 	ctx, cancel := context.WithTimeout(p.t.Context(), 10*time.Second)
 	defer cancel()
 	base, err := p.operators.Head(ctx)
-	require.NoError(p.t, err)
-	version, err = p.operators.Apply(ctx, base, []byte(text), "test", "")
-	require.NoError(p.t, err)
+	if err == nil {
+		version, err = p.operators.Apply(ctx, base, []byte(text), "test", "")
+	}
+	if err != nil {
+		p.t.Fatalf("not applied: %v\n%s", err, p.logs())
+	}
 	return version, time.Now()
 }
 
@@ -332,4 +340,252 @@
 	require.Contains(t, out, "n1: version 4 in force")
 }
 
+// The leader is killed right after an acknowledgement: the change is in force all the same, another leads, and the killed one comes
+// back without a bootstrap and has what it missed.
+func TestLeaderKilledAfterAnAcknowledgement(t *testing.T) {
+	t.Parallel()
+	p := newPlane(t, "c1:east:voter", "c2:north:voter", "c3:west:voter")
+	p.node("n1", "east", settings)
+	p.node("n2", "west", settings)
+	for round := range 3 {
+		leader := p.leader()
+		version, at := p.apply(tenants(20, 4000+round))
+		p.kill(leader)
+		p.everywhere(version, at, "n1", "n2")
+		version, at = p.apply(tenants(20, 4100+round))
+		p.everywhere(version, at, "n1", "n2")
+		p.member(leader, false)
+		p.within(10*time.Second, leader+" has what it missed", func() bool {
+			r := client.Reported(p.statuses())
+			k := slices.IndexFunc(r.Members, func(m client.ReportMember) bool { return m.Name == leader })
+			return r.Members[k].Unknown == "" && r.Members[k].Head == version
+		})
+	}
+}
+
+// The leader is frozen right after an acknowledgement, for 3 s: others go on, and when it is resumed nothing is undone.
+func TestLeaderFrozenAfterAnAcknowledgement(t *testing.T) {
+	t.Parallel()
+	p := newPlane(t, "c1:east:voter", "c2:north:voter", "c3:west:voter")
+	p.node("n1", "east", settings)
+	p.node("n2", "west", settings)
+	leader := p.leader()
+	version, at := p.apply(tenants(20, 4001))
+	p.signal(leader, syscall.SIGSTOP)
+	resume := time.NewTimer(3 * time.Second)
+	p.everywhere(version, at, "n1", "n2")
+	next, nextAt := p.apply(tenants(20, 4002))
+	require.Greater(t, next, version)
+	<-resume.C
+	p.signal(leader, syscall.SIGCONT)
+	p.everywhere(next, nextAt, "n1", "n2")
+	p.within(10*time.Second, leader+" has what it missed", func() bool {
+		r := client.Reported(p.statuses())
+		k := slices.IndexFunc(r.Members, func(m client.ReportMember) bool { return m.Name == leader })
+		return r.Members[k].Unknown == "" && r.Members[k].Head == next
+	})
+	last, lastAt := p.apply(tenants(20, 4003))
+	require.Equal(t, next+1, last, "nothing of the frozen one's came between")
+	p.everywhere(last, lastAt, "n1", "n2")
+}
+
+// A voter is lost and then a relay: nodes move to another member within 2 s and get what they missed as a difference.
+func TestAVoterAndARelayLost(t *testing.T) {
+	t.Parallel()
+	p := newPlane(t, "c1:east:voter", "c2:north:voter", "c3:west:voter", "c4:south", "c5:south")
+	p.node("n1", "south", settings)
+	p.node("n2", "south", settings)
+	version, at := p.apply(tenants(3000, 4000))
+	p.everywhere(version, at, "n1", "n2")
+	leader := p.leader()
+	for _, m := range []string{"c1", "c2", "c3"} {
+		if m != leader {
+			p.kill(m)
+			break
+		}
+	}
+	version, at = p.apply(tenants(3000, 4001))
+	p.everywhere(version, at, "n1", "n2")
+	// Its relay goes, and a change is made before it has another.
+	was, err := p.holds("n1")
+	require.NoError(t, err)
+	require.Contains(t, []string{"c4", "c5"}, was.Member, "of its region")
+	p.kill(was.Member)
+	lost := time.Now()
+	version, at = p.apply(tenants(3000, 4002))
+	p.within(time.Until(lost.Add(movedWithin)), "n1 follows another", func() bool {
+		s, err := p.holds("n1")
+		return err == nil && s.Member != "" && s.Member != was.Member
+	})
+	p.everywhere(version, at, "n1", "n2")
+	now, err := p.holds("n1")
+	require.NoError(t, err)
+	require.Less(t, now.BytesIn-was.BytesIn, int64(8<<10), "what it missed, not the whole")
+}
+
+// What the leader sends to the others is lost, what they send comes: another leads, and changes go on.
+func TestLinksCutOneWay(t *testing.T) {
+	t.Parallel()
+	p := newPlane(t, "c1:east:voter", "c2:north:voter", "c3:west:voter")
+	p.node("n1", "east", settings)
+	p.node("n2", "west", settings)
+	leader := p.leader()
+	version, at := p.apply(tenants(20, 4001))
+	for _, w := range p.wires[leader] {
+		w.Set(wires.Fault{Drop: true})
+	}
+	p.everywhere(version, at, "n1", "n2")
+	version, at = p.apply(tenants(20, 4002))
+	p.everywhere(version, at, "n1", "n2")
+	for _, w := range p.wires[leader] {
+		w.Set(wires.Fault{})
+	}
+	version, at = p.apply(tenants(20, 4003))
+	p.everywhere(version, at, "n1", "n2")
+}
+
+// A region is alone: its node goes on, knows how old its settings may be, and has the changes of the other side 6 s after it can be
+// reached again.
+func TestARegionAloneAndItsReturn(t *testing.T) {
+	t.Parallel()
+	p := newPlane(t, "c1:east:voter", "c2:north:voter", "c3:west:voter", "c4:east")
+	p.node("n1", "east", settings)
+	p.node("n2", "west", settings)
+	version, at := p.apply(tenants(20, 4001))
+	p.everywhere(version, at, "n1", "n2")
+	east, rest := []string{"c1", "c4", "n1"}, []string{"c2", "c3", "n2", "operators"}
+	p.cut(wires.Fault{Drop: true, Refuse: true}, east, rest)
+	for _, m := range []string{"c1", "c4"} {
+		p.wires["operators"][m].Reset()
+	}
+	next, at := p.apply(tenants(20, 4002))
+	p.everywhere(next, at, "n2")
+	p.within(10*time.Second, "n1 knows how old its settings may be", func() bool {
+		s, err := p.holds("n1")
+		return err == nil && s.InForce == version && s.AgeMs != nil && *s.AgeMs > 3000
+	})
+	status, out, _ := p.command("status")
+	require.Equal(t, 3, status, out)
+	p.cut(wires.Fault{}, east, rest)
+	p.everywhere(next, time.Now(), "n1")
+}
+
+// A change that one node can't put in force while it runs: it keeps what it had, the others have the change, and status names it.
+func TestANodeRefusesAChange(t *testing.T) {
+	t.Parallel()
+	p := newPlane(t, "c1:east:voter", "c2:north:voter", "c3:west:voter")
+	p.node("n1", "east", settings)
+	p.node("n2", "east", strings.Replace(settings, `"kinds":["m"]`, `"kinds":["m","large"]`, 1))
+	version, at := p.apply(tenants(5, 4001))
+	p.everywhere(version, at, "n1")
+	p.within(inForceWithin, "status names the node", func() bool {
+		status, out, _ := p.command("status")
+		return status == 3 && regexp.MustCompile(`n2 .*1: setting kinds is \[m\]`).MatchString(out)
+	})
+	s, err := p.holds("n2")
+	require.NoError(t, err)
+	require.Equal(t, []uint64{0, 1, 1}, []uint64{s.InForce, s.Held, s.Refused})
+	// It tries each: the next one fits.
+	ctx := t.Context()
+	_, err = p.operators.Apply(ctx, 1, []byte(strings.Replace(tenants(5, 4001), `"kinds":["m"]`, `"kinds":["m","large"]`, 1)), "test", "")
+	var invalid *client.InvalidError
+	require.ErrorAs(t, err, &invalid, "other kinds need a start, of every node")
+	require.Contains(t, p.processes["n2"].log.String(), "version of the settings refused")
+}
+
+// No member lives: a node starts from its last good copy, whatever its file says, and a SIGHUP doesn't undo it; a damaged copy is set
+// aside with one line.
+func TestANodeStartsFromItsCopy(t *testing.T) {
+	t.Parallel()
+	p := newPlane(t, "c1:east:voter")
+	p.node("n1", "east", settings)
+	version, at := p.apply(tenants(5, 4001))
+	p.everywhere(version, at, "n1")
+	file := filepath.Join(p.dir, "state", "n1.copy")
+	p.within(5*time.Second, "kept on disk", func() bool { _, err := os.Stat(file); return err == nil })
+	p.kill("c1")
+	p.kill("n1")
+	p.node("n1", "east", settings)
+	s, err := p.holds("n1")
+	require.NoError(t, err)
+	require.Equal(t, version, s.InForce)
+	require.Nil(t, s.AgeMs, "nobody has told it how old that is")
+	p.signal("n1", syscall.SIGHUP)
+	p.within(5*time.Second, "SIGHUP heard", func() bool {
+		return strings.Contains(p.processes["n1"].log.String(), "settings of the file not taken: the control plane's hold")
+	})
+	s, err = p.holds("n1")
+	require.NoError(t, err)
+	require.Equal(t, version, s.InForce)
+	p.kill("n1")
+	whole, err := os.ReadFile(file)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(file, whole[:len(whole)*2/3], 0o600))
+	p.node("n1", "east", settings)
+	s, err = p.holds("n1")
+	require.NoError(t, err)
+	require.Zero(t, s.InForce)
+	require.Equal(t, 1, strings.Count(p.processes["n1"].log.String(), "copy of the settings damaged, set aside"))
+	aside, err := filepath.Glob(file + ".damaged-*")
+	require.NoError(t, err)
+	require.Len(t, aside, 1)
+	p.member("c1", false) // and has it again
+	p.everywhere(version, time.Now().Add(5*time.Second), "n1")
+}
+
+// Fifty changes in 10 s, with a member that reads nothing any more: nobody else waits for it.
+func TestManyChangesBesideAFrozenMember(t *testing.T) {
+	t.Parallel()
+	p := newPlane(t, "c1:east:voter", "c2:north:voter", "c3:west:voter", "c4:west")
+	p.node("n1", "east", settings)
+	p.node("n2", "west", settings)
+	version, at := p.apply(tenants(200, 4000))
+	p.everywhere(version, at, "n1", "n2")
+	leader := p.leader()
+	for _, m := range []string{"c1", "c2", "c3"} {
+		if m != leader {
+			t.Log(m, "is frozen,", leader, "leads")
+			p.signal(m, syscall.SIGSTOP)
+			break
+		}
+	}
+	begun := time.Now()
+	for k := range 50 {
+		version, at = p.apply(tenants(200, 4001+k))
+	}
+	require.Less(t, time.Since(begun), 10*time.Second)
+	p.everywhere(version, at, "n1", "n2")
+}
+
+// A link of 1 KB/s: changes come within the bound, and a node that has nothing gets the whole in the end: a long frame that is on its
+// way is no silence.
+func TestALinkOf1KBASecond(t *testing.T) {
+	t.Parallel()
+	p := newPlane(t, "c1:east:voter", "c2:east:voter", "c3:east:voter")
+	p.node("n1", "east", settings)
+	p.node("n2", "east", settings)
+	version, at := p.apply(tenants(1500, 4000))
+	p.everywhere(version, at, "n1", "n2")
+	for _, w := range p.wires["n1"] {
+		w.Set(wires.Fault{Rate: 1 << 10})
+	}
+	for k := range 3 {
+		version, at = p.apply(tenants(1500, 4001+k))
+	}
+	p.everywhere(version, at, "n1", "n2")
+	p.config("n3", "east")
+	for _, w := range p.wires["n3"] {
+		w.Set(wires.Fault{Rate: 1 << 10})
+	}
+	p.node("n3", "east", settings)
+	p.within(20*time.Second, "n3 has the whole", func() bool {
+		s, err := p.holds("n3")
+		return err == nil && s.InForce == version
+	})
+	s, err := p.holds("n3")
+	require.NoError(t, err)
+	require.Greater(t, s.BytesIn, int64(3<<10), "longer than a silence that would end the link")
+	require.Equal(t, int64(1), s.Dials)
+}
+
 func digest(text []byte) string { return fmt.Sprintf("%x", sha256.Sum256(text)) }
--- a/internal/controlplane/client/call.go
+++ b/internal/controlplane/client/call.go
@@ -84,7 +84,7 @@
 // into force once.
 func (p *Plane) atLeader(ctx context.Context, c *Call, text []byte) (*Answer, []byte, error) {
 	voters := p.voters()
-	next, failed := rand.IntN(len(voters)), errors.New("no voter leads")
+	next, failed := p.likely(ctx, voters), errors.New("no voter leads")
 	unsure := false
 	for {
 		m := voters[next%len(voters)]
@@ -105,8 +105,10 @@
 		case a.Code == controlplane.Busy:
 			failed = fmt.Errorf("%s has too many changes in hand", m.Name)
 		default:
+			p.led.Store(&m.Name)
 			return a, its, nil
 		}
+		p.led.Store(nil)
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
@@ -118,6 +120,32 @@
 	}
 }
 
+// likely is the place of the voter that leads: the one that did, or the first of all that says so. One that is frozen keeps nobody
+// waiting who can ask another.
+func (p *Plane) likely(ctx context.Context, voters []Member) int {
+	if last := p.led.Load(); last != nil {
+		return max(slices.IndexFunc(voters, func(v Member) bool { return v.Name == *last }), 0)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan int, len(voters))
+	for k, m := range voters {
+		go func() {
+			a, _, err := p.ask(ctx, m, statusWithin, &Call{Op: OpHead}, nil)
+			if err != nil || a.Code != controlplane.Done {
+				k = -1
+			}
+			answers <- k
+		}()
+	}
+	for range voters {
+		if k := <-answers; k >= 0 {
+			return k
+		}
+	}
+	return rand.IntN(len(voters))
+}
+
 // Head asks the leader for the head's version.
 func (p *Plane) Head(ctx context.Context) (uint64, error) {
 	a, _, err := p.atLeader(ctx, &Call{Op: OpHead}, nil)
@@ -144,8 +172,31 @@
 }
 
 // freshest asks the voters in turn until one answers that is fresh, else takes the freshest; members that are no voters are asked
-// where no voter answers.
+// where no voter answers. That there is none counts by a fresh word alone.
 func (p *Plane) freshest(ctx context.Context, c *Call) (best *Answer, text []byte, err error) {
+	for {
+		best, text, err = p.once(ctx, c)
+		if best != nil && (best.Code == controlplane.Done || age(best) < freshWithin) {
+			break
+		}
+		select {
+		case <-time.After(retryEvery):
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
+	switch {
+	case best == nil:
+		return nil, nil, err
+	case best.Code != controlplane.Done:
+		return nil, nil, ErrAbsent
+	}
+	return best, text, nil
+}
+
+// once asks each once.
+func (p *Plane) once(ctx context.Context, c *Call) (best *Answer, text []byte, err error) {
 	order := p.voters()
 	rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
 	for _, m := range p.Members {
@@ -165,17 +216,11 @@
 		case best == nil, best.Code != controlplane.Done && a.Code == controlplane.Done, age(a) < age(best) && a.Code == best.Code:
 			best, text = a, its
 		}
-		if best.Code == controlplane.Done && age(best) < freshWithin {
+		if age(best) < freshWithin {
 			break
 		}
 	}
-	switch {
-	case best == nil:
-		return nil, nil, err
-	case best.Code != controlplane.Done:
-		return nil, nil, ErrAbsent
-	}
-	return best, text, nil
+	return best, text, err
 }
 
 func age(a *Answer) float64 {
--- a/internal/controlplane/client/file.go
+++ b/internal/controlplane/client/file.go
@@ -7,6 +7,7 @@
 	"net"
 	"path/filepath"
 	"slices"
+	"sync/atomic"
 
 	"pearknot/internal/controlplane"
 	"pearknot/internal/peers/link"
@@ -32,6 +33,7 @@
 	Keys    [][]byte // the first proves, all are taken
 	Dir     string   // for state
 	at      *strict.File
+	led     atomic.Pointer[string] // the voter that led when it was last asked
 }
 
 // planeFile is deploy/control-plane.toml.
--- a/internal/controlplane/client/link.go
+++ b/internal/controlplane/client/link.go
@@ -179,6 +179,13 @@
 			f.pipe = p
 			f.Connected(f.now(), k)
 		})
+		p.Heard(func() {
+			f.put(func() {
+				if f.life == life {
+					f.Heard(f.now())
+				}
+			})
+		})
 		room := make(chan struct{}, mostInHand) // frames that the actor has yet to take
 		_ = p.Run(controlplane.MostFrame, 0, func(data []byte) {
 			select {
--- a/internal/controlplane/follower.go
+++ b/internal/controlplane/follower.go
@@ -17,7 +17,7 @@
 	againFrom    = 200.0 // between two tries, growing to
 	againUpTo    = 2000.0
 	staleAfter   = 2000.0 // a server whose copy may be older is left for another,
-	restFrom     = 5000.0 // at most so often, growing to
+	restFrom     = 1000.0 // at most so often, growing to: the next one may be as old, and the one after has what was committed 1 s ago
 	restUpTo     = 30e3
 	homeEvery    = 30e3  // from a member of another region, one of the own is tried again, up to twice that
 	mostBad      = 3     // wrong digests from one member, after which another is tried
@@ -193,6 +193,13 @@
 	f.toldAt, f.changed = now, false
 }
 
+// Heard tells that something came, be it a part of a frame: a long one on a slow link is no silence.
+func (f *Follower) Heard(now float64) {
+	if f.link == linked {
+		f.heardAt = now
+	}
+}
+
 // Frame takes what the member says.
 func (f *Follower) Frame(now float64, data []byte) {
 	if f.link != linked {
--- a/internal/controlplane/member/call.go
+++ b/internal/controlplane/member/call.go
@@ -89,7 +89,7 @@
 				version = head
 			}
 			if doc, there = h.At(version); !there || version == 0 {
-				doc, a = nil, &client.Answer{Code: controlplane.Invalid, Why: fmt.Sprintf("version %d is not kept", version)}
+				doc, a = nil, &client.Answer{Code: controlplane.Invalid, Why: fmt.Sprintf("version %d is not kept", version), AgeMs: m.age()}
 				return
 			}
 			a = &client.Answer{Code: controlplane.Done, Version: version, AgeMs: m.age()}
--- a/internal/lab/wires/wires.go
+++ b/internal/lab/wires/wires.go
@@ -181,6 +181,19 @@
 	w.mu.Unlock()
 }
 
+// hold waits; false tells that the connection ended meanwhile.
+func hold(d time.Duration, gone <-chan struct{}) bool {
+	if d <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(d):
+		return true
+	case <-gone:
+		return false
+	}
+}
+
 func (w *Wire) copy(to, from net.Conn, gone <-chan struct{}) {
 	type part struct {
 		data []byte
@@ -196,16 +209,27 @@
 			if !ok {
 				return
 			}
-			wait := time.Until(p.at)
-			if f.Rate > 0 {
-				wait = max(wait, 0) + time.Duration(len(p.data))*time.Second/time.Duration(f.Rate)
+			if !hold(time.Until(p.at), gone) {
+				return
 			}
-			if wait > 0 {
-				select {
-				case <-time.After(wait):
-				case <-gone:
+			for slice := max(f.Rate/10, 1); f.Rate > 0 && len(p.data) > slice; { // as it would come, not all at its end
+				if !hold(time.Duration(slice)*time.Second/time.Duration(f.Rate), gone) {
 					return
 				}
+				if f.After > 0 && sent+slice >= f.After {
+					break
+				}
+				if _, err := to.Write(p.data[:slice]); err != nil {
+					return
+				}
+				p.data = p.data[slice:]
+				sent += slice
+				w.mu.Lock()
+				w.bytes += int64(slice)
+				w.mu.Unlock()
+			}
+			if f.Rate > 0 && !hold(time.Duration(len(p.data))*time.Second/time.Duration(f.Rate), gone) {
+				return
 			}
 			cut := f.After > 0 && sent+len(p.data) >= f.After
 			if cut {
--- a/internal/peers/link/pipe.go
+++ b/internal/peers/link/pipe.go
@@ -14,6 +14,7 @@
 const (
 	writePiece  = 4 << 10          // so that the time below is one of progress, on a slow link too
 	writeWithin = 10 * time.Second // for a piece
+	heardEvery  = 500 * time.Millisecond
 )
 
 // ErrClosed is the end of a pipe that this side has closed.
@@ -30,6 +31,8 @@
 	end    sync.Once
 	mine   atomic.Bool
 	silent time.Duration
+	heard  func()
+	last   time.Time // heard was called
 
 	in, out, framesIn, framesOut atomic.Int64
 }
@@ -51,9 +54,17 @@
 	if p.silent > 0 {
 		_ = p.conn.SetReadDeadline(time.Now().Add(p.silent))
 	}
-	return p.conn.Read(b)
+	n, err := p.conn.Read(b)
+	if now := time.Now(); n > 0 && p.heard != nil && now.Sub(p.last) >= heardEvery {
+		p.last = now
+		p.heard()
+	}
+	return n, err
 }
 
+// Heard has f called now and then while something comes, be it a part of a frame; to be set before Run.
+func (p *Pipe) Heard(f func()) { p.heard = f }
+
 // Send queues a frame and gives how many bytes wait with it.
 func (p *Pipe) Send(frame []byte) (waiting int64) {
 	waiting = p.queued.Add(int64(len(frame)))
