--- /dev/null
+++ b/internal/controlplane/member/member_test.go
@@ -0,0 +1,311 @@
+package member
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.etcd.io/bbolt"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"pearknot/internal/controlplane"
+	"pearknot/internal/controlplane/client"
+	"pearknot/internal/peers/link"
+	"pearknot/internal/snapshot"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func entry(index, term uint64) *pb.Entry {
+	return &pb.Entry{Index: proto.Uint64(index), Term: proto.Uint64(term), Type: pb.EntryNormal.Enum(), Data: fmt.Appendf(nil, "%d of %d", index, term)}
+}
+
+// Whatever is persisted in whichever order is there at the next start, as the core's own model has it.
+func TestStoreKeeps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		dir, err := os.MkdirTemp("", "store")
+		require.NoError(t, err)
+		defer os.RemoveAll(dir)
+		path := filepath.Join(dir, "c1.db")
+		want := controlplane.Bootstrap([]uint64{1, 2, 3})
+		s, got, err := openStore(path, "f/c1", want)
+		require.NoError(t, err)
+		term := uint64(1)
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			first, last := want.Snapshot.GetMetadata().GetIndex(), want.Snapshot.GetMetadata().GetIndex()
+			if n := len(want.Entries); n > 0 {
+				last = want.Entries[n-1].GetIndex()
+			}
+			p := &controlplane.Persist{}
+			term += rapid.Uint64Range(0, 1).Draw(t, "term")
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				at := rapid.Uint64Range(first+1, last+1).Draw(t, "from")
+				for k := range rapid.Uint64Range(1, 5).Draw(t, "many") {
+					p.Entries = append(p.Entries, entry(at+k, term))
+				}
+				last = at + uint64(len(p.Entries)) - 1
+			case 1:
+				if last == first {
+					continue
+				}
+				p.Snapshot = &pb.Snapshot{Data: []byte("image"), Metadata: &pb.SnapshotMetadata{ConfState: want.Conf, Term: proto.Uint64(term),
+					Index: proto.Uint64(rapid.Uint64Range(first+1, last).Draw(t, "image"))}}
+			case 2:
+				p.Restored = true
+				p.Snapshot = &pb.Snapshot{Data: []byte("theirs"), Metadata: &pb.SnapshotMetadata{ConfState: want.Conf, Term: proto.Uint64(term),
+					Index: proto.Uint64(rapid.Uint64Range(first+1, last+9).Draw(t, "image"))}}
+				last = p.Snapshot.GetMetadata().GetIndex()
+			}
+			p.Hard = &pb.HardState{Term: proto.Uint64(term), Vote: proto.Uint64(2), Commit: proto.Uint64(first)}
+			require.NoError(t, s.persist(p))
+			want.Keep(p)
+			if rapid.Bool().Draw(t, "restart") {
+				require.NoError(t, s.close())
+				s, got, err = openStore(path, "f/c1", nil)
+				require.NoError(t, err)
+			}
+		}
+		require.NoError(t, s.close())
+		s, got, err = openStore(path, "f/c1", nil)
+		require.NoError(t, err)
+		require.NoError(t, s.close())
+		require.True(t, proto.Equal(want.Hard, got.Hard))
+		require.True(t, proto.Equal(want.Snapshot, got.Snapshot))
+		require.Len(t, got.Entries, len(want.Entries))
+		for k := range want.Entries {
+			require.True(t, proto.Equal(want.Entries[k], got.Entries[k]))
+		}
+	})
+}
+
+// A store that is cut short anywhere, or has a byte flipped where something is kept, is refused in one line; nothing panics and
+// nothing is set aside. So are one that isn't there, another's, another schema's, and a second bootstrap.
+func TestStoreDamaged(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "c1.db")
+	_, _, err := openStore(path, "f/c1", nil)
+	require.ErrorContains(t, err, "--bootstrap")
+	s, _, err := openStore(path, "f/c1", controlplane.Bootstrap([]uint64{1, 2, 3}))
+	require.NoError(t, err)
+	var all []*pb.Entry
+	for k := range uint64(40) {
+		all = append(all, entry(2+k, 2))
+	}
+	require.NoError(t, s.persist(&controlplane.Persist{Hard: &pb.HardState{Term: proto.Uint64(2), Commit: proto.Uint64(9)}, Entries: all}))
+	_, _, err = openStore(path, "f/c1", nil)
+	require.ErrorContains(t, err, "another process has it")
+	require.NoError(t, s.close())
+	_, _, err = openStore(path, "f/c2", nil)
+	require.ErrorContains(t, err, "the store of f/c1, not of f/c2")
+	_, _, err = openStore(path, "f/c1", controlplane.Bootstrap([]uint64{1, 2, 3}))
+	require.ErrorContains(t, err, "there is a store already")
+	whole, err := os.ReadFile(path)
+	require.NoError(t, err)
+	want, err := readStore(path, "f/c1")
+	require.NoError(t, err)
+	odd := filepath.Join(dir, "odd.db")
+	same := func(what string, k int) {
+		got, err := readStore(odd, "f/c1")
+		if err != nil {
+			require.NotContains(t, err.Error(), "\n")
+			return
+		}
+		require.True(t, proto.Equal(want.Hard, got.Hard) && proto.Equal(want.Snapshot, got.Snapshot) && len(want.Entries) == len(got.Entries), "%s %d", what, k)
+		for n := range want.Entries {
+			require.True(t, proto.Equal(want.Entries[n], got.Entries[n]), "%s %d", what, k)
+		}
+	}
+	for k := 0; k < len(whole); k += 97 {
+		require.NoError(t, os.WriteFile(odd, whole[:k], 0o600))
+		same("cut at", k)
+	}
+	for k := 0; k < len(whole); k += 13 {
+		flipped := bytes.Clone(whole)
+		flipped[k] ^= 0x04
+		require.NoError(t, os.WriteFile(odd, flipped, 0o600))
+		same("byte", k)
+	}
+	db, err := bbolt.Open(path, 0o600, nil) // the last entry is lost, with all checksums right
+	require.NoError(t, err)
+	require.NoError(t, db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(entries).Delete([]byte(indexKey(41))) }))
+	require.NoError(t, db.Close())
+	_, _, err = openStore(path, "f/c1", nil)
+	require.ErrorContains(t, err, "entries end before 41")
+}
+
+// plane writes the file of a control plane of one voter and one relay, and reads it.
+func plane(t *testing.T) *client.Plane {
+	dir := t.TempDir()
+	free := func() string {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.5:0", 64+os.Getpid()>>8&0x3f, os.Getpid()&0xff))
+		require.NoError(t, err)
+		defer l.Close()
+		return l.Addr().String()
+	}
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "k"), []byte(strings.Repeat("01", 32)+"\n"), 0o600))
+	file := filepath.Join(dir, "c.toml")
+	require.NoError(t, os.WriteFile(file, fmt.Appendf(nil, "fleet = \"f\"\nkey_file = \"k\"\nregion = \"r\"\n[[member]]\nname = \"c1\"\nregion = \"r\"\naddress = %q\nvoter = true\n"+
+		"[[member]]\nname = \"c2\"\nregion = \"r\"\naddress = %q\n", free(), free()), 0o600))
+	p, err := client.ReadFile(file)
+	require.NoError(t, err)
+	return p
+}
+
+// begin runs a member until the test's end.
+func begin(t *testing.T, p *client.Plane, name string, o Options) *lines {
+	log, ended := &lines{}, make(chan error, 1)
+	ctx, end := context.WithCancel(context.Background())
+	go func() { ended <- Run(ctx, p, name, o, slog.New(slog.NewTextHandler(log, nil))) }()
+	t.Cleanup(func() {
+		end()
+		select {
+		case err := <-ended:
+			require.NoError(t, err)
+		case <-time.After(10 * time.Second):
+			t.Error("it goes on")
+		}
+	})
+	require.Eventually(t, func() bool { return strings.Contains(log.String(), "member of the control plane") }, 10*time.Second, time.Millisecond, log)
+	return log
+}
+
+// Garbage, a wrong key, a stranger, an unknown version, a frame too long, before and after the proof: the link ends, the lines are few,
+// and a follower beside them goes on.
+func TestOddCallersAreRefused(t *testing.T) {
+	p := plane(t)
+	log := begin(t, p, "c1", Options{Bootstrap: true, Control: filepath.Join(t.TempDir(), "s")})
+	begin(t, p, "c2", Options{})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	version, err := p.Apply(ctx, 0, []byte(settings), "test", "")
+	require.NoError(t, err)
+	require.Equal(t, uint64(1), version)
+	to := p.Members[0]
+	ends := func(c net.Conn) {
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		_, err := io.Copy(io.Discard, c)
+		require.True(t, err == nil || !strings.Contains(err.Error(), "timeout"), "%v", err)
+		_ = c.Close()
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", to.Address)
+		require.NoError(t, err)
+		return c
+	}
+	for _, text := range []string{"GET / HTTP/1.1\r\n\r\n", "\x00\x00\x00\x05hello", "\xff\xff\xff\xff", "\x00\x00\x00\x00"} {
+		c := dial()
+		_, _ = io.WriteString(c, text)
+		_ = c.(*net.TCPConn).CloseWrite()
+		ends(c)
+	}
+	c := dial()
+	_, err = link.Call(c, [][]byte{bytes.Repeat([]byte{9}, 32)}, client.Fleet("f"), "n1", "c1", 1)
+	require.ErrorIs(t, err, link.ErrKey)
+	ends(c)
+	c = dial()
+	_, err = link.Call(c, p.Keys, "f", "n1", "c1", 1) // as a peer of that name would
+	require.Error(t, err)
+	ends(c)
+	opening := func(version int, what string) []byte {
+		return snapshot.Append(nil, &client.Opening{Version: version, For: what})
+	}
+	long := []byte("\xff\xff\xff\xff")
+	for what, frames := range map[string][][]byte{
+		"no opening":         {[]byte("garbage")},
+		"another version":    {opening(9, client.ForFollow)},
+		"for what":           {opening(client.Protocol, "else")},
+		"no voter":           {opening(client.Protocol, client.ForVote)},
+		"a follower's":       {opening(client.Protocol, client.ForFollow), []byte("garbage")},
+		"a follower's empty": {opening(client.Protocol, client.ForFollow), {}},
+		"a caller's":         {opening(client.Protocol, client.ForCall), {7, 7}},
+		"a caller's message": {opening(client.Protocol, client.ForCall), {0, 1, 2, 3}},
+		"a follower's long":  {opening(client.Protocol, client.ForFollow), long},
+		"a caller's long":    {opening(client.Protocol, client.ForCall), long},
+	} {
+		c := dial()
+		_, err := link.Call(c, p.Keys, client.Fleet("f"), "n1", "c1", 1)
+		require.NoError(t, err, what)
+		for _, f := range frames {
+			if bytes.Equal(f, long) {
+				_, err = c.Write(f)
+			} else {
+				err = link.WriteFrame(c, f)
+			}
+			require.NoError(t, err, what)
+		}
+		ends(c)
+	}
+	require.Less(t, strings.Count(log.String(), "link refused"), 8, log)
+	require.NotContains(t, log.String(), "panic")
+	r := client.Reported(p.Statuses(ctx))
+	require.Empty(t, r.Fault())
+	require.Eventually(t, func() bool {
+		r = client.Reported(p.Statuses(ctx))
+		return r.Members[0].Head == 1 && r.Members[1].Head == 1
+	}, 10*time.Second, 10*time.Millisecond, "the relay goes on")
+}
+
+// Connections that prove nothing take their places for a while, and no more: a caller comes through behind 200 of them.
+func TestSilentCallersKeepNobodyOut(t *testing.T) {
+	p := plane(t)
+	begin(t, p, "c1", Options{Bootstrap: true})
+	for range 200 {
+		c, err := net.Dial("tcp", p.Members[0].Address)
+		require.NoError(t, err)
+		defer c.Close()
+	}
+	require.Eventually(t, func() bool {
+		a := p.Statuses(t.Context())
+		return a[0].Err == nil
+	}, 15*time.Second, 10*time.Millisecond)
+}
+
+// Bad starts end with one line each.
+func TestBadStarts(t *testing.T) {
+	p := plane(t)
+	run := func(name string, o Options) error { return Run(t.Context(), p, name, o, slog.New(slog.DiscardHandler)) }
+	require.ErrorContains(t, run("c9", Options{}), `none is called "c9"`)
+	require.ErrorContains(t, run("c1", Options{}), "no store: a voter's first start takes --bootstrap")
+	require.ErrorContains(t, run("c2", Options{Bootstrap: true}), "is no voter")
+	begin(t, p, "c1", Options{Bootstrap: true})
+	require.ErrorContains(t, run("c1", Options{}), "another process has it")
+	begin(t, p, "c2", Options{})
+	require.ErrorContains(t, run("c2", Options{}), "another process has its state")
+}
+
+const settings = `{"az":0,"balancers":1,"benefitBy":"request","bounds":{"cancel":true,"connIdle":15000,"connectTimeout":250,
+"mostHeld":20000,"mostPushes":3,"retryAfter":true,"maxRetryAfter":2000,"secondCopies":true},"categories":[
+{"benefit":1,"idempotency":"pure","name":"check","overdueBenefit":0.2,"targetLatency":2500,"ttl":6000}],
+"kinds":["m"],"loadReport":{"fields":["mean_ms"],"via":"inline"},"registryMode":"subscribe","rules":{"askWithin":10000,
+"coldFrom":0.3,"drainGrace":500,"fallMultiple":4,"overloadFor":2000,"warmWithin":9000},"tenants":[],"zones":["a"]}`
