--- a/cmd/pearknot-lab/schedules.go
+++ b/cmd/pearknot-lab/schedules.go
@@ -7,15 +7,20 @@
 
 	"pearknot/internal/command"
 	"pearknot/internal/lab/among"
+	"pearknot/internal/lab/simplane"
 )
 
 // schedulesCommand looks for a broken promise among processes that keep each other's ops, in virtual time.
 func schedulesCommand() *cobra.Command {
 	var from, seeds uint64
-	var members, copies int
+	var members, copies, voters int
+	var plane bool
 	c := &cobra.Command{Use: "schedules", Args: cobra.NoArgs,
-		Short: "Play drawn schedules of kills, freezes and cut links among processes that keep each other's ops; 3 where a promise is broken",
+		Short: "Play drawn schedules of kills, freezes and cut links among processes that keep each other's ops, or of a control plane; 3 where a promise is broken",
 		RunE: func(c *cobra.Command, _ []string) error {
+			if plane {
+				return planeSchedules(c, from, seeds, voters)
+			}
 			if copies != 3 && copies != 5 || members < copies || members > 64 || seeds < 1 {
 				return command.Usage(fmt.Errorf("%d seeds of %d members with %d copies: give one at least, 3 or 5 copies, and as many members or up to 64", seeds, members, copies))
 			}
@@ -34,5 +39,22 @@
 	c.Flags().Uint64Var(&seeds, "seeds", 100, "how many, two schedules each")
 	c.Flags().IntVar(&members, "members", 5, "processes")
 	c.Flags().IntVar(&copies, "copies", 3, "processes that hold each log: 3 or 5")
+	c.Flags().BoolVar(&plane, "control-plane", false, "of voters, relays and nodes that follow them: three schedules a seed")
+	c.Flags().IntVar(&voters, "voters", 3, "of the control plane: 3 or 5")
 	return c
 }
+
+func planeSchedules(c *cobra.Command, from, seeds uint64, voters int) error {
+	if voters != 3 && voters != 5 || seeds < 1 {
+		return command.Usage(fmt.Errorf("%d seeds with %d voters: give one at least, and 3 or 5 voters", seeds, voters))
+	}
+	sum, err := simplane.Many(c.Context(), from, seeds, simplane.Standard(voters))
+	fmt.Fprintln(c.OutOrStdout(), sum)
+	for _, b := range sum.Broken {
+		fmt.Fprintln(c.OutOrStdout(), b)
+	}
+	if err == nil && len(sum.Broken) > 0 {
+		return &command.Error{Status: command.No, Err: fmt.Errorf("%d of %d schedules break a promise", len(sum.Broken), sum.Schedules), Silent: true}
+	}
+	return err
+}
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -84,11 +84,14 @@
 
 // Set tells what is to be served, whenever the head or its freshness has changed. The history may go on in place.
 func (s *Server) Set(now float64, h *History, freshAt float64) {
+	s.freshAt = max(s.freshAt, freshAt)
+	head, _ := h.Head()
+	if h == s.h && head == s.version {
+		return
+	}
 	if h != s.h {
 		s.h, s.packed = h, nil
 	}
-	s.freshAt = max(s.freshAt, freshAt)
-	head, _ := h.Head()
 	if head > mostComes {
 		s.version = max(s.version, head-mostComes)
 	}
@@ -98,7 +101,7 @@
 	if n := len(s.comes) - mostComes; n > 0 {
 		s.comes = slices.Delete(s.comes, 0, n)
 	}
-	for _, c := range s.order {
+	for _, c := range slices.Clone(s.order) { // one that reads too slowly is dropped
 		if c.live {
 			s.bring(now, c, true)
 		}
--- a/internal/controlplane/voter.go
+++ b/internal/controlplane/voter.go
@@ -27,6 +27,7 @@
 	mostWaiting    = 64       // proposals in hand
 	mostInFlight   = 64 << 20 // bytes of entries that no majority has yet
 	entryBytes     = 1 << 20  // of entries between two images
+	entryWeight    = 256      // an entry counts for this part of the text besides, as it is applied anew at a start
 	entriesKept    = 256      // behind an image, for voters that lag a little
 	pieceBytes     = 256 << 10
 	mostMessage    = mostImage + 1<<20
@@ -55,6 +56,7 @@
 	asks     uint64
 	reads    []read
 	freshAt  float64
+	fault    string
 }
 
 type held struct {
@@ -260,6 +262,9 @@
 		}
 		return true
 	case pb.MsgHeartbeat:
+		if m.GetCommit() > end { // a leader tells no one of more than that one has said to have
+			v.fault = fmt.Sprintf("voter %d knows that entry %d was written here, the store ends with %d: it has lost what it had", m.GetFrom(), m.GetCommit(), end)
+		}
 		return m.GetCommit() <= end
 	case pb.MsgAppResp:
 		return m.GetIndex() <= end && (!m.GetReject() || m.GetRejectHint() <= end)
@@ -465,7 +470,7 @@
 	if len(e.GetData()) == 0 {
 		return // a leader's first
 	}
-	v.weight += len(e.GetData()) + 64
+	v.weight += len(e.GetData()) + len(v.history.doc.text)/entryWeight
 	var what entry
 	data, err := unpack(e.GetData(), mostProposal)
 	if err == nil {
@@ -544,6 +549,10 @@
 
 func (v *Voter) leading() bool { return v.rn.BasicStatus().RaftState == raft.StateLeader }
 
+// Fault tells how its store has lost what it had told others of; "" is as it should be. Such a voter can't go on: its process ends, and
+// its store is set aside.
+func (v *Voter) Fault() string { return v.fault }
+
 // FreshAt is a time, by this process's clock, at which History was known to have all that had been acknowledged; minus infinity
 // where none is.
 func (v *Voter) FreshAt() float64 { return v.freshAt }
--- a/internal/lab/simplane/faults.go
+++ b/internal/lab/simplane/faults.go
@@ -15,7 +15,7 @@
 func Schedule(seed uint64, t Shape, harsh bool) (all []Fault) {
 	rng := rand.New(rand.NewPCG(seed, 99))
 	members, procs := t.Voters+t.Relays, t.Voters+t.Relays+t.Nodes
-	kinds := []string{"kill", "lost", "freeze", "cut", "oneway", "alone", "region", "slow", "thin"}
+	kinds := []string{"kill", "lost", "freeze", "cut", "oneway", "alone", "mute", "deaf", "region", "slow", "thin"}
 	n := 1 + rng.IntN(3)
 	if harsh {
 		n = 4 + rng.IntN(8)
@@ -50,6 +50,14 @@
 		both(f.A, f.B)
 	case "oneway":
 		all = append(all, [2]int{f.A, f.B})
+	case "mute", "deaf":
+		for k := range s.procs {
+			if k != f.A && f.Kind == "mute" {
+				all = append(all, [2]int{f.A, k})
+			} else if k != f.A {
+				all = append(all, [2]int{k, f.A})
+			}
+		}
 	case "alone", "slow", "thin":
 		for k := range s.procs {
 			if k != f.A {
@@ -69,6 +77,14 @@
 }
 
 func (s *Plane) fault(f Fault) {
+	if f.A < 0 {
+		f.A = 0
+		for k, p := range s.procs[:s.t.Voters] {
+			if p.up && p.voter.Leads() {
+				f.A = k
+			}
+		}
+	}
 	p := s.procs[f.A]
 	end := func(do func()) { s.after(f.Until-f.At, do) }
 	s.trace("%s %s %s until %.0f", f.Kind, p.name, s.procs[f.B].name, s.now+f.Until-f.At)
--- a/internal/lab/simplane/judge.go
+++ b/internal/lab/simplane/judge.go
@@ -157,13 +157,16 @@
 // ages holds what each says of its copy's age against what was acknowledged by then.
 func (j *judge) ages() {
 	for _, p := range j.s.procs {
-		if !p.up || p.frozen || p.busy {
+		if !p.up || p.frozen || p.busy { // can't be asked
 			continue
 		}
 		fresh, held := 0.0, uint64(0)
 		if p.voter != nil {
 			fresh = p.voter.FreshAt() - p.clock
 			held, _ = p.voter.History().Head()
+			if why := p.voter.Fault(); why != "" {
+				j.broken("%s: %s", p.name, why)
+			}
 		} else {
 			st := p.follower.State(j.s.at(p))
 			fresh, held = j.s.now-st.Age, st.Held
@@ -307,6 +310,9 @@
 		j.broken("version %d was acknowledged, the newest is %d", top, head)
 	}
 	for _, p := range s.procs {
+		if !p.up { // for good
+			continue
+		}
 		if p.id < s.members() {
 			if version, _ := p.history().Head(); version != head {
 				j.broken("%s ends with version %d, the newest is %d", p.name, version, head)
--- a/internal/lab/simplane/many.go
+++ b/internal/lab/simplane/many.go
@@ -30,6 +30,18 @@
 	Broken                                     []Broken
 }
 
+// Standard is a plane at which schedules are played: its voters in as many regions, relays and thirty nodes spread over those. So
+// few changes are kept that who was away for long is given the whole.
+func Standard(voters int) Shape {
+	return Shape{Voters: voters, Relays: voters + 1, Nodes: 30, Regions: voters, Tenants: 60, Kept: 10}
+}
+
+func (s Sum) String() string {
+	return fmt.Sprintf("%d schedules, %d changes acknowledged, %d refused as of an older version, %d copies sent whole, %d broken; "+
+		"one fault at a time: %d of %d versions at nodes later than 2 s, the latest %.1f s",
+		s.Schedules, s.Acknowledged, s.Conflicts, s.Wholes, len(s.Broken), s.Late, s.Pairs, s.Worst/1e3)
+}
+
 // Broken is a schedule in which a promise was broken, with as few faults as still break one.
 type Broken struct {
 	Seed   uint64
--- a/internal/lab/simplane/operators.go
+++ b/internal/lab/simplane/operators.go
@@ -100,6 +100,9 @@
 			p.waits[x.id] = func(r controlplane.Result) {
 				s.trace("%s answers %x from %d: %v %d", p.name, x.id, x.base, r.Code, r.Version)
 				s.judge.answered(x, r)
+				if r.Code == controlplane.Done && s.acked != nil {
+					s.acked(p.id)
+				}
 				switch r.Code {
 				case controlplane.NotLeader, controlplane.Lost:
 					to := elsewhere()
--- a/internal/lab/simplane/simplane.go
+++ b/internal/lab/simplane/simplane.go
@@ -13,8 +13,8 @@
 )
 
 // Fault is one thing that goes wrong, in ms from the start. Kinds are kill, lost (killed, and its copy gone; a voter's store stays),
-// freeze, cut (a link, both ways), oneway, alone (a process from all others), region (A's from all others), slow and thin (all links
-// of a process: 800 ms longer, 1 KB/s).
+// freeze, cut (a link, both ways), oneway, alone (a process from all others), mute and deaf (the same one way), region (A's from all
+// others), slow and thin (all links of a process: 800 ms longer, 1 KB/s). A of -1 is whichever voter leads by then.
 type Fault struct {
 	At, Until float64
 	Kind      string
@@ -107,7 +107,8 @@
 	conns   []*conn
 	ids     uint64
 	judge   *judge
-	calm    bool // from the wind-down on
+	acked   func(voter int) // is told of each acknowledgement; nil is nobody
+	calm    bool            // from the wind-down on
 }
 
 // New makes one whose delays, load and clocks follow from a seed.
--- a/internal/lab/simplane/simplane_test.go
+++ b/internal/lab/simplane/simplane_test.go
@@ -10,7 +10,7 @@
 	"pearknot/internal/controlplane"
 )
 
-var small = Shape{Voters: 3, Relays: 4, Nodes: 20, Regions: 3, Tenants: 60, Kept: 10}
+var small = Standard(3)
 
 func TestCalm(t *testing.T) {
 	s := New(1, small)
@@ -70,3 +70,48 @@
 	_, all := play(seed, small, kind, Schedule(seed, small, kind != Mild), func(s *Plane) { s.Flaw, s.Unsynced = flaw, flaw == controlplane.NoFlaw })
 	return strings.Join(all, "; ")
 }
+
+// The hard cases, each right after a change was acknowledged by the leader that it befalls, while others come.
+func TestRightAfterAnAcknowledgement(t *testing.T) {
+	for name, faults := range map[string][]Fault{
+		"the leader is killed":                      {{Until: 4000, Kind: "kill", A: -1}},
+		"it is killed for good":                     {{Until: 90e3, Kind: "kill", A: -1}},
+		"it is frozen for 3 s":                      {{Until: 3000, Kind: "freeze", A: -1}},
+		"it hears nothing":                          {{Until: 5000, Kind: "deaf", A: -1}},
+		"it says nothing":                           {{Until: 5000, Kind: "mute", A: -1}},
+		"it is alone":                               {{Until: 8000, Kind: "alone", A: -1}},
+		"its region is alone":                       {{Until: 8000, Kind: "region", A: -1}},
+		"it is killed, and so is a relay":           {{Until: 4000, Kind: "kill", A: -1}, {Until: 4000, Kind: "kill", A: 6}},
+		"all voters are killed":                     {{Until: 1000, Kind: "kill", A: 0}, {Until: 1200, Kind: "kill", A: 1}, {Until: 1400, Kind: "kill", A: 2}},
+		"all members are killed":                    {{Until: 1000, Kind: "kill", A: 0}, {Until: 1000, Kind: "kill", A: 1}, {Until: 1000, Kind: "kill", A: 2}, {Until: 1000, Kind: "kill", A: 3}, {Until: 1000, Kind: "lost", A: 4}, {Until: 1000, Kind: "lost", A: 5}, {Until: 1000, Kind: "lost", A: 6}},
+		"all members are frozen":                    {{Until: 3000, Kind: "freeze", A: 0}, {Until: 3000, Kind: "freeze", A: 1}, {Until: 3000, Kind: "freeze", A: 2}, {Until: 3000, Kind: "freeze", A: 3}, {Until: 3000, Kind: "freeze", A: 4}, {Until: 3000, Kind: "freeze", A: 5}, {Until: 3000, Kind: "freeze", A: 6}},
+		"its links carry 1 KB/s":                    {{Until: 8000, Kind: "thin", A: -1}},
+		"it is far away, and a relay reads nothing": {{Until: 8000, Kind: "slow", A: -1}, {Until: 8000, Kind: "freeze", A: 6}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(6) {
+				s, acks := New(seed, small), 0
+				strict := Paths
+				if len(faults) > 2 {
+					strict = Quiet // a majority has to come together again first
+				}
+				s.acked = func(int) {
+					if acks++; acks != 10+int(seed) {
+						return
+					}
+					for _, f := range faults {
+						if f.At = s.now - s.judge.base; f.Until < 60e3 { // times are from the acknowledgement on
+							f.Until += f.At
+						}
+						s.judge.faults = append(s.judge.faults, f)
+						s.after(0, func() { s.fault(f) })
+					}
+				}
+				wrong := s.Run(nil, strict)
+				require.Empty(t, wrong, "seed %d", seed)
+				require.Greater(t, acks, 15)
+			}
+		})
+	}
+}
