Operators' get and log have what was acknowledged before they began

A voter that was fresh 0.3 s ago said that a version acknowledged 10 ms ago was not kept. An answer now counts once it is as fresh as the call; a voter that takes long has the next one asked beside it.

--- a/internal/controlplane/client/call.go
+++ b/internal/controlplane/client/call.go
@@ -17,6 +17,7 @@
 	answerWithin = 5 * time.Second // a call of one member, a change's commit among them
 	statusWithin = 2 * time.Second
 	retryEvery   = 200 * time.Millisecond
+	askBeside    = 250 * time.Millisecond
 	freshWithin  = 2000.0 // ms; an answer that is older is compared with others'
 	operator     = "operator"
 )
@@ -171,16 +172,20 @@
 	return 0, &InvalidError{a.Why}
 }
 
-// freshest asks the voters in turn until one answers that is fresh, else takes the freshest; members that are no voters are asked
-// where no voter answers. That there is none counts by a fresh word alone.
+// freshest asks until it has what was there when it began: a version that was asked for by its number, or an answer that is as
+// fresh. Where no majority confirms one it takes the freshest, after a while; members that are no voters are asked where none answers.
 func (p *Plane) freshest(ctx context.Context, c *Call) (best *Answer, text []byte, err error) {
+	begun := time.Now()
+	enough := func(a *Answer) bool {
+		return a.Code == controlplane.Done && c.Version > 0 || age(a) <= float64(time.Since(begun).Microseconds())/1e3
+	}
 	for {
-		best, text, err = p.once(ctx, c)
-		if best != nil && (best.Code == controlplane.Done || age(best) < freshWithin) {
+		best, text, err = p.once(ctx, c, enough)
+		if best != nil && (enough(best) || best.Code == controlplane.Done && time.Since(begun) > statusWithin) {
 			break
 		}
 		select {
-		case <-time.After(retryEvery):
+		case <-time.After(retryEvery / 4):
 			continue
 		case <-ctx.Done():
 		}
@@ -195,32 +200,54 @@
 	return best, text, nil
 }
 
-// once asks each once.
-func (p *Plane) once(ctx context.Context, c *Call) (best *Answer, text []byte, err error) {
+// once asks each once, until one is enough. Who takes long has the next one asked beside it.
+func (p *Plane) once(ctx context.Context, c *Call, enough func(*Answer) bool) (best *Answer, text []byte, err error) {
 	order := p.voters()
 	rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	voters := len(order)
 	for _, m := range p.Members {
 		if !m.Voter {
 			order = append(order, m)
 		}
 	}
-	for _, m := range order {
-		if best != nil && !m.Voter {
-			break
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type told struct {
+		a    *Answer
+		text []byte
+		err  error
+	}
+	answers := make(chan told, len(order))
+	asked, open := 0, 0
+	for {
+		if asked < voters || asked < len(order) && best == nil {
+			m := order[asked]
+			asked, open = asked+1, open+1
+			go func() {
+				a, text, err := p.ask(ctx, m, statusWithin, c, nil)
+				answers <- told{a, text, err}
+			}()
+		} else if open == 0 {
+			return best, text, err
+		}
+		var x told
+		select {
+		case x = <-answers:
+			open--
+		case <-time.After(askBeside):
+			continue
 		}
-		a, its, e := p.ask(ctx, m, statusWithin, c, nil)
 		switch {
-		case e != nil:
-			err = e
+		case x.err != nil:
+			err = x.err
 			continue
-		case best == nil, best.Code != controlplane.Done && a.Code == controlplane.Done, age(a) < age(best) && a.Code == best.Code:
-			best, text = a, its
+		case best == nil, best.Code != controlplane.Done && x.a.Code == controlplane.Done, age(x.a) < age(best) && x.a.Code == best.Code:
+			best, text = x.a, x.text
 		}
-		if age(best) < freshWithin {
-			break
+		if enough(best) {
+			return best, text, nil
 		}
 	}
-	return best, text, err
 }
 
 func age(a *Answer) float64 {
