--- a/cmd/pearknot/controlplane_test.go
+++ b/cmd/pearknot/controlplane_test.go
@@ -590,4 +590,55 @@
 	require.Equal(t, int64(1), s.Dials)
 }
 
+// A relay is frozen, and then a node: the relay's node has another and the change within the bound; nobody waits for the node, and once
+// it is resumed it has what it missed.
+func TestARelayAndANodeFrozen(t *testing.T) {
+	t.Parallel()
+	p := newPlane(t, "c1:east:voter", "c2:north:voter", "c3:west:voter", "c4:south", "c5:south")
+	p.node("n1", "south", settings)
+	p.node("n2", "west", settings)
+	version, at := p.apply(tenants(20, 4000))
+	p.everywhere(version, at, "n1", "n2")
+	s, err := p.holds("n1")
+	require.NoError(t, err)
+	p.signal(s.Member, syscall.SIGSTOP)
+	version, at = p.apply(tenants(20, 4001))
+	p.everywhere(version, at, "n1", "n2")
+	p.signal("n1", syscall.SIGSTOP)
+	version, at = p.apply(tenants(20, 4002))
+	p.everywhere(version, at, "n2")
+	p.signal("n1", syscall.SIGCONT)
+	p.everywhere(version, time.Now(), "n1")
+}
+
+// What is wrong at a start is one line: exit status 2 for the operator's file, 1 for a voter's store.
+func TestControlPlaneStartsWithOneLine(t *testing.T) {
+	t.Parallel()
+	p := newPlane(t, "c1:east:voter")
+	p.kill("c1")
+	file := filepath.Join(p.dir, "c1.toml")
+	try := func(want int, said string, args ...string) {
+		var out, errs strings.Builder
+		require.Equal(t, want, run(args, &out, &errs), errs.String())
+		require.Contains(t, errs.String(), said)
+		require.Equal(t, 1, strings.Count(errs.String(), "\n"), errs.String())
+	}
+	try(2, "c1.toml:1:1: member: none is called \"c7\"", "control-plane", file, "--name", "c7")
+	try(2, "required flag", "control-plane", file)
+	try(2, "no such file", "control-plane", file+"x", "--name", "c1")
+	try(2, "no such file", "config", "--file", file+"x", "status")
+	try(1, "there is a store already", "control-plane", file, "--name", "c1", "--bootstrap")
+	store := filepath.Join(p.dir, "state", "c1.db")
+	whole, err := os.ReadFile(store)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(store, whole[:len(whole)/2], 0o600))
+	try(1, "c1.db: damaged", "control-plane", file, "--name", "c1")
+	require.NoError(t, os.Remove(store))
+	try(1, "must not vote", "control-plane", file, "--name", "c1")
+	bad := p.write("bad.toml", "fleet = \"f\"\n")
+	try(2, "bad.toml:1:1: member: none is a voter", "config", "--file", bad, "status")
+	node := p.write("n.json", `{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":`+settings+`}`)
+	try(2, "bad.toml:1:1: member: none is a voter", "serve", "-config", node, "--control-plane", bad)
+}
+
 func digest(text []byte) string { return fmt.Sprintf("%x", sha256.Sum256(text)) }
