--- /dev/null
+++ b/internal/controlplane/follow_test.go
@@ -0,0 +1,576 @@
+package controlplane
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// grow makes a history of so many versions: in each the line of one tenant is another.
+func grow(t require.TestingT, h *History, tenants int, versions uint64) {
+	for version, doc := h.Head(); version < versions; version, doc = h.Head() {
+		next := parse(t, string(settings(tenants)))
+		if version > 0 {
+			lines := strings.Split(strings.TrimSuffix(string(doc.Text()), "\n"), "\n")
+			at := 7 + int(version)%tenants
+			lines[at] = fmt.Sprintf(`{"name":"tenant-%d","share":"%d"}`, at, version) + lines[at][len(lines[at])-1:]
+			if !strings.HasSuffix(lines[at], ",") {
+				lines[at] = strings.TrimSuffix(lines[at], "}")
+			}
+			next = parse(t, strings.Join(lines, ""))
+		}
+		h.take(Change{Version: version + 1, ID: version + 100, Digest: next.Digest(), Splices: Diff(doc, next), By: "a", Reason: "b"}, next)
+	}
+}
+
+// pair is a server and followers, with frames that go between them at once; time passes by ticks.
+type pair struct {
+	t         *testing.T
+	now       float64
+	s         *Server
+	h         *History
+	followers []*Follower
+	takes     [][]Take
+	toServer  []int // bytes
+	toFollow  []int
+	hold      bool // nothing is read at the followers, nor told as sent
+	fresh     bool
+	meddle    func(k int, f []byte) [][]byte // what becomes of a frame to a follower
+	hung      []string
+}
+
+func newPair(t *testing.T, followers int) *pair {
+	p := &pair{t: t, now: 1e6, s: NewServer(ServerTerms{Name: "m", Region: "r", Seed: 1}, 1e6), h: newHistory(0, nothing(), mostKept), fresh: true}
+	for k := range followers {
+		p.add(FollowerTerms{Name: fmt.Sprintf("n%d", k), Region: "r", Kind: KindNode, Members: []Target{{"m", "r"}}, Seed: uint64(k)}, Copy{})
+	}
+	return p
+}
+
+func (p *pair) add(t FollowerTerms, c Copy) int {
+	p.followers = append(p.followers, NewFollower(t, c, p.now))
+	p.takes, p.toServer, p.toFollow = append(p.takes, nil), append(p.toServer, 0), append(p.toFollow, 0)
+	return len(p.followers) - 1
+}
+
+func (p *pair) pump() {
+	for more := true; more; {
+		more = false
+		for k, f := range p.followers {
+			for {
+				o, ok := f.Next()
+				if !ok {
+					break
+				}
+				more = true
+				switch {
+				case o.Dial:
+					p.s.Join(p.now, uint64(k), fmt.Sprintf("n%d", k))
+					f.Connected(p.now, o.Member)
+				case o.Hangup:
+					p.s.Leave(p.now, uint64(k))
+				case o.Frame != nil:
+					p.toServer[k] += len(o.Frame)
+					if p.s.Frame(p.now, uint64(k), o.Frame) != nil {
+						f.Lost(p.now)
+					}
+				case o.Take != nil:
+					p.takes[k] = append(p.takes[k], *o.Take)
+					f.InForce(p.now, o.Take.Version)
+				}
+			}
+		}
+		for {
+			o, ok := p.s.Next()
+			if !ok {
+				break
+			}
+			more = true
+			k := int(o.Conn)
+			if o.Hangup {
+				p.hung = append(p.hung, o.Why)
+				p.followers[k].Lost(p.now)
+				continue
+			}
+			require.LessOrEqual(p.t, len(o.Frame), MostFrame)
+			if p.hold {
+				continue
+			}
+			p.toFollow[k] += len(o.Frame)
+			p.s.Sent(p.now, o.Conn, len(o.Frame))
+			frames := [][]byte{o.Frame}
+			if p.meddle != nil {
+				frames = p.meddle(k, o.Frame)
+			}
+			for _, f := range frames {
+				p.followers[k].Frame(p.now, f)
+			}
+		}
+	}
+}
+
+func (p *pair) pass(ms float64) {
+	for end := p.now + ms; p.now < end; {
+		p.now += TickMs
+		if p.fresh {
+			p.s.Set(p.now, p.h, p.now)
+		} else {
+			p.s.Set(p.now, p.h, math.Inf(-1))
+		}
+		p.s.Tick(p.now)
+		for _, f := range p.followers {
+			f.Tick(p.now)
+		}
+		p.pump()
+	}
+}
+
+func (p *pair) same(k int) {
+	version, doc := p.h.Head()
+	st := p.followers[k].State(p.now)
+	require.Equal(p.t, version, st.Held, "follower %d", k)
+	require.Equal(p.t, doc.Digest(), st.Digest)
+	require.Equal(p.t, version, st.InForce)
+}
+
+func TestFollowerHasWhatIsServed(t *testing.T) {
+	p := newPair(t, 3)
+	grow(t, p.h, 100, 1)
+	p.pass(1000)
+	for k := range p.followers {
+		p.same(k)
+		require.Len(t, p.takes[k], 1)
+	}
+	grow(t, p.h, 100, 5)
+	p.pass(TickMs)
+	for k := range p.followers {
+		p.same(k)
+		require.Len(t, p.takes[k], 2, "what came together is put in force once")
+		require.Len(t, p.takes[k][1].Changes, 4)
+	}
+	p.pass(3000)
+	st := p.followers[0].State(p.now)
+	require.Less(t, st.Age, 2100.0, "a status each 2 s, whose time comes back")
+	require.Equal(t, "m", st.Member)
+	leases := p.s.Leases(p.now)
+	require.Len(t, leases, 3)
+	require.Equal(t, Lease{Name: "n0", Region: "r", Kind: KindNode, Held: 5, InForce: 5, Age: leases[0].Age, Seen: leases[0].Seen}, leases[0])
+}
+
+// What one doesn't put in force is named with the reason, and by how long it is behind.
+func TestRefusedVersion(t *testing.T) {
+	p := newPair(t, 1)
+	grow(t, p.h, 10, 2)
+	p.pass(1000)
+	grow(t, p.h, 10, 3)
+	p.pass(TickMs)
+	at := p.now
+	f := p.followers[0]
+	f.InForce(p.now, 2)
+	f.Refused(p.now, 3, "class b is gone")
+	p.pass(1000)
+	l := p.s.Leases(p.now)[0]
+	require.Equal(t, []uint64{3, 2, 3}, []uint64{l.Held, l.InForce, l.Refused})
+	require.Equal(t, "class b is gone", l.Why)
+	require.InDelta(t, p.now-at, l.Behind, TickMs)
+	grow(t, p.h, 10, 4)
+	p.pass(1000)
+	l = p.s.Leases(p.now)[0]
+	require.Equal(t, Lease{Name: "n0", Region: "r", Kind: KindNode, Held: 4, InForce: 4, Age: l.Age, Seen: l.Seen}, l)
+	p.followers[0].Tick(p.now + silentAfter + 1)
+	require.Empty(t, p.s.Leases(p.now+LeaseMs+1), "a lease ends with its heartbeats")
+}
+
+// A copy that is behind gets what it lacks; one from too long ago, or another's, gets the whole.
+func TestGap(t *testing.T) {
+	for name, c := range map[string]struct {
+		from    uint64
+		other   bool
+		changes bool
+	}{
+		"a little behind":   {from: 195, changes: true},
+		"up to date":        {from: 200, changes: true},
+		"beyond what is":    {from: 90},
+		"before the first":  {from: 0},
+		"another's version": {from: 195, other: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t, 0)
+			p.h = newHistory(0, nothing(), 100)
+			grow(t, p.h, 100, c.from)
+			version, doc := p.h.Head()
+			grow(t, p.h, 100, 200)
+			if c.other {
+				doc = parse(t, `{"a":1}`)
+			}
+			p.add(FollowerTerms{Name: "n0", Region: "r", Kind: KindNode, Members: []Target{{"m", "r"}}}, Copy{version, doc})
+			p.followers[0].InForce(p.now, version)
+			p.pass(1500)
+			p.same(0)
+			if c.from < 200 {
+				require.Equal(t, c.changes, p.takes[0][0].Changes != nil)
+			}
+		})
+	}
+}
+
+// Frames that are lost, doubled, swapped or altered are noticed, and what was meant comes all the same.
+func TestMeddledFrames(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := newPair(t, 2)
+		p.h = newHistory(0, nothing(), 20)
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0))
+		var late [2][]byte
+		p.meddle = func(k int, f []byte) (out [][]byte) {
+			out = [][]byte{f}
+			switch rng.IntN(12) {
+			case 0:
+				out = nil
+			case 1:
+				out = append(out, f)
+			case 2:
+				late[k], out = f, nil
+			case 3:
+				if len(f) > 80 {
+					f = append([]byte(nil), f...)
+					f[60+rng.IntN(len(f)-60)] ^= 1 << rng.IntN(8)
+					out = [][]byte{f}
+				}
+			}
+			if late[k] != nil && len(out) > 0 {
+				out, late[k] = append(out, late[k]), nil
+			}
+			return out
+		}
+		for n := range 30 {
+			grow(t, p.h, 50, uint64(n+1))
+			p.pass(float64(rng.IntN(400)))
+			for k := range p.followers {
+				for j, last := 0, uint64(0); j < len(p.takes[k]); j++ {
+					x := p.takes[k][j]
+					if x.Version <= last {
+						rt.Fatalf("%d after %d", x.Version, last)
+					}
+					last = x.Version
+					if want, ok := p.h.digestAt(x.Version); ok && want != x.Text.Digest() {
+						rt.Fatalf("version %d differs", x.Version)
+					}
+				}
+			}
+		}
+		p.meddle = nil
+		p.pass(8000)
+		p.same(0)
+		p.same(1)
+	})
+}
+
+// Changes and heartbeats go before wholes; those come at their rate, to each and to all.
+func TestWholesArePaced(t *testing.T) {
+	p := newPair(t, 40)
+	p.h = newHistory(0, nothing(), 10)
+	grow(t, p.h, 140_000, 1) // 5.5 MB
+	head, doc := p.h.Head()
+	size := len(pack([]byte(doc.Text())))
+	t.Logf("the whole is %d bytes, %d packed", len(doc.Text()), size)
+	live := p.add(FollowerTerms{Name: "n40", Region: "r", Kind: KindNode, Members: []Target{{"m", "r"}}}, Copy{head, doc})
+	p.pass(300)
+	before := append([]int(nil), p.toFollow...)
+	for range 10 {
+		grow(t, p.h, 140_000, p.h.version+1)
+		p.pass(100)
+		require.Equal(t, p.h.version, p.followers[live].State(p.now).Held, "a change passes by wholes")
+	}
+	all := 0
+	for k := range 40 {
+		got := p.toFollow[k] - before[k]
+		require.LessOrEqual(t, got, int(1000*wholeRate)+2*mostChunk+4096)
+		all += got
+	}
+	require.LessOrEqual(t, all, int(1100*serverRate)+40*4096)
+	require.Greater(t, all, int(700*serverRate), "and it is used")
+	started := p.now
+	for p.now-started < 60e3 && p.followers[0].State(p.now).Held == 0 {
+		p.pass(1000)
+	}
+	p.pass(1000)
+	t.Logf("the first of 40 had it after %.0f ms", p.now-started)
+	p.pass(float64(40*size)/serverRate + 5000)
+	for k := range 40 {
+		p.same(k)
+	}
+}
+
+// One that leaves over 1 MB unread is cut off; it comes again and gets what it missed.
+func TestSlowReader(t *testing.T) {
+	p := newPair(t, 1)
+	grow(t, p.h, 1000, 1)
+	p.pass(1000)
+	p.same(0)
+	p.hold = true
+	for n := 0; len(p.hung) == 0 && n < 100; n++ {
+		version, doc := p.h.Head()
+		var lines []string
+		for range 1500 {
+			lines = append(lines, fmt.Sprintf(`%016x%016x`, rand.Uint64(), rand.Uint64()))
+		}
+		next, err := doc.splice([]Splice{{At: 1, Delete: uint64(doc.Lines()) - 2, Insert: lines}})
+		require.NoError(t, err)
+		p.h.take(Change{Version: version + 1, ID: uint64(n + 1000), Digest: next.Digest(), Splices: []Splice{{At: 1, Delete: uint64(doc.Lines()) - 2, Insert: lines}}}, next)
+		p.s.Set(p.now, p.h, p.now)
+		p.pump()
+	}
+	require.Equal(t, 1, len(p.hung))
+	require.Contains(t, p.hung[0], "bytes unread")
+	p.hold = false
+	p.pass(4000)
+	p.same(0)
+}
+
+// A change that fits no frame is not sent as one.
+func TestLargeChangeGoesWhole(t *testing.T) {
+	p := newPair(t, 2)
+	grow(t, p.h, 10, 1)
+	p.pass(1000)
+	version, doc := p.h.Head()
+	var lines []string
+	for range 30_000 {
+		lines = append(lines, fmt.Sprintf(`%016x%016x`, rand.Uint64(), rand.Uint64()))
+	}
+	s := []Splice{{At: 1, Insert: lines}}
+	next, err := doc.splice(s)
+	require.NoError(t, err)
+	p.h.take(Change{Version: version + 1, ID: 7, Digest: next.Digest(), Splices: s}, next)
+	require.Nil(t, p.h.kept[1].frame)
+	p.pass(10e3)
+	p.same(0)
+	p.same(1)
+	require.Nil(t, p.takes[0][1].Changes)
+}
+
+// What a quiet node says and is told in a second doesn't depend on how many there are.
+func TestQuietCost(t *testing.T) {
+	for _, n := range []int{1, 300} {
+		p := newPair(t, n)
+		grow(t, p.h, 100, 1)
+		p.pass(5000)
+		up, down := p.toServer[0], p.toFollow[0]
+		p.pass(60e3)
+		up, down = (p.toServer[0]-up)/60, (p.toFollow[0]-down)/60
+		t.Logf("%d followers: %d bytes a second up, %d down", n, up, down)
+		assert.Less(t, up, 60)
+		assert.Less(t, down, 80)
+	}
+}
+
+func TestServerRefusesWhatIsOdd(t *testing.T) {
+	hello := status{At: 1, Digest: make([]byte, 32), Region: "r", Kind: KindNode}
+	for name, f := range map[string][]byte{
+		"empty":           {},
+		"a byte":          {protocol},
+		"another version": {protocol + 1, frameHello},
+		"a server's":      frame(frameHeartbeat, &heartbeat{}),
+		"no hello":        frame(frameStatus, &hello),
+		"a kind":          frame(frameHello, &status{Digest: make([]byte, 32), Kind: "operator"}),
+		"no digest":       frame(frameHello, &status{Kind: KindNode}),
+		"a time":          frame(frameHello, &status{At: math.NaN(), Digest: make([]byte, 32), Kind: KindNode}),
+		"long words":      frame(frameHello, &status{Why: strings.Repeat("x", mostWords+1), Digest: make([]byte, 32), Kind: KindNode}),
+		"too long":        append(frame(frameHello, &hello), make([]byte, MostFrame)...),
+	} {
+		s := NewServer(ServerTerms{}, 0)
+		s.Join(0, 1, "n")
+		require.Error(t, s.Frame(0, 1, f), name)
+		require.NoError(t, s.Frame(0, 1, frame(frameHello, &hello)), "%s: it is gone by then", name)
+		require.Empty(t, s.conns)
+		require.Empty(t, s.Leases(0))
+	}
+	s := NewServer(ServerTerms{}, 0)
+	s.Join(0, 1, "n")
+	require.NoError(t, s.Frame(0, 1, frame(frameHello, &hello)))
+	s.Join(0, 2, "n")
+	o, ok := s.Next()
+	require.True(t, ok)
+	require.Equal(t, ServerOutput{Conn: 1, Hangup: true, Why: "it has come again"}, o)
+	s.Join(0, 3, "silent")
+	s.Tick(silentConn + 1)
+	require.Empty(t, s.conns)
+	s.Leave(0, 99)
+	s.Sent(0, 99, 5)
+}
+
+// Followers spread over the members of their own region, evenly, and a lost member's go to all others.
+func TestPicking(t *testing.T) {
+	members := []Target{{"a", "east"}, {"b", "east"}, {"c", "east"}, {"d", "east"}, {"x", "west"}, {"y", "west"}}
+	first, second := map[int]int{}, map[[2]int]int{}
+	for n := range 4000 {
+		f := NewFollower(FollowerTerms{Name: fmt.Sprintf("node-%d", n), Region: "east", Members: members}, Copy{}, 0)
+		require.Equal(t, 4, f.own)
+		for _, k := range f.order[:4] {
+			require.Equal(t, "east", members[k].Region)
+		}
+		first[f.order[0]]++
+		second[[2]int{f.order[0], f.order[1]}]++
+	}
+	for k := range 4 {
+		assert.InDelta(t, 1000, first[k], 120)
+		for m := range 4 {
+			if m != k {
+				assert.InDelta(t, 333, second[[2]int{k, m}], 80)
+			}
+		}
+	}
+}
+
+// dials lets time pass at a follower whose every dial fails, in ways, and tells what it dials when.
+func dials(t *testing.T, f *Follower, from, ms float64, became func(member int) string) (members []int, at []float64) {
+	member := 0
+	for now := from; now < from+ms; now += TickMs {
+		f.Tick(now)
+		for {
+			o, ok := f.Next()
+			if !ok {
+				break
+			}
+			if o.Dial {
+				member = o.Member
+				members, at = append(members, o.Member), append(at, now)
+				switch became(member) {
+				case "refused":
+					f.Lost(now)
+				case "connected":
+					f.Connected(now, member)
+				}
+			}
+		}
+	}
+	return members, at
+}
+
+func TestAnotherMemberWithin2s(t *testing.T) {
+	members := []Target{{"a", "east"}, {"b", "east"}, {"x", "west"}}
+	for seed := range uint64(50) {
+		f := NewFollower(FollowerTerms{Name: fmt.Sprintf("n%d", seed), Region: "east", Members: members, Seed: seed}, Copy{}, 0)
+		got, at := dials(t, f, 0, 30e3, func(int) string { return "refused" })
+		require.Equal(t, []int{f.order[0], f.order[1], f.order[2]}, got[:3], "the others' region last")
+		require.LessOrEqual(t, at[1], 2*againFrom+TickMs)
+		for k := 1; k < len(at); k++ {
+			require.LessOrEqual(t, at[k]-at[k-1], againUpTo+TickMs)
+		}
+		require.Greater(t, len(at), 15)
+		// One that answers nothing is left after a while, one that says nothing too.
+		f = NewFollower(FollowerTerms{Name: "n", Region: "east", Members: members, Seed: seed}, Copy{}, 0)
+		_, at = dials(t, f, 0, 10e3, func(int) string { return "nothing" })
+		require.LessOrEqual(t, at[1]-at[0], dialWithin+againFrom+2*TickMs)
+		f = NewFollower(FollowerTerms{Name: "n", Region: "east", Members: members, Seed: seed}, Copy{}, 0)
+		got, at = dials(t, f, 0, 10e3, func(int) string { return "connected" })
+		require.LessOrEqual(t, at[1]-at[0], silentAfter+againFrom+2*TickMs)
+		require.NotEqual(t, got[0], got[1])
+	}
+}
+
+// A server whose copy is old is left for another, ever more seldom where none is fresher; in a foreign region the own is tried again.
+func TestOldCopiesAndHome(t *testing.T) {
+	f := NewFollower(FollowerTerms{Name: "n", Region: "east", Members: []Target{{"a", "east"}, {"b", "east"}}}, Copy{}, 0)
+	var at []float64
+	beats := func(f *Follower, ms, age float64, down func(int) bool) (members []int) {
+		for now := 0.0; now < ms; now += TickMs {
+			f.Tick(now)
+			if f.link == linked && int(now/TickMs)%20 == 0 {
+				f.Frame(now, frame(frameHeartbeat, &heartbeat{Age: age, Echo: now, Offset: -age, Digest: f.h.doc.digest.start()}))
+			}
+			for o, ok := f.Next(); ok; o, ok = f.Next() {
+				if o.Dial && down(o.Member) {
+					f.Lost(now)
+				} else if o.Dial {
+					at, members = append(at, now), append(members, o.Member)
+					f.Connected(now, o.Member)
+				}
+			}
+		}
+		return members
+	}
+	none := func(int) bool { return false }
+	members := beats(f, 120e3, 10e3, none)
+	require.Greater(t, len(members), 4, "looks for a fresher one")
+	require.Less(t, len(members), 10, "but not for ever")
+	require.NotEqual(t, members[0], members[1])
+	require.GreaterOrEqual(t, at[2]-at[1], restFrom)
+	require.GreaterOrEqual(t, at[len(at)-1]-at[len(at)-2], 15e3)
+	require.InDelta(t, 10e3, f.State(120e3).Age, 1100)
+
+	f = NewFollower(FollowerTerms{Name: "n", Region: "east", Members: []Target{{"a", "east"}, {"x", "west"}}}, Copy{}, 0)
+	members = beats(f, 120e3, 0, func(m int) bool { return m == 0 })
+	require.Equal(t, 1, members[0])
+	require.Greater(t, len(members), 1, "goes home now and then")
+	f = NewFollower(FollowerTerms{Name: "n", Region: "east", Members: []Target{{"a", "east"}, {"x", "west"}}}, Copy{}, 0)
+	require.Equal(t, []int{0}, beats(f, 120e3, 0, none), "at home it stays")
+}
+
+// An age is reckoned from when the server heard the follower's status: a heartbeat that took long is not taken for fresh.
+func TestAgeOfALateHeartbeat(t *testing.T) {
+	f := NewFollower(FollowerTerms{Name: "n", Members: []Target{{"m", ""}}}, Copy{}, 0)
+	require.True(t, math.IsInf(f.State(0).Age, 1))
+	for now := 0.0; f.link != dialing; now += TickMs {
+		f.Tick(now)
+	}
+	f.Connected(1000, 0)
+	beat := heartbeat{Echo: 1000, Offset: 400, Age: 100, Digest: f.h.doc.digest.start()} // it had all 400 ms after it heard the status
+	f.Frame(3000, frame(frameHeartbeat, &beat))
+	require.Equal(t, 1600.0, f.State(3000).Age)
+	beat = heartbeat{Head: 1, Echo: 2000, Offset: 0}
+	f.Frame(3000, frame(frameHeartbeat, &beat))
+	require.Equal(t, 1600.0, f.State(3000).Age, "not before its head is held")
+	beat = heartbeat{Echo: 5000, Offset: 0, Digest: f.h.doc.digest.start()}
+	f.Frame(3000, frame(frameHeartbeat, &beat))
+	require.Equal(t, 0.0, f.State(3000).Age, "nothing is from the future")
+}
+
+// Whatever a server sends, a follower neither panics nor puts anything in force that no digest vouches for.
+func FuzzFollower(f *testing.F) {
+	doc := nothing()
+	next, _ := doc.splice([]Splice{{At: 1, Insert: []string{"x"}}})
+	f.Add(encodeChange(&Change{Version: 1, ID: 1, Digest: next.digest, Splices: []Splice{{At: 1, Insert: []string{"x"}}}}))
+	f.Add(encodeChange(&Change{Version: 1, ID: 1, Digest: next.digest, Splices: []Splice{{At: 1, Insert: []string{strings.Repeat("x", 3000)}}}}))
+	f.Add(frame(frameHeartbeat, &heartbeat{Head: 5, Echo: 1, Offset: 2, Sent: 3, Whole: 4}))
+	f.Add(frame(frameBegin, &begin{Version: 3, Digest: next.digest[:], Size: 10, Text: 9}))
+	f.Add(frame(frameChunk, &chunk{Data: pack([]byte("{}\n"))}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		w := NewFollower(FollowerTerms{Name: "n", Kind: KindMember, Members: []Target{{"m", ""}}}, Copy{}, 0)
+		w.link, w.heardAt = linked, 0
+		w.Frame(10, data)
+		w.Frame(20, data)
+		w.Tick(1000)
+		for o, ok := w.Next(); ok; o, ok = w.Next() {
+			if o.Take != nil {
+				want, _ := w.h.digestAt(o.Take.Version)
+				require.Equal(t, want, o.Take.Text.Digest())
+			}
+		}
+	})
+}
+
+func FuzzServer(f *testing.F) {
+	f.Add(frame(frameHello, &status{At: 1, Digest: make([]byte, 32), Region: "r", Kind: KindNode, Held: 2}))
+	f.Add(frame(frameStatus, &status{At: 1, Got: 1 << 60}))
+	h := newHistory(0, nothing(), 4)
+	grow(f, h, 50, 9)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := NewServer(ServerTerms{}, 0)
+		s.Set(0, h, 0)
+		s.Join(0, 1, "n")
+		_ = s.Frame(1, 1, frame(frameHello, &status{At: 1, Digest: make([]byte, 32), Region: "r", Kind: KindNode}))
+		s.Tick(100)
+		_ = s.Frame(101, 1, data)
+		s.Tick(200)
+		s.Leases(200)
+		for o, ok := s.Next(); ok; o, ok = s.Next() {
+			require.LessOrEqual(t, len(o.Frame), MostFrame)
+		}
+	})
+}
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -234,7 +234,7 @@
 // bring sends one follower what it lacks: all at once, where it had the head before this change, else as its rate allows.
 func (s *Server) bring(now float64, c *conn, live bool) {
 	head, doc := s.h.Head()
-	if !c.heard || c.whole != nil {
+	if !c.heard || c.whole != nil || head == 0 { // of nothing there is no whole
 		return
 	}
 	if c.sent >= head && c.sent != math.MaxUint64 {
