--- a/cmd/pearknot/controlplane_test.go
+++ b/cmd/pearknot/controlplane_test.go
@@ -455,6 +455,10 @@
 	p.node("n2", "west", settings)
 	version, at := p.apply(tenants(20, 4001))
 	p.everywhere(version, at, "n1", "n2")
+	p.within(10*time.Second, "n1 has been told how old its settings may be", func() bool {
+		s, err := p.holds("n1")
+		return err == nil && s.AgeMs != nil
+	})
 	east, rest := []string{"c1", "c4", "n1"}, []string{"c2", "c3", "n2", "operators"}
 	p.cut(wires.Fault{Drop: true, Refuse: true}, east, rest)
 	for _, m := range []string{"c1", "c4"} {
--- a/internal/controlplane/member/member.go
+++ b/internal/controlplane/member/member.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math"
 	"math/rand/v2"
@@ -38,6 +39,8 @@
 	againFrom    = 50 * time.Millisecond // between two tries to reach a voter, growing
 	againUpTo    = time.Second
 	acceptAgain  = 50 * time.Millisecond
+	voteSilence  = 3 * time.Second // without a word of the other end: after a long cut the kernel would send again only minutes later
+	voteWord     = time.Second
 	proposeFor   = 4 * time.Second // then the caller asks again, by the change's ID
 )
 
@@ -383,7 +386,7 @@
 			v.out = p
 			v.mu.Unlock()
 			stop := context.AfterFunc(m.ctx, p.Close)
-			err = p.Run(controlplane.MostFrame, 0, func([]byte) {}, nil)
+			err = p.Run(0, voteSilence, func([]byte) {}, nil)
 			stop()
 			v.mu.Lock()
 			v.out = nil
@@ -450,6 +453,9 @@
 		who += " " + from
 	}
 	proved()
+	if errors.Is(err, io.EOF) { // it has gone, such as an operator's command that has its answer from another
+		return
+	}
 	if err == nil {
 		switch what {
 		case client.ForFollow:
@@ -564,6 +570,20 @@
 		}
 		v.in = p
 	})
+	over := make(chan struct{})
+	defer close(over)
+	m.wg.Go(func() { // so that the caller knows the link to carry
+		tick := time.NewTicker(voteWord)
+		defer tick.Stop()
+		for {
+			select {
+			case <-over:
+				return
+			case <-tick.C:
+				p.Send([]byte{})
+			}
+		}
+	})
 	room := make(chan struct{}, mostInHand)
 	return unusual(p.Run(controlplane.MostFrame, 0, func(data []byte) {
 		select {
