--- a/cmd/pearknot/fleet.go
+++ b/cmd/pearknot/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -258,7 +259,7 @@
 	if c := v.Change; c != nil && !c.Status.Over() {
 		line(w, *c)
 	}
-	fmt.Fprintln(w, "instance\twanted\tverdict\tseen\tago\tlisten\tconfiguration\tpid\tops\tMB\tcertificate\twhy")
+	fmt.Fprintln(w, "instance\twanted\tverdict\tseen\tago\tlisten\tconfiguration\tpid\tops\tMB\tcertificate\tsettings\twhy")
 	for _, i := range v.Instances {
 		wanted, listen := "none", ""
 		if i.Declared != nil {
@@ -272,8 +273,8 @@
 		if i.Seen.InService {
 			phase = "in service"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%.0f\t%s\t%s\n", i.Name, wanted, i.Verdict, phase, ago, listen,
-			i.Seen.Digest[:min(8, len(i.Seen.Digest))], i.Seen.Pid, i.Seen.Open, i.Seen.MemoryMB, certificate(i.Seen, v.Now), i.Why)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%.0f\t%s\t%s\t%s\n", i.Name, wanted, i.Verdict, phase, ago, listen,
+			i.Seen.Digest[:min(8, len(i.Seen.Digest))], i.Seen.Pid, i.Seen.Open, i.Seen.MemoryMB, certificate(i.Seen, v.Now), cmp.Or(i.Seen.Settings, "-"), i.Why)
 	}
 }
 
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -181,7 +181,7 @@
 		return fleet.Seen{Phase: fleet.Alien, At: now(), Pid: s.PID, Why: fmt.Sprintf("process %d answers with another token", s.PID)}
 	}
 	seen := fleet.Seen{Phase: fleet.Starting, At: now(), Pid: s.PID, Digest: s.Digest, Epoch: s.Epoch, List: s.List,
-		ListAt: s.ListAt, ListSum: s.ListSum, InService: s.InService, Open: s.Open, MemoryMB: s.MemoryMB, Proven: true}
+		ListAt: s.ListAt, ListSum: s.ListSum, InService: s.InService, Open: s.Open, MemoryMB: s.MemoryMB, Settings: s.ControlPlane.String(), Proven: true}
 	if s.TLS != nil {
 		worst := s.TLS.Worst()
 		seen.CertStage = string(worst.Stage)
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -99,3 +99,15 @@
 	wg.Wait()
 	assert.LessOrEqual(t, most, mostCallers)
 }
+
+func TestControlPlaneInATable(t *testing.T) {
+	age := 1600.0
+	for want, c := range map[string]*ControlPlane{
+		"":                                    nil,
+		"0 , age unknown, no member":          {},
+		"7 abcdefab, 2 s old, by c4":          {InForce: 7, Held: 7, Digest: "abcdefabcd", AgeMs: &age, Member: "c4"},
+		"7 ab, 2 s old, no member, refuses 9": {InForce: 7, Held: 9, Digest: "ab", AgeMs: &age, Refused: 9},
+	} {
+		assert.Equal(t, want, c.String())
+	}
+}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 
 	"pearknot/internal/acme"
@@ -63,6 +64,25 @@
 	Dials     int64 `json:"dials"`
 }
 
+// String is what there is to say in a table's field; of none it is empty.
+func (c *ControlPlane) String() string {
+	if c == nil {
+		return ""
+	}
+	age, member := "age unknown", "no member"
+	if c.AgeMs != nil {
+		age = fmt.Sprintf("%.0f s old", *c.AgeMs/1e3)
+	}
+	if c.Member != "" {
+		member = "by " + c.Member
+	}
+	s := fmt.Sprintf("%d %.8s, %s, %s", c.InForce, c.Digest, age, member)
+	if c.Refused > c.InForce {
+		s += fmt.Sprintf(", refuses %d", c.Refused)
+	}
+	return s
+}
+
 // TLS is what a node serves beside plain connections.
 type TLS struct {
 	Listen       string           `json:"listen"`
--- a/internal/controlplane/client/client_test.go
+++ b/internal/controlplane/client/client_test.go
@@ -268,6 +268,8 @@
 	require.Len(t, r.Behind, 1)
 	require.Equal(t, "c2", r.Behind[0].Member)
 	require.Equal(t, "node n1 is behind", r.Fault())
+	all[1].Status.Head = 9
+	require.Zero(t, Reported(all).Behind[0].BehindMs, "its member has the version, and no time has passed since")
 	all[1].Err = context.DeadlineExceeded
 	require.Equal(t, "member c2 does not answer", Reported(all).Fault())
 	all = all[:1]
--- a/internal/controlplane/client/report.go
+++ b/internal/controlplane/client/report.go
@@ -91,8 +91,8 @@
 		if n.InForce >= r.Version {
 			continue
 		}
-		if n.AgeMs != nil { // its member may not have the version either
-			n.BehindMs = max(n.BehindMs, *n.AgeMs)
+		if k := slices.IndexFunc(r.Members, func(m ReportMember) bool { return m.Name == n.Member }); r.Members[k].Head < r.Version && r.Members[k].AgeMs != nil {
+			n.BehindMs = max(n.BehindMs, *r.Members[k].AgeMs) // its member doesn't have the version either
 		}
 		g.Behind++
 		g.WorstMs = max(g.WorstMs, n.BehindMs)
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -70,6 +70,7 @@
 	MemoryMB  float64 `json:"memory_mb,omitempty"`
 	CertStage string  `json:"cert_stage,omitempty"` // of the certificate that ends first
 	CertEnds  float64 `json:"cert_ends,omitempty"`  // Unix ms; 0 where it is missing
+	Settings  string  `json:"settings,omitempty"`   // that the control plane has put in force: version, digest, age, member
 	Why       string  `json:"why,omitempty"`        // of Unknown, Alien
 	Proven    bool    `json:"proven"`               // the process that holds its lock is the one that was started
 }
