--- a/internal/controlplane/follow_test.go
+++ b/internal/controlplane/follow_test.go
@@ -29,6 +29,22 @@
 	}
 }
 
+// put goes on by splices.
+func put(t require.TestingT, h *History, s ...Splice) {
+	version, doc := h.Head()
+	next, err := doc.splice(s)
+	require.NoError(t, err)
+	h.take(Change{Version: version + 1, ID: version + 100, Digest: next.Digest(), Splices: s}, next)
+}
+
+// noise is lines that pack to about half of their bytes.
+func noise(n int) (lines []string) {
+	for range n {
+		lines = append(lines, fmt.Sprintf(`%016x%016x`, rand.Uint64(), rand.Uint64()))
+	}
+	return lines
+}
+
 // pair is a server and followers, with frames that go between them at once; time passes by ticks.
 type pair struct {
 	t         *testing.T
@@ -275,7 +291,7 @@
 func TestWholesArePaced(t *testing.T) {
 	p := newPair(t, 40)
 	p.h = newHistory(0, nothing(), 10)
-	grow(t, p.h, 140_000, 1) // 5.5 MB
+	put(t, p.h, Splice{Insert: noise(9000)})
 	head, doc := p.h.Head()
 	size := len(pack([]byte(doc.Text())))
 	t.Logf("the whole is %d bytes, %d packed", len(doc.Text()), size)
@@ -283,7 +299,7 @@
 	p.pass(300)
 	before := append([]int(nil), p.toFollow...)
 	for range 10 {
-		grow(t, p.h, 140_000, p.h.version+1)
+		put(t, p.h, Splice{At: p.h.version, Delete: 1, Insert: noise(1)})
 		p.pass(100)
 		require.Equal(t, p.h.version, p.followers[live].State(p.now).Held, "a change passes by wholes")
 	}
@@ -315,14 +331,8 @@
 	p.same(0)
 	p.hold = true
 	for n := 0; len(p.hung) == 0 && n < 100; n++ {
-		version, doc := p.h.Head()
-		var lines []string
-		for range 1500 {
-			lines = append(lines, fmt.Sprintf(`%016x%016x`, rand.Uint64(), rand.Uint64()))
-		}
-		next, err := doc.splice([]Splice{{At: 1, Delete: uint64(doc.Lines()) - 2, Insert: lines}})
-		require.NoError(t, err)
-		p.h.take(Change{Version: version + 1, ID: uint64(n + 1000), Digest: next.Digest(), Splices: []Splice{{At: 1, Delete: uint64(doc.Lines()) - 2, Insert: lines}}}, next)
+		_, doc := p.h.Head()
+		put(t, p.h, Splice{At: 1, Delete: uint64(doc.Lines()) - 2, Insert: noise(1500)})
 		p.s.Set(p.now, p.h, p.now)
 		p.pump()
 	}
@@ -338,15 +348,7 @@
 	p := newPair(t, 2)
 	grow(t, p.h, 10, 1)
 	p.pass(1000)
-	version, doc := p.h.Head()
-	var lines []string
-	for range 30_000 {
-		lines = append(lines, fmt.Sprintf(`%016x%016x`, rand.Uint64(), rand.Uint64()))
-	}
-	s := []Splice{{At: 1, Insert: lines}}
-	next, err := doc.splice(s)
-	require.NoError(t, err)
-	p.h.take(Change{Version: version + 1, ID: 7, Digest: next.Digest(), Splices: s}, next)
+	put(t, p.h, Splice{At: 1, Insert: noise(30_000)})
 	require.Nil(t, p.h.kept[1].frame)
 	p.pass(10e3)
 	p.same(0)
--- a/internal/controlplane/wire.go
+++ b/internal/controlplane/wire.go
@@ -212,7 +212,7 @@
 // pack makes a text smaller, where that is worth it: a byte tells which.
 func pack(data []byte) []byte {
 	if len(data) >= packedFrom {
-		z, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true))
+		z, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithAllLitEntropyCompression(true))
 		if err == nil {
 			if small := z.EncodeAll(data, []byte{1}); len(small) < len(data) {
 				return small
