Control plane: hops from old copies are quick at first, members hear heartbeats twice as often; more builds that must be caught

Caught besides: a follower that stays with a voter that is cut off. An early acknowledgement now lacks nothing but its majority.

--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -21,6 +21,7 @@
 	AckEarly             // a leader answers once it has the proposal itself
 	StaleServe           // a voter that leads takes itself for fresh without asking the others
 	ReceiptAge           // a follower counts an age from a heartbeat's receipt
+	StayPut              // a follower stays with a server however old that one's copy is
 	BaseUnchecked        // the state machine takes a change to whatever version it has
 )
 
--- a/internal/controlplane/follower.go
+++ b/internal/controlplane/follower.go
@@ -17,7 +17,7 @@
 	againFrom    = 200.0 // between two tries, growing to
 	againUpTo    = 2000.0
 	staleAfter   = 2000.0 // a server whose copy may be older is left for another,
-	restFrom     = 5000.0 // at most so often, growing to
+	restFrom     = 1000.0 // at most so often, growing as all of the region have been tried, to
 	restUpTo     = 30e3
 	homeEvery    = 30e3  // from a member of another region, one of the own is tried again, up to twice that
 	mostBad      = 3     // wrong digests from one member, after which another is tried
@@ -40,6 +40,7 @@
 	failed  int // tries since one was heard
 	heardAt float64
 	rest    float64 // until another is looked for, where the copy is old
+	tried   int     // so many were left
 	restAt  float64
 	homeAt  float64
 
@@ -337,13 +338,15 @@
 		f.claim, f.claimed = b, true
 	}
 	if b.Age <= staleAfter {
-		f.rest, f.restAt = restFrom, 0
+		f.rest, f.restAt, f.tried = restFrom, 0, 0
 	} else if f.restAt == 0 {
 		f.restAt = now // at once, the first time
 	}
-	if b.Age > staleAfter && now >= f.restAt && len(f.order) > 1 {
+	if b.Age > staleAfter && now >= f.restAt && len(f.order) > 1 && f.t.Flaw != StayPut {
 		f.restAt = now + f.rest*(1+f.chance.Float64()/2)
-		f.rest = min(2*f.rest, restUpTo)
+		if f.tried++; f.tried >= f.own {
+			f.rest = min(2*f.rest, restUpTo)
+		}
 		f.leave(now, (f.at+1)%len(f.order))
 	}
 	return nil
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -49,6 +49,7 @@
 	id      uint64
 	name    string
 	heard   bool
+	member  bool
 	sent    uint64 // version up to which all was sent
 	live    bool   // it has been sent the head: changes go as they come
 	whole   *packed
@@ -180,6 +181,7 @@
 		if err := s.lease(c, &st); err != nil {
 			return err
 		}
+		c.member = st.Kind == KindMember
 		c.heard, c.live, c.whole, c.at, c.got, c.chunkAt = true, false, nil, 0, 0, 0
 		c.sent = st.Held
 		if have, known := s.h.digestAt(st.Held); st.Whole || known && have != Digest(st.Digest) {
@@ -311,7 +313,11 @@
 		}
 		c.credit = min(c.credit+past*wholeRate, 2*mostChunk)
 		if c.heard && now >= c.beatAt {
-			c.beatAt = max(c.beatAt+HeartbeatMs, now+HeartbeatMs/2)
+			every := HeartbeatMs
+			if c.member { // what it tells is older by that
+				every /= 2
+			}
+			c.beatAt = max(c.beatAt+every, now+every/2)
 			s.beat(now, c)
 		}
 	}
--- a/internal/controlplane/voter.go
+++ b/internal/controlplane/voter.go
@@ -344,9 +344,8 @@
 		v.reply(id, Result{Code: Busy})
 		return
 	}
-	if v.t.Flaw == AckEarly {
+	if v.t.Flaw == AckEarly && len(v.pending) == 0 { // nothing but a majority is wanting
 		v.reply(id, Result{Code: Done, Version: head + 1})
-		return
 	}
 	v.pending[id] = true
 }
