--- a/internal/lab/simplane/simplane_test.go
+++ b/internal/lab/simplane/simplane_test.go
@@ -58,7 +58,7 @@
 	}{
 		"a difference applied out of order":        {flaw: controlplane.OutOfOrder, kind: Mangled},
 		"a digest not checked":                     {flaw: controlplane.DigestUnchecked, kind: Mangled},
-		"an acknowledgement before the majority":   {flaw: controlplane.AckEarly, kind: Harsh, says: "lost"},
+		"an acknowledgement before the majority":   {flaw: controlplane.AckEarly, kind: Harsh, says: "acknowledged"},
 		"a leader fresh by its own word":           {flaw: controlplane.StaleServe, kind: Harsh, says: "claims an age"},
 		"an age by receipt alone":                  {flaw: controlplane.ReceiptAge, kind: Harsh, says: "claims an age"},
 		"a change taken whatever it was made from": {flaw: controlplane.BaseUnchecked, kind: Mild},
