--- a/internal/controlplane/voter.go
+++ b/internal/controlplane/voter.go
@@ -28,7 +28,7 @@
 	mostInFlight   = 64 << 20 // bytes of entries that no majority has yet
 	entryBytes     = 1 << 20  // of entries between two images
 	entryWeight    = 256      // an entry counts for this part of the text besides, as it is applied anew at a start
-	entriesKept    = 256      // behind an image, for voters that lag a little
+	entriesKept    = 64       // behind an image, for voters that lag a little; each may be a whole text
 	pieceBytes     = 256 << 10
 	mostMessage    = mostImage + 1<<20
 )
--- a/internal/controlplane/wire.go
+++ b/internal/controlplane/wire.go
@@ -176,7 +176,7 @@
 }
 
 func (w *wireChange) change() (c Change, err error) {
-	if len(w.Digest) != len(c.Digest) || len(w.By) > mostWords || len(w.Reason) > mostWords {
+	if len(w.Digest) != len(c.Digest) || len(w.By) > mostWords || len(w.Reason) > mostWords || math.IsNaN(w.At) || math.IsInf(w.At, 0) {
 		return c, errFrame
 	}
 	c = Change{Version: w.Version, ID: w.ID, Digest: Digest(w.Digest), By: w.By, Reason: w.Reason, At: w.At}
