--- a/cmd/pearknot/controlplane_test.go
+++ b/cmd/pearknot/controlplane_test.go
@@ -129,6 +129,9 @@
 	p.t.Cleanup(func() {
 		_ = x.cmd.Process.Kill()
 		<-x.ended
+		for _, odd := range []string{"panic", "DATA RACE"} {
+			assert.NotContains(p.t, x.log.String(), odd)
+		}
 	})
 	p.processes[name] = x
 	p.within(20*time.Second, name+" is ready", func() bool {
