A question that bears a term is as good as lost; home is tried ever more seldom; the schedules' command is tested

A node whose own region has no member spent some seconds a minute without any: the tries grow to 8 minutes.

--- a/cmd/pearknot-lab/main_test.go
+++ b/cmd/pearknot-lab/main_test.go
@@ -39,6 +39,8 @@
 		{"sweep ../../experiments/calm.toml --virtual --over fleet.nodes=0", 2, "fleet.nodes: 0 is not 1 to 5000"},
 		{"compare /nowhere /nowhere", 2, "/nowhere"}, {"report /nowhere", 2, "/nowhere"}, {"demo --seconds 1", 2, "--seconds 1"},
 		{"node --config /nowhere", 2, "/nowhere"},
+		{"schedules --control-plane --voters 4", 2, "3 or 5 voters"}, {"schedules --control-plane --seeds 0", 2, "give one at least"},
+		{"schedules --control-plane --seeds 1", 0, "3 schedules"},
 	} {
 		status, out, errs := call(t, strings.Fields(c.args)...)
 		assert.Equal(t, c.status, status, c.args)
--- a/internal/controlplane/follow_test.go
+++ b/internal/controlplane/follow_test.go
@@ -510,6 +510,7 @@
 	members = beats(f, 120e3, 0, func(m int) bool { return m == 0 })
 	require.Equal(t, 1, members[0])
 	require.Greater(t, len(members), 1, "goes home now and then")
+	require.LessOrEqual(t, len(members), 4, "ever more seldom")
 	f = NewFollower(FollowerTerms{Name: "n", Region: "east", Members: []Target{{"a", "east"}, {"x", "west"}}}, Copy{}, 0)
 	require.Equal(t, []int{0}, beats(f, 120e3, 0, none), "at home it stays")
 }
--- a/internal/controlplane/follower.go
+++ b/internal/controlplane/follower.go
@@ -19,7 +19,8 @@
 	staleAfter   = 2000.0 // a server whose copy may be older is left for another,
 	restFrom     = 1000.0 // at most so often, growing as all of the region have been tried, to
 	restUpTo     = 30e3
-	homeEvery    = 30e3  // from a member of another region, one of the own is tried again, up to twice that
+	homeEvery    = 30e3  // from a member of another region, one of the own is tried again, up to twice that,
+	homeUpTo     = 480e3 // and as that fails, more seldom: a try is some seconds without a member
 	mostBad      = 3     // wrong digests from one member, after which another is tried
 	askEvery     = 500.0 // between two asks to begin anew on one connection
 	statusAtMost = 250.0 // between two statuses, where more than the time has changed
@@ -42,6 +43,7 @@
 	rest    float64 // until another is looked for, where the copy is old
 	tried   int     // so many were left
 	restAt  float64
+	home    float64 // until one of the own region is tried again
 	homeAt  float64
 
 	h       *History
@@ -75,7 +77,7 @@
 		most = cmp.Or(t.Kept, mostKept)
 	}
 	f := &Follower{t: t, chance: rand.New(rand.NewPCG(t.Seed, xxhash.Sum64String(t.Name))), h: newHistory(0, nothing(), most),
-		wait: againFrom, rest: restFrom, freshAt: math.Inf(-1), askedAt: math.Inf(-1)}
+		wait: againFrom, rest: restFrom, home: homeEvery, freshAt: math.Inf(-1), askedAt: math.Inf(-1)}
 	if c.Version > 0 && c.Text != nil {
 		f.h.reset(c.Version, c.Text)
 	}
@@ -122,6 +124,7 @@
 		case now-f.heardAt > silentAfter:
 			f.hangup(now)
 		case f.at >= f.own && f.own > 0 && now >= f.homeAt:
+			f.home = min(2*f.home, homeUpTo)
 			f.leave(now, 0)
 		case now-f.toldAt >= statusEvery || f.changed && now-f.toldAt >= statusAtMost:
 			f.tell(now, frameStatus)
@@ -163,7 +166,10 @@
 		return
 	}
 	f.link, f.since, f.heardAt, f.bad = linked, now, now, 0
-	f.homeAt = now + homeEvery*(1+f.chance.Float64())
+	if f.at < f.own {
+		f.home = homeEvery
+	}
+	f.homeAt = now + f.home*(1+f.chance.Float64())
 	f.ask(now)
 }
 
--- a/internal/controlplane/voter.go
+++ b/internal/controlplane/voter.go
@@ -243,7 +243,7 @@
 
 // sound tells whether a raft node can take a message: it ends the process at some that no sound voter says.
 func (v *Voter) sound(m *pb.Message) bool {
-	if m.GetTo() != v.t.ID || m.GetTerm() == 0 && m.GetType() != pb.MsgReadIndex || m.GetTerm() > math.MaxUint64/2 {
+	if m.GetTo() != v.t.ID || (m.GetTerm() == 0) != (m.GetType() == pb.MsgReadIndex) || m.GetTerm() > math.MaxUint64/2 {
 		return false
 	}
 	end, _ := v.store.LastIndex()
--- a/internal/controlplane/voter_test.go
+++ b/internal/controlplane/voter_test.go
@@ -403,6 +403,11 @@
 		c.pass(500)
 	})
 	c := newVoters(t, 3, VoterTerms{Seed: 1})
+	id, _ := c.leader()
+	asked := &pb.Message{Type: pb.MsgReadIndex.Enum(), From: proto.Uint64(id), To: proto.Uint64(id%3 + 1), Term: proto.Uint64(2), Entries: []*pb.Entry{{}}}
+	data, err := proto.Marshal(asked)
+	require.NoError(t, err)
+	c.all[id%3+1].Message(c.now, id, append([]byte{first | last}, data...)) // drawn once in a hundred runs: a question that bears a term
 	for _, data := range [][]byte{nil, {0}, {first}, {last}, {first, 1, 2}, {last, 3}, {first | last, 0xff}, make([]byte, MostFrame+1)} {
 		c.all[1].Message(c.now, 2, data)
 	}
