--- a/internal/controlplane/document.go
+++ b/internal/controlplane/document.go
@@ -119,7 +119,7 @@
 	if lines > mostLines {
 		return nil, errText
 	}
-	d := &Document{text: text, starts: make([]uint32, 1, lines+1), digest: sha256.Sum256([]byte(text))}
+	d := &Document{text: text, starts: make([]uint32, 1, lines+1), digest: digestOf(text)}
 	for at := 0; at < len(text); {
 		at += strings.IndexByte(text[at:], '\n') + 1
 		d.starts = append(d.starts, uint32(at))
@@ -127,6 +127,18 @@
 	return d, nil
 }
 
+// digestOf hashes a text piece by piece: copied whole it would cost more than the hash.
+func digestOf(text string) (d Digest) {
+	h, piece := sha256.New(), make([]byte, min(len(text), 32<<10))
+	for text != "" {
+		n := copy(piece, text)
+		h.Write(piece[:n])
+		text = text[n:]
+	}
+	h.Sum(d[:0])
+	return d
+}
+
 // nothing is version 0's.
 func nothing() *Document {
 	d, _ := newDocument("{}\n")
