--- a/cmd/pearknot/controlplane_test.go
+++ b/cmd/pearknot/controlplane_test.go
@@ -135,12 +135,15 @@
 	})
 	p.processes[name] = x
 	p.within(20*time.Second, name+" is ready", func() bool {
+		if strings.Contains(x.log.String(), ready) {
+			return true
+		}
 		select {
 		case <-x.ended:
 			p.t.Fatalf("%s ended: %s", name, x.log)
 		default:
 		}
-		return strings.Contains(x.log.String(), ready)
+		return false
 	})
 	return x
 }
@@ -648,4 +651,75 @@
 	try(2, "bad.toml:1:1: member: none is a voter", "serve", "-config", node, "--control-plane", bad)
 }
 
+// A voter whose disk has gone back to an earlier day ends with exit status 1, and says why: what it had told the leader of is lost there.
+func TestAVoterWithAnOldStoreEnds(t *testing.T) {
+	t.Parallel()
+	p := newPlane(t, "c1:east:voter", "c2:north:voter", "c3:west:voter")
+	leader := p.leader()
+	voter := map[bool]string{true: "c2", false: "c1"}[leader == "c1"]
+	store := filepath.Join(p.dir, "state", voter+".db")
+	p.apply(tenants(5, 4000))
+	p.kill(voter)
+	old, err := os.ReadFile(store)
+	require.NoError(t, err)
+	p.member(voter, false)
+	var version uint64
+	for k := range 3 {
+		version, _ = p.apply(tenants(5, 4001+k))
+	}
+	p.within(10*time.Second, voter+" has all", func() bool {
+		r := client.Reported(p.statuses())
+		return r.Members[slices.IndexFunc(r.Members, func(m client.ReportMember) bool { return m.Name == voter })].Head == version
+	})
+	p.kill(voter)
+	require.NoError(t, os.WriteFile(store, old, 0o600))
+	x := p.member(voter, false)
+	select {
+	case <-x.ended:
+	case <-time.After(10 * time.Second):
+		t.Fatalf("it goes on: %s", x.log)
+	}
+	require.Equal(t, 1, x.cmd.ProcessState.ExitCode())
+	require.Contains(t, x.log.String(), "pearknot: voter's store: ")
+}
+
+// A node's next process starts beside it: it begins with the copy that the first keeps, follows for itself, and keeps the copy once the
+// first has ended.
+func TestANodesNextProcess(t *testing.T) {
+	p := newPlane(t, "c1:east:voter")
+	dir, err := os.MkdirTemp("", "pk") // short: a socket's path is bounded
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = os.RemoveAll(dir) })
+	config := p.write("n1.json", fmt.Sprintf(`{"name":"n1","listen":%q,"control":"127.0.0.1:0","discovery":%q,"seed":"8c1f",
+"limits":{"cores":1,"memory_mb":192,"sockets":256},"known":{"rev":41,"all":true,"targets":[]},"settings":%s}`, reserved(t), p.discovery, settings))
+	start := func(life string) {
+		x := p.run(life, "msg=serving", "serve", "-config", config, "--control-plane", p.config("n1", "east"), "--control", filepath.Join(p.dir, life))
+		x.control = filepath.Join(p.dir, life)
+	}
+	t.Setenv("TMPDIR", dir)
+	start("old")
+	version, at := p.apply(tenants(5, 4001))
+	p.everywhere(version, at, "old")
+	file := filepath.Join(p.dir, "state", "n1.copy")
+	p.within(5*time.Second, "kept on disk", func() bool { _, err := os.Stat(file); return err == nil })
+	start("new")
+	require.Contains(t, p.processes["new"].log.String(), "settings of the copy")
+	require.Contains(t, p.processes["old"].log.String(), "another process follows this one")
+	p.everywhere(version, time.Now(), "old", "new")
+	version, at = p.apply(tenants(5, 4002))
+	p.everywhere(version, at, "old", "new")
+	p.signal("old", syscall.SIGTERM)
+	select {
+	case <-p.processes["old"].ended:
+	case <-time.After(15 * time.Second):
+		t.Fatal("it goes on")
+	}
+	version, at = p.apply(tenants(5, 4003))
+	p.everywhere(version, at, "new")
+	p.within(5*time.Second, "kept by the next process", func() bool {
+		data, err := os.ReadFile(file)
+		return err == nil && strings.Contains(string(data), `"ttl":4003`)
+	})
+}
+
 func digest(text []byte) string { return fmt.Sprintf("%x", sha256.Sum256(text)) }
--- a/internal/controlplane/client/client.go
+++ b/internal/controlplane/client/client.go
@@ -37,7 +37,7 @@
 }
 
 // Client follows the control plane for one node. Its actor owns the follower and the link; what is to be put in force is given to
-// another goroutine, the newest only and one at a time.
+// another goroutine, the newest only and one at a time, and what is in force to one that keeps it on disk.
 type Client struct {
 	clock  *clock.Clock
 	log    *slog.Logger
@@ -89,6 +89,9 @@
 	}
 	c.wg.Go(c.run)
 	c.wg.Go(c.put)
+	if c.disk != nil {
+		c.wg.Go(func() { c.disk.Run(c.ctx) })
+	}
 }
 
 // Stop ends the link. An apply that is under way ends first.
@@ -153,9 +156,8 @@
 	c.newest <- next
 }
 
-// put has versions put in force and kept on disk, off the actor: reading the settings may take long, and so may the disk.
+// put has versions put in force, off the actor: reading the settings may take long.
 func (c *Client) put() {
-	kept, busy := c.held.Version, false
 	for {
 		var next controlplane.Copy
 		select {
@@ -163,8 +165,7 @@
 			return
 		case next = <-c.newest:
 		}
-		text := next.Text.Text()
-		if err := c.apply(next.Version, text); err != nil {
+		if err := c.apply(next.Version, next.Text.Text()); err != nil {
 			if c.ctx.Err() != nil || errors.Is(err, context.Canceled) { // that is no word on the version
 				return
 			}
@@ -173,16 +174,8 @@
 			continue
 		}
 		c.box.Put(func() { c.follow.InForce(c.clock.Now(), next.Version) })
-		if c.disk == nil || next.Version == kept {
-			continue
-		}
-		switch err := c.disk.Keep(next.Version, text); {
-		case err == nil:
-			kept, busy = next.Version, false
-		case errors.Is(err, errBusy) && busy: // said once
-		default:
-			busy = errors.Is(err, errBusy)
-			c.log.Warn("copy of the settings not kept", "version", next.Version, "error", err)
+		if c.disk != nil {
+			c.disk.Offer(next)
 		}
 	}
 }
--- a/internal/controlplane/client/client_test.go
+++ b/internal/controlplane/client/client_test.go
@@ -140,7 +140,19 @@
 	require.ErrorIs(t, two.Keep(4, []byte(`{}`)), errBusy)
 	one.Close()
 	require.NoError(t, two.Keep(5, []byte(`{}`)))
+	doc, err := controlplane.Parse([]byte(`{"a":1}`)) // offered, and the process ends: the newest is there
+	require.NoError(t, err)
+	for v := range uint64(3) {
+		two.Offer(controlplane.Copy{Version: 6 + v, Text: doc})
+	}
+	ended, end := context.WithCancel(t.Context())
+	end()
+	two.Run(ended)
 	two.Close()
+	last, held, err := OpenDisk(file, "f", say)
+	require.NoError(t, err)
+	require.Equal(t, uint64(8), held.Version)
+	last.Close()
 	require.NoError(t, os.WriteFile(file, []byte("garbage"), 0o600))
 	three, held, err := OpenDisk(file, "f", say)
 	require.NoError(t, err)
--- a/internal/controlplane/client/disk.go
+++ b/internal/controlplane/client/disk.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -29,12 +30,14 @@
 type Disk struct {
 	file, fleet string
 	lock        *os.File // nil until this process has it
+	kept        uint64   // version on disk
+	newest      chan controlplane.Copy
 	log         *slog.Logger
 }
 
 // OpenDisk reads what is there. A damaged copy is set aside with one line, and none is held then; so is another fleet's.
 func OpenDisk(file, fleet string, log *slog.Logger) (*Disk, controlplane.Copy, error) {
-	d := &Disk{file: file, fleet: fleet, log: log}
+	d := &Disk{file: file, fleet: fleet, newest: make(chan controlplane.Copy, 1), log: log}
 	if err := os.MkdirAll(filepath.Dir(file), 0o700); err != nil {
 		return nil, controlplane.Copy{}, err
 	}
@@ -55,6 +58,7 @@
 		}
 		log.Error("copy of the settings damaged, set aside", "file", file, "error", err, "as", aside)
 	}
+	d.kept = c.Version
 	return d, c, nil
 }
 
@@ -86,6 +90,47 @@
 	return renameio.WriteFile(d.file, encodeCopy(version, d.fleet, text), 0o600)
 }
 
+// Offer has a version written by Run, in the place of one that waits for it: the disk may be slow, and stands before nothing.
+func (d *Disk) Offer(c controlplane.Copy) {
+	select {
+	case <-d.newest:
+	default:
+	}
+	d.newest <- c
+}
+
+// Run writes what is offered until ctx ends, and what waits then.
+func (d *Disk) Run(ctx context.Context) {
+	busy := false
+	write := func(c controlplane.Copy) {
+		if c.Version == d.kept {
+			return
+		}
+		switch err := d.Keep(c.Version, c.Text.Text()); {
+		case err == nil:
+			d.kept, busy = c.Version, false
+		case errors.Is(err, errBusy) && busy: // said once
+		default:
+			busy = errors.Is(err, errBusy)
+			d.log.Warn("copy of the settings not kept", "version", c.Version, "error", err)
+		}
+	}
+	for {
+		select {
+		case c := <-d.newest:
+			write(c)
+			continue
+		case <-ctx.Done():
+		}
+		select {
+		case c := <-d.newest:
+			write(c)
+		default:
+		}
+		return
+	}
+}
+
 // Close lets another process write.
 func (d *Disk) Close() {
 	if d.lock != nil {
--- a/internal/controlplane/member/member.go
+++ b/internal/controlplane/member/member.go
@@ -87,7 +87,6 @@
 
 	follow  *client.Following // nil in a voter
 	disk    *client.Disk
-	newest  chan controlplane.Copy
 	follows string
 }
 
@@ -113,7 +112,7 @@
 		return err
 	}
 	m := &Member{plane: p, self: self, o: o, clock: clock.New(), log: log, odd: rate.Sometimes{Interval: oddEvery},
-		calls: make(chan struct{}, mostCalls), box: mailbox.New[func()](), conns: map[uint64]*conn{}, newest: make(chan controlplane.Copy, 1)}
+		calls: make(chan struct{}, mostCalls), box: mailbox.New[func()](), conns: map[uint64]*conn{}}
 	m.ctx, m.end = context.WithCancelCause(ctx)
 	defer m.end(nil)
 	if err := os.MkdirAll(p.Dir, 0o700); err != nil {
@@ -147,7 +146,7 @@
 		m.wg.Go(func() { m.reach(id, v) })
 	}
 	if m.follow != nil {
-		m.wg.Go(m.keep)
+		m.wg.Go(func() { m.disk.Run(m.ctx) })
 	}
 	<-m.ctx.Done()
 	_ = l.Close()
@@ -216,11 +215,7 @@
 	t := client.Terms{Fleet: m.plane.Fleet, Name: m.self.Name, Region: m.self.Region, Members: voters, Keys: m.plane.Keys, Kind: controlplane.KindMember}
 	m.follow = client.NewFollowing(m.ctx, t, held, m.clock.Now, m.box.Put, m.wg.Go, func(t controlplane.Take) {
 		m.follow.InForce(m.clock.Now(), t.Version)
-		select {
-		case <-m.newest:
-		default:
-		}
-		m.newest <- controlplane.Copy{Version: t.Version, Text: t.Text}
+		m.disk.Offer(controlplane.Copy{Version: t.Version, Text: t.Text})
 	}, m.sayOdd)
 	if held.Version > 0 {
 		m.follow.InForce(m.clock.Now(), held.Version)
@@ -237,20 +232,6 @@
 	}
 }
 
-// keep writes a relay's newest copy, off the actor.
-func (m *Member) keep() {
-	for {
-		select {
-		case <-m.ctx.Done():
-			return
-		case c := <-m.newest:
-			if err := m.disk.Keep(c.Version, c.Text.Text()); err != nil {
-				m.log.Warn("copy of the settings not kept", "version", c.Version, "error", err)
-			}
-		}
-	}
-}
-
 func (m *Member) run() {
 	tick := time.NewTicker(controlplane.TickMs * time.Millisecond)
 	defer tick.Stop()
@@ -338,6 +319,10 @@
 		o, more := m.voter.Next()
 		switch {
 		case !more:
+			if fault := m.voter.Fault(); fault != "" {
+				m.end(fmt.Errorf("voter's store: %s", fault))
+				return false
+			}
 			if leader := m.voter.Leader(); leader != m.leader {
 				m.leader = leader
 				m.log.Info("leader", "name", m.names[leader])
