--- a/internal/controlplane/follow_test.go
+++ b/internal/controlplane/follow_test.go
@@ -203,6 +203,18 @@
 	require.Empty(t, p.s.Leases(p.now+LeaseMs+1), "a lease ends with its heartbeats")
 }
 
+// One that was not heard for longer than a lease, on a connection that lives, is known again by all that it said first.
+func TestLeaseAnew(t *testing.T) {
+	p := newPair(t, 1)
+	grow(t, p.h, 10, 2)
+	p.pass(1000)
+	p.s.Tick(p.now + LeaseMs + 1)
+	require.Empty(t, p.s.leases)
+	p.pass(2500)
+	l := p.s.Leases(p.now)[0]
+	require.Equal(t, Lease{Name: "n0", Region: "r", Kind: KindNode, Held: 2, InForce: 2, Age: l.Age, Seen: l.Seen}, l)
+}
+
 // A copy that is behind gets what it lacks; one from too long ago, or another's, gets the whole.
 func TestGap(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -49,7 +49,8 @@
 	id      uint64
 	name    string
 	heard   bool
-	member  bool
+	region  string
+	kind    string
 	sent    uint64 // version up to which all was sent
 	live    bool   // it has been sent the head: changes go as they come
 	whole   *packed
@@ -178,10 +179,7 @@
 		if st.Kind != KindNode && st.Kind != KindMember || len(st.Region) > mostName || len(st.Digest) != len(Digest{}) {
 			return fmt.Errorf("%w: a hello of kind %.20q", errFrame, st.Kind)
 		}
-		if err := s.lease(c, &st); err != nil {
-			return err
-		}
-		c.member = st.Kind == KindMember
+		c.region, c.kind = st.Region, st.Kind
 		c.heard, c.live, c.whole, c.at, c.got, c.chunkAt = true, false, nil, 0, 0, 0
 		c.sent = st.Held
 		if have, known := s.h.digestAt(st.Held); st.Whole || known && have != Digest(st.Digest) {
@@ -190,13 +188,15 @@
 		c.beatAt = min(c.beatAt, now+s.chance.Float64()*HeartbeatMs/4) // how old it can be is known soon
 	}
 	c.echo, c.heardAt = st.At, now
-	l := s.leases[c.name]
+	l := s.leases[c.name] // where it was silent for a while, there is none any more
 	if l == nil {
-		if err := s.lease(c, &st); err != nil {
-			return err
+		if len(s.leases) >= mostLeases {
+			return fmt.Errorf("more than %d followers", mostLeases)
 		}
-		l = s.leases[c.name]
+		l = &lease{}
+		s.leases[c.name] = l
 	}
+	l.Name, l.Region, l.Kind = c.name, c.region, c.kind
 	l.Held, l.InForce, l.Refused, l.Why, l.Age, l.Seen, l.ageAt = st.Held, st.InForce, st.Refused, st.Why, st.Age, now, now
 	if c.whole != nil && int(min(st.Got, uint64(c.at))) > c.got {
 		switch took := now - c.chunkAt; {
@@ -211,23 +211,6 @@
 	return nil
 }
 
-// lease makes a follower known.
-func (s *Server) lease(c *conn, st *status) error {
-	l := s.leases[c.name]
-	if l == nil {
-		if len(s.leases) >= mostLeases {
-			return fmt.Errorf("more than %d followers", mostLeases)
-		}
-		l = &lease{}
-		s.leases[c.name] = l
-	}
-	if st.Kind != "" {
-		l.Lease = Lease{Name: c.name, Region: st.Region, Kind: st.Kind}
-	}
-	l.Name = c.name
-	return nil
-}
-
 func (s *Server) put(c *conn, frame []byte) {
 	c.out += len(frame)
 	s.out = append(s.out, ServerOutput{Conn: c.id, Frame: frame})
@@ -314,7 +297,7 @@
 		c.credit = min(c.credit+past*wholeRate, 2*mostChunk)
 		if c.heard && now >= c.beatAt {
 			every := HeartbeatMs
-			if c.member { // what it tells is older by that
+			if c.kind == KindMember { // what it tells is older by that
 				every /= 2
 			}
 			c.beatAt = max(c.beatAt+every, now+every/2)
--- a/internal/lab/simplane/judge.go
+++ b/internal/lab/simplane/judge.go
@@ -321,6 +321,7 @@
 			j.broken("%s ends with version %d in force, the newest is %d", p.name, now, head)
 		}
 	}
+	j.leases(head)
 	if j.strict == Finally || len(j.wrong) > 0 {
 		return j.wrong
 	}
@@ -342,6 +343,32 @@
 	return j.wrong
 }
 
+// leases holds what members together tell of followers, the latest word of each, against what these have in force at the end.
+func (j *judge) leases(head uint64) {
+	s := j.s
+	latest, ago := map[string]controlplane.Lease{}, map[string]float64{}
+	for _, m := range s.procs[:s.members()] {
+		if !m.up {
+			continue
+		}
+		for _, l := range m.server.Leases(s.at(m)) {
+			if since := s.at(m) - l.Seen; ago[l.Name] == 0 || since < ago[l.Name] {
+				latest[l.Name], ago[l.Name] = l, since
+			}
+		}
+	}
+	for _, p := range s.procs[s.members():] {
+		l, known := latest[p.name]
+		switch {
+		case !p.up:
+		case !known:
+			j.broken("no member knows of %s", p.name)
+		case l.InForce != head || l.Held != head || l.Behind != 0 || l.Region != p.region:
+			j.broken("%s has version %d in force, members say %+v", p.name, head, l)
+		}
+	}
+}
+
 // count takes how late a version was at a node, from when it was acknowledged and first could be had.
 func (j *judge) count(node int, x *proposal, spans []span) {
 	from := math.Inf(1)
--- a/internal/lab/simplane/simplane_test.go
+++ b/internal/lab/simplane/simplane_test.go
@@ -139,3 +139,20 @@
 		})
 	}
 }
+
+// Found by schedules, each with its story.
+func TestFoundSchedules(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		seed   uint64
+		voters int
+		kind   Kind
+		story  string
+	}{
+		{8, 5, Harsh, "a node that was mute for longer than its lease, on a connection that lived, was known again without its region"},
+	} {
+		shape := Standard(c.voters)
+		_, wrong := play(c.seed, shape, c.kind, Schedule(c.seed, shape, c.kind != Mild), nil)
+		require.Empty(t, wrong, c.story)
+	}
+}
