A part of a frame is no silence: links of 1 KB/s in the simulation as on sockets

A node whose copy was lost, on a link of 1 KB/s, gave its connection up in the middle of a change of 7 KB (2.5 s without a frame) and began anew elsewhere. Test: it keeps its connection, gets the whole in its time and each change within 6 s from then on.

--- a/internal/controlplane/follower.go
+++ b/internal/controlplane/follower.go
@@ -200,6 +200,13 @@
 	f.toldAt, f.changed = now, false
 }
 
+// Heard tells that something came, be it a part of a frame: a long one on a slow link is no silence.
+func (f *Follower) Heard(now float64) {
+	if f.link == linked {
+		f.heardAt = now
+	}
+}
+
 // Frame takes what the member says.
 func (f *Follower) Frame(now float64, data []byte) {
 	if f.link != linked {
--- a/internal/lab/simplane/simplane.go
+++ b/internal/lab/simplane/simplane.go
@@ -440,6 +440,11 @@
 		at = max(at, c.last[side]+float64(size)/rate)
 	}
 	c.last[side] = at
+	if rate := s.thin[from][to]; rate > 0 && side == 1 { // it comes in parts
+		for part := at - 1000; part > at-float64(size)/rate; part -= 1000 {
+			s.after(part-s.now, func() { s.part(c) })
+		}
+	}
 	s.after(at-s.now, func() {
 		if s.cut[from][to] > 0 || len(c.held[side]) > 0 {
 			c.held[side] = append(c.held[side], do)
@@ -449,6 +454,19 @@
 	})
 }
 
+// part tells a follower that a part of a frame has come.
+func (s *Plane) part(c *conn) {
+	p := s.procs[c.ends[0]]
+	if s.cut[c.ends[1]][p.id] > 0 {
+		return
+	}
+	s.in(p.id, c.lives[0], func() {
+		if p.conn == c {
+			p.follower.Heard(s.at(p))
+		}
+	})
+}
+
 // release lets go of what a link has held up.
 func (s *Plane) release(from, to int) {
 	for _, c := range s.conns {
--- a/internal/lab/simplane/simplane_test.go
+++ b/internal/lab/simplane/simplane_test.go
@@ -156,3 +156,27 @@
 		require.Empty(t, wrong, c.story)
 	}
 }
+
+// A node whose links carry 1 KB/s gets the whole in its time, over one connection, and changes within 6 s from then on.
+func TestThinLink(t *testing.T) {
+	shape := Standard(3)
+	shape.Tenants = 150 // about 7 KB packed
+	const node = 10
+	for seed := range uint64(4) {
+		s := New(seed, shape)
+		end := length - windDown + 4000 // it stays thin longer than operators work
+		var dials int
+		s.after(5000, func() { dials = s.procs[node].dial })
+		wrong := s.Run([]Fault{{At: 4000, Until: end, Kind: "thin", A: node}, {At: 4500, Until: 4600, Kind: "lost", A: node}}, Quiet)
+		require.Empty(t, wrong, "seed %d", seed)
+		require.LessOrEqual(t, s.procs[node].dial-dials, 1, "seed %d: it keeps its connection", seed)
+		j, judged := s.judge, 0
+		for _, x := range j.acked {
+			if from := x.acked - j.base; from > 18e3 {
+				judged++
+				require.GreaterOrEqual(t, j.at(node, x.acked+within), x.version, "seed %d", seed)
+			}
+		}
+		require.Greater(t, judged, 5)
+	}
+}
