--- a/cmd/pearknot/controlplane_test.go
+++ b/cmd/pearknot/controlplane_test.go
@@ -371,6 +371,27 @@
 	}
 }
 
+// All voters are killed right after an acknowledgement, then a node begins: what was acknowledged was on their disks.
+func TestAllVotersKilledAfterAnAcknowledgement(t *testing.T) {
+	t.Parallel()
+	p := newPlane(t, "c1:east:voter", "c2:north:voter", "c3:west:voter")
+	for round := range 3 {
+		version, _ := p.apply(tenants(20, 4000+round))
+		for _, m := range p.members {
+			p.signal(m.Name, syscall.SIGKILL)
+		}
+		for _, m := range p.members {
+			<-p.processes[m.Name].ended
+			p.member(m.Name, false)
+		}
+		require.Equal(t, uint64(round+1), version)
+		p.node("n1", "east", settings)
+		p.everywhere(version, time.Now(), "n1")
+		p.kill("n1")
+		require.NoError(t, os.RemoveAll(filepath.Join(p.dir, "state", "n1.copy")))
+	}
+}
+
 // The leader is frozen right after an acknowledgement, for 3 s: others go on, and when it is resumed nothing is undone.
 func TestLeaderFrozenAfterAnAcknowledgement(t *testing.T) {
 	t.Parallel()
