--- a/cmd/pearknot/controlplane_test.go
+++ b/cmd/pearknot/controlplane_test.go
@@ -245,6 +245,7 @@
 			s, err := p.holds(n)
 			return err == nil && s.InForce == version && s.Digest == digest(text)
 		})
+		p.t.Logf("seen there %v after the acknowledgement", time.Since(from).Round(time.Millisecond))
 	}
 }
 
@@ -424,8 +425,11 @@
 	p := newPlane(t, "c1:east:voter", "c2:north:voter", "c3:west:voter", "c4:south", "c5:south")
 	p.node("n1", "south", settings)
 	p.node("n2", "south", settings)
-	version, at := p.apply(tenants(3000, 4000))
+	version, at := p.apply(tenants(6000, 4000))
 	p.everywhere(version, at, "n1", "n2")
+	whole, err := p.holds("n1")
+	require.NoError(t, err)
+	require.Greater(t, whole.BytesIn, int64(16<<10))
 	leader := p.leader()
 	for _, m := range []string{"c1", "c2", "c3"} {
 		if m != leader {
@@ -433,7 +437,7 @@
 			break
 		}
 	}
-	version, at = p.apply(tenants(3000, 4001))
+	version, at = p.apply(tenants(6000, 4001))
 	p.everywhere(version, at, "n1", "n2")
 	// Its relay goes, and a change is made before it has another.
 	was, err := p.holds("n1")
@@ -441,7 +445,7 @@
 	require.Contains(t, []string{"c4", "c5"}, was.Member, "of its region")
 	p.kill(was.Member)
 	lost := time.Now()
-	version, at = p.apply(tenants(3000, 4002))
+	version, at = p.apply(tenants(6000, 4002))
 	p.within(time.Until(lost.Add(movedWithin)), "n1 follows another", func() bool {
 		s, err := p.holds("n1")
 		return err == nil && s.Member != "" && s.Member != was.Member
@@ -449,6 +453,7 @@
 	p.everywhere(version, at, "n1", "n2")
 	now, err := p.holds("n1")
 	require.NoError(t, err)
+	t.Logf("%d bytes with the whole, %d with what it missed", whole.BytesIn, now.BytesIn-was.BytesIn)
 	require.Less(t, now.BytesIn-was.BytesIn, int64(8<<10), "what it missed, not the whole")
 }
 
--- a/cmd/pearknot/deploy_test.go
+++ b/cmd/pearknot/deploy_test.go
@@ -67,3 +67,22 @@
 	require.NoError(t, err)
 	assert.Contains(t, strings.Join(libraries, " "), "libc.so")
 }
+
+// The deploy file names all packages of the real node, and no other.
+func TestDeployNamesTheNodesPackages(t *testing.T) {
+	data, err := os.ReadFile("../../deploy/balancer.toml")
+	require.NoError(t, err)
+	var deploy struct{ Node []string }
+	require.NoError(t, toml.Unmarshal(data, &deploy))
+	list := exec.Command("go", "list", "-deps", "./cmd/pearknot")
+	list.Dir = "../.."
+	out, err := list.Output()
+	require.NoError(t, err)
+	var want []string
+	for name := range strings.Lines(string(out)) {
+		if name, ours := strings.CutPrefix(strings.TrimSpace(name), "pearknot/"); ours && name != "balance" {
+			want = append(want, name)
+		}
+	}
+	assert.ElementsMatch(t, want, deploy.Node)
+}
