--- a/cmd/pearknot-lab/main_test.go
+++ b/cmd/pearknot-lab/main_test.go
@@ -43,6 +43,8 @@
 		{"capacity --quick --update x", 2, "--update goes with neither"},
 		{"capacity --target ../../experiments/capacity/target.toml --update /nowhere", 2, "/nowhere"},
 		{"capacity --target ../../experiments/capacity/target.toml --pearknot x --only nonsense", 2, `no such row: "nonsense"; there are links, `},
+		{"schedules --control-plane --voters 4", 2, "3 or 5 voters"}, {"schedules --control-plane --seeds 0", 2, "give one at least"},
+		{"schedules --control-plane --seeds 1", 0, "3 schedules"},
 	} {
 		status, out, errs := call(t, strings.Fields(c.args)...)
 		assert.Equal(t, c.status, status, c.args)
