--- a/internal/terms/json.go
+++ b/internal/terms/json.go
@@ -101,10 +101,20 @@
 			p.flatten(under(key), item)
 		}
 	case []any:
+		if path == "tenants" {
+			p.tenants = make([]tenant, len(x))
+			for k, item := range x {
+				if item, ok := item.(map[string]any); ok {
+					p.tenants[k] = tenant{scalar(item["name"]), scalar(item["quotaPerS"])}
+				}
+			}
+		}
 		plain := make([]string, 0, len(x))
 		for k, item := range x {
 			if _, ok := item.(map[string]any); ok {
-				p.flatten(under(strconv.Itoa(k)), item)
+				if path != "tenants" {
+					p.flatten(under(strconv.Itoa(k)), item)
+				}
 			} else {
 				plain = append(plain, scalar(item))
 			}
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -84,8 +84,19 @@
 
 // pairs are the start-up lines of an instance; the first fault is kept.
 type pairs struct {
-	values map[string]string
-	err    error
+	values  map[string]string
+	tenants []tenant // of nested settings, which may have very many: a line each costs several times as much
+	err     error
+}
+
+type tenant struct{ name, quota string }
+
+func (p *pairs) tenant(k int) tenant {
+	if p.tenants != nil {
+		return p.tenants[k]
+	}
+	at := fmt.Sprintf("tenants.%d.", k)
+	return tenant{p.values[at+"name"], p.values[at+"quotaPerS"]}
 }
 
 func (p *pairs) text(path string) string {
@@ -101,6 +112,10 @@
 	if p.err != nil {
 		return 0
 	}
+	return p.parse(path, v)
+}
+
+func (p *pairs) parse(path, v string) float64 {
 	x, err := strconv.ParseFloat(v, 64)
 	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
 		p.err = fmt.Errorf("setting %s is no number: %q", path, v)
@@ -138,7 +153,7 @@
 // count reads how many items a list of objects has; each item needs lines of its own.
 func (p *pairs) count(path string) int {
 	n := p.number(path + ".count")
-	if p.err == nil && (n < 0 || n != math.Trunc(n) || int(n) > len(p.values)) {
+	if p.err == nil && (n < 0 || n != math.Trunc(n) || int(n) > len(p.values)+len(p.tenants)) {
 		p.err = fmt.Errorf("setting %s.count can't be: %v", path, n)
 	}
 	if p.err != nil {
@@ -149,13 +164,25 @@
 
 // within reads a number that has bounds.
 func (p *pairs) within(least, most float64) func(path string) float64 {
-	return func(path string) float64 {
-		x := p.number(path)
-		if p.err == nil && (x < least || x > most) {
-			p.err = fmt.Errorf("setting %s is %v, not from %v to %v", path, x, least, most)
-		}
+	return func(path string) float64 { return p.bound(path, p.number(path), least, most) }
+}
+
+func (p *pairs) bound(path string, x, least, most float64) float64 {
+	if p.err == nil && (x < least || x > most) {
+		p.err = fmt.Errorf("setting %s is %v, not from %v to %v", path, x, least, most)
+	}
+	return x
+}
+
+// quota reads a tenant's, which may be absent.
+func (p *pairs) quota(k int, v string) float64 {
+	if x, err := strconv.ParseFloat(v, 64); v == "" || p.err != nil {
+		return 0
+	} else if err == nil && x >= 0 && x <= math.MaxFloat64 {
 		return x
 	}
+	path := fmt.Sprintf("tenants.%d.quotaPerS", k)
+	return p.bound(path, p.parse(path, v), 0, math.MaxFloat64)
 }
 
 // above reads a time, which is more than 0.
@@ -228,9 +255,9 @@
 	}
 	if p.values["tenants"] == "" && p.values["tenants.count"] != "" {
 		for k := range p.count("tenants") {
-			at := fmt.Sprintf("tenants.%d.", k)
-			t.Tenants = append(t.Tenants, balance.Tenant{Quota: optional(p, at+"quotaPerS", p.within(0, math.MaxFloat64), 0)})
-			d.Tenants = append(d.Tenants, p.values[at+"name"])
+			w := p.tenant(k)
+			t.Tenants = append(t.Tenants, balance.Tenant{Quota: p.quota(k, w.quota)})
+			d.Tenants = append(d.Tenants, w.name)
 		}
 		d.Tenant("") // sorted here, and not on a request's way
 	}
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -135,3 +135,32 @@
 		assert.EqualError(t, err, want)
 	}
 }
+
+// Tenants of nested settings are read beside the lines, and alike: a fault names the same key, and what is no tenant's is 0.
+func TestTenantsBothWays(t *testing.T) {
+	for tenants, want := range map[string]string{
+		`[{"name":"one","quotaPerS":20},{"name":"two words"},{"quotaPerS":0.5},3,null]`: "",
+		`[{"name":"one","quotaPerS":-1}]`:                                               "tenants.0.quotaPerS is -1, not from 0",
+		`[{"name":"one"},{"name":"two","quotaPerS":"few"}]`:                             `tenants.1.quotaPerS is no number: "few"`,
+		`[{"name":"one"},{"name":"two","quotaPerS":1e999}]`:                             "tenants.1.quotaPerS is no number",
+		`[{"name":"one","quotaPerS":"NaN"}]`:                                            "tenants.0.quotaPerS is no number",
+		`[{"name":"one","quotaPerS":{"a":1}}]`:                                          "tenants.0.quotaPerS is no number",
+		`[]`:                                                                            "",
+	} {
+		d, err := FromJSON([]byte(strings.Replace(nested, `[{"name":"one","quotaPerS":20}]`, tenants, 1)))
+		if want != "" {
+			assert.ErrorContains(t, err, want, tenants)
+			continue
+		}
+		require.NoError(t, err, tenants)
+		if tenants == "[]" {
+			assert.Empty(t, d.Tenants)
+			continue
+		}
+		assert.Equal(t, []string{"one", "two_words", "", "", ""}, d.Tenants)
+		assert.Equal(t, []balance.Tenant{{Quota: 20}, {}, {Quota: 0.5}, {}, {}}, d.Terms.Tenants)
+	}
+	// A count in lines is held against what stands there.
+	_, err := FromLines([]byte(lines + "tenants.count=1000000000\n"))
+	assert.ErrorContains(t, err, "tenants.count")
+}
