A change is in hand 6 s after discovery could be reached, whatever came of the call before

Need: after a failed, a refused and a given-up call each, a change counts as told 6 s after discovery had it and could be reached.

Seen by a stand-in for discovery on real connections, a row of failed calls before, the change made right behind the call that comes to nothing, and an answer that takes 1.2 s: - After a call that failed or was refused: 25.0 s with askWithin of 60 s. The module's wait grew to half of askWithin (balance.go, ListFailed: a third, and half more): 5 s at the usual 10 s, which leaves 1 s where an answer may take 2. It now grows to 2.4 s, and half more: 4.8 s in the same test. - After a call that was given up: 7.0 s with that alone mended, 2.2 s of silence and up to 3.6 s of wait. Silence is a way that is cut and not a service with too many callers, which says so: the watch (members/watch.go, run) asks again by itself within 1.2 s, spread evenly: 4.0 to 4.4 s. The module hears of the failure as before. Ruled out: an open watch that falls silent, asked again at once as it was (4.7 s); the agent's own lists, asked for again after 0.1 s.

A row of four failed calls and more asks 1.4 times as often as before at askWithin of 10 s.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -42,6 +42,7 @@
 	awaySteps    = 8       // of them for another backend than the key's home: it does all the work anew
 	joinSteps    = 2       // thirty-seconds of an op's time for a new connection: it costs both ends
 	refusedFor   = 1e3     // ms; a backend that refused a connection is asked again later and later
+	askAgain     = 2.4e3   // ms, and half more: with 2 s for an answer, 6 s from being back to being heard
 	clockHair    = 1e-3    // ms; a clock may be rounded by as much
 	coldSafety   = 0.6     // share of the cold budget used; hints are rough, connections cost work too
 )
@@ -205,9 +206,8 @@
 func (n *Node) ListFailed(now float64) {
 	n.now, n.tracked = now, false
 	// Growing, spread waits: a service of fixed capacity must not meet a storm of repeats.
-	wait := math.Min(500*math.Exp2(float64(n.failures)), n.t.AskWithin/3)
+	n.askAt = now + min(500*math.Exp2(float64(n.failures)), n.t.AskWithin/3, askAgain)*(0.5+n.rng.unit())
 	n.failures++
-	n.askAt = now + wait*(0.5+n.rng.unit())
 	n.log("list call failed, %d in a row", n.failures)
 }
 
--- a/internal/members/watch.go
+++ b/internal/members/watch.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -31,6 +32,10 @@
 	atOnce = time.Millisecond
 	// apart is the least time between the starts of two calls, well within the 200 ms in which a watch goes on.
 	apart = 100 * time.Millisecond
+	// spread is the most that passes from a call that was given up until the next, spread evenly: silence is a way that is cut, not
+	// a service with too many callers, which says so. The way may be whole again as that call begins, and what there is to tell is
+	// to be in hand 6 s later: turn, spread and turn are 5.6 s. The module's own waits, for calls that were turned away, take longer.
+	spread = 1200 * time.Millisecond
 
 	sayAgain = time.Minute // between two lines on one odd entry
 	mostSaid = 1000        // names whose lines are remembered
@@ -49,9 +54,9 @@
 	Failed  func()      // takes a failed call; must not block
 	Own     bool        // its source is this machine's own, and may be asked as often as need be
 
-	hold, turn, apart time.Duration                                                        // a test's own, else as above
-	dial              func(ctx context.Context, network, address string) (net.Conn, error) // likewise
-	said              map[string]time.Time                                                 // when an odd entry was last logged, by name
+	hold, turn, apart, spread time.Duration                                                        // a test's own, else as above
+	dial                      func(ctx context.Context, network, address string) (net.Conn, error) // likewise
+	said                      map[string]time.Time                                                 // when an odd entry was last logged, by name
 
 	failing bool // no answer has come since the latest failure
 	behind  bool // the list has begun anew, and no change of it come since
@@ -66,6 +71,7 @@
 func (w *Watch) Start(ctx context.Context) {
 	w.asked, w.end, w.said = make(chan struct{}, 1), func() {}, map[string]time.Time{}
 	w.hold, w.turn, w.apart = cmp.Or(w.hold, hold), cmp.Or(w.turn, turn), cmp.Or(w.apart, apart)
+	w.spread = cmp.Or(w.spread, spread)
 	if w.dial == nil {
 		w.dial = (&net.Dialer{Timeout: w.turn}).DialContext
 	}
@@ -109,12 +115,21 @@
 			w.Log.Warn("list call failed", "address", w.Address, "error", err)
 			w.Failed()
 		}
-		if w.failing = true; w.Own { // what it has at its return counts as told at once
+		switch w.failing = true; {
+		case w.Own: // what it has at its return counts as told at once
 			time.AfterFunc(w.apart, w.Ask)
+		case givenUp(err):
+			time.AfterFunc(rand.N(w.spread), w.Ask)
 		}
 	}
 }
 
+// givenUp tells whether it was this side that ended a call, or a connection that did not come up.
+func givenUp(err error) bool {
+	var silent net.Error
+	return errors.As(err, &silent) && silent.Timeout()
+}
+
 // begin takes up a move: versions of two addresses have nothing to do with each other, and the first call at a new
 // one is for the whole list.
 func (w *Watch) begin(ctx context.Context) (context.Context, context.CancelFunc) {
