Which test forces which moment of the renewed terms; a hedge before its first attempt's record is passed by

Need: on a busy machine with -race the test of kept requests stood still for good: the hedge was due before the first attempt's own record had come, and the module that stood still at it kept that record from its attempt (2 of 10 cases, seen in ten runs at a load of 50 on 8 shared cores).

--- a/internal/front/gone_test.go
+++ b/internal/front/gone_test.go
@@ -37,8 +37,15 @@
 	answer  chan string // to one attempt
 	reading sync.WaitGroup
 
-	mu sync.Mutex
-	n  int
+	mu   sync.Mutex
+	n    int
+	void bool // another moment than the one meant: nothing to judge
+}
+
+func (a *attempts) some() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.n > 0
 }
 
 // newAttempts judges last, once the node has ended: what was written to a backend has been read by then.
@@ -57,7 +64,9 @@
 		}
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		assert.Equal(t, want, a.n, "attempts in all")
+		if !a.void {
+			assert.Equal(t, want, a.n, "attempts in all")
+		}
 	})
 	return a
 }
@@ -159,9 +168,11 @@
 	balance.Decider
 	number  int // of the push among its request's; -1 is none
 	decided chan bool
-	let     chan bool // hand it on
-	on      chan bool // go on behind it
-	at      int       // 1 behind it, 2 far behind
+	let     chan bool   // hand it on
+	on      chan bool   // go on behind it
+	at      int         // 1 behind it, 2 far behind
+	wanted  func() bool // whether it is the moment that is meant, or goes by; nil is always
+	wentBy  bool
 }
 
 func newGate(number int) *gate {
@@ -180,9 +191,12 @@
 	}
 	d, more := g.Decider.Next()
 	if more && g.at == 0 && d.Kind == balance.DoPush && d.Push.Number == g.number {
-		g.at = 1
+		g.wentBy = g.wanted != nil && !g.wanted()
 		close(g.decided)
-		<-g.let
+		if g.at = 2; !g.wentBy {
+			g.at = 1
+			<-g.let
+		}
 	}
 	return d, more
 }
