A further attempt for a client that has gone is let fail, the module ends its request by itself

A mutant without the look in node.push passed all cases, one without the ending of a kept request in node.ended as well. The first costs a backend a connection, and the log a record, for an attempt that never begins: stand-in backends now count connections, too, and 27 cases fail without it. The second does nothing that the module does not do once its request's further pushes have all been let fail: out.

--- a/internal/front/gone_test.go
+++ b/internal/front/gone_test.go
@@ -37,9 +37,10 @@
 	answer  chan string // to one attempt
 	reading sync.WaitGroup
 
-	mu   sync.Mutex
-	n    int
-	void bool // another moment than the one meant: nothing to judge
+	mu    sync.Mutex
+	n     int
+	conns int
+	void  bool // another moment than the one meant: nothing to judge
 }
 
 func (a *attempts) some() bool {
@@ -66,6 +67,7 @@
 		defer a.mu.Unlock()
 		if !a.void {
 			assert.Equal(t, want, a.n, "attempts in all")
+			assert.Equal(t, want, a.conns, "nor does a connection come up for another")
 		}
 	})
 	return a
@@ -83,6 +85,9 @@
 				_ = c.Close()
 				return
 			}
+			a.mu.Lock()
+			a.conns++
+			a.mu.Unlock()
 			a.reading.Go(func() { a.read(c) })
 		}
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -429,7 +429,7 @@
 	call.Left = &op.gone
 	op.calls = append(op.calls, call)
 	op.out++
-	if op.gone.Load() { // nor is a record of it worth writing
+	if op.gone.Load() { // no connection and no record for it; of a kept one the module soon has no pushes left
 		call.Done(upstream.Outcome{Ending: balance.NotSent})
 		return
 	}
@@ -464,10 +464,6 @@
 	elapsed := max(n.now-p.SentAt-float64(out.First.Microseconds())/1e3, 0)
 	n.module.Ended(n.now, p, out.Ending, elapsed, op.answered)
 	n.traceEnded(op, p, out)
-	if op.Kept != nil && op.gone.Load() && op.out == 0 && !op.answered { // what had begun has ended: its key is free, or has its outcome
-		n.finish(op, Answer{Final: Nacked})
-		n.module.Left(n.now, &op.Op)
-	}
 	n.forget(op)
 }
 
