--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -210,7 +210,7 @@
 		"nor by bound": {},
 	} {
 		f, _, _ := fronted(t, 64, &balance.Terms{Seed: 1, Nodes: 1, MaxPushes: 1, ComeBack: c.told, MaxComeBack: c.most, FallMultiple: 3,
-			OverloadFor: 1000, Categories: []balance.Category{{TargetLatency: 60e3, Benefit: 1}}},
+			OverloadFor: 1000, Categories: []balance.Category{{TargetLatency: 60e3, Benefit: 1}}}, node.Module,
 			&members.List{Whole: true, Members: []members.Member{{Name: "s", Address: refuses.String(), State: balance.Ready, Weight: 1}}})
 		answer, err := http.ReadResponse(bufio.NewReader(connected(t, f, opOf("a", 0))), nil)
 		require.NoError(t, err)
