--- a/internal/controlplane/follow_test.go
+++ b/internal/controlplane/follow_test.go
@@ -518,6 +518,28 @@
 	require.GreaterOrEqual(t, at[len(at)-1]-at[len(at)-2], 15e3)
 	require.InDelta(t, 10e3, f.State(120e3).Age, 1100)
 
+	// A region alone keeps to its own members; each cycle one of another region is tried, each time the next.
+	all := []Target{{"a", "east"}, {"b", "east"}, {"c", "west"}, {"d", "west"}, {"e", "north"}}
+	far := map[int]int{}
+	f = NewFollower(FollowerTerms{Name: "n", Region: "east", Members: all}, Copy{}, 0)
+	members = beats(f, 600e3, 10e3, func(m int) bool {
+		if m >= 2 {
+			far[m]++
+		}
+		return m >= 2
+	})
+	require.Len(t, far, 3, "all are tried in the end")
+	for _, m := range members {
+		require.Less(t, m, 2)
+	}
+	require.InDelta(t, len(members)/2, far[2]+far[3]+far[4], 1)
+	// Where those are as old, it goes home at once.
+	f = NewFollower(FollowerTerms{Name: "n", Region: "east", Members: all}, Copy{}, 0)
+	members = beats(f, 600e3, 10e3, none)
+	for k := 1; k < len(members); k++ {
+		require.False(t, members[k-1] >= 2 && members[k] >= 2, "%d", members)
+	}
+
 	f = NewFollower(FollowerTerms{Name: "n", Region: "east", Members: []Target{{"a", "east"}, {"x", "west"}}}, Copy{}, 0)
 	members = beats(f, 120e3, 0, func(m int) bool { return m == 0 })
 	require.Equal(t, 1, members[0])
--- a/internal/controlplane/follower.go
+++ b/internal/controlplane/follower.go
@@ -42,6 +42,8 @@
 	heardAt float64
 	rest    float64 // until another is looked for, where the copy is old
 	tried   int     // so many were left
+	abroad  int     // members of other regions that were tried for a fresher copy
+	seeking bool    // one of them is: if it isn't had, or isn't fresh, back home
 	restAt  float64
 	home    float64 // until one of the own region is tried again
 	homeAt  float64
@@ -153,6 +155,9 @@
 	f.unlink(now)
 	f.failed++
 	f.at = (f.at + 1) % len(f.order)
+	if f.seeking {
+		f.at, f.seeking = 0, false
+	}
 	// Tries are spread over the wait, so that all that lose a member together don't come to the next one together.
 	f.dialAt = now + f.chance.Float64()*f.wait
 	if f.failed%len(f.order) == 0 {
@@ -351,7 +356,7 @@
 		f.claim, f.claimed = b, true
 	}
 	if b.Age <= staleAfter {
-		f.rest, f.restAt, f.tried = restFrom, 0, 0
+		f.rest, f.restAt, f.tried, f.seeking = restFrom, 0, 0, false
 	} else if f.restAt == 0 {
 		f.restAt = now // at once, the first time
 	}
@@ -360,11 +365,27 @@
 		if f.tried++; f.tried >= f.own {
 			f.rest = min(2*f.rest, restUpTo)
 		}
-		f.leave(now, (f.at+1)%len(f.order))
+		f.leave(now, f.fresher())
 	}
 	return nil
 }
 
+// fresher is where to look for a fresher copy: at all of the own region, then at one of another, each time at the next. A region that is
+// alone keeps to its own members so, but for a try now and then.
+func (f *Follower) fresher() int {
+	far := len(f.order) - f.own
+	switch {
+	case f.at+1 < f.own || f.own == 0:
+		return (f.at + 1) % len(f.order)
+	case f.at >= f.own || far == 0:
+		f.seeking = false
+		return 0
+	}
+	f.abroad++
+	f.seeking = true
+	return f.own + (f.abroad-1)%far
+}
+
 // freshen takes what a heartbeat has claimed, once all that it spoke of is held. The time is that at which the server had it, reckoned
 // from a status of this follower that the server had heard: however long the heartbeat was under way, the claim is never too much.
 func (f *Follower) freshen(now float64) {
