--- a/cmd/pearknot-lab/main.go
+++ b/cmd/pearknot-lab/main.go
@@ -35,7 +35,7 @@
 	root.SetOut(out)
 	root.SetErr(errs)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return command.Usage(err) })
-	root.AddCommand(schedulesCommand(), demoCommand(), runCommand(), sweepCommand(), compareCommand(), searchCommand(), reportCommand(), fleetCommand(), instancesCommand(), nodeCommand(), authorityCommand(), countCommand())
+	root.AddCommand(schedulesCommand(), demoCommand(), runCommand(), sweepCommand(), compareCommand(), searchCommand(), reportCommand(), fleetCommand(), instancesCommand(), nodeCommand(), authorityCommand(), countCommand(), scaleCommand(), hollowCommand())
 	return command.Exit("pearknot-lab", root.ExecuteContext(ctx), errs)
 }
 
--- /dev/null
+++ b/internal/lab/scale/real.go
@@ -0,0 +1,23 @@
+package scale
+
+import (
+	"context"
+	"net/http"
+
+	"pearknot/internal/control"
+)
+
+// standing is what a real node says of its control plane.
+type standing struct {
+	version uint64 // in force
+	digest  string // of what it has in force
+	frames  int64
+}
+
+func askReal(ctx context.Context, socket *control.Client) (standing, error) {
+	var s control.Status
+	if err := socket.Call(ctx, http.MethodGet, control.StatusPath, nil, &s); err != nil {
+		return standing{}, err
+	}
+	return standing{}, nil
+}
