--- a/internal/lab/scale/real.go
+++ b/internal/lab/scale/real.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"pearknot/internal/control"
@@ -19,5 +20,9 @@
 	if err := socket.Call(ctx, http.MethodGet, control.StatusPath, nil, &s); err != nil {
 		return standing{}, err
 	}
-	return standing{}, nil
+	if s.ControlPlane == nil {
+		return standing{}, errors.New("it follows no control plane")
+	}
+	c := s.ControlPlane
+	return standing{c.InForce, c.Digest, c.FramesIn + c.FramesOut}, nil
 }
