--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -16,12 +16,11 @@
 
 const (
 	NoFlaw          Flaw = iota
-	OutOfOrder           // a follower applies whatever change comes, whichever version it holds
+	OutOfOrder           // a follower applies whatever change comes, whichever version it holds; one out of turn unchecked
 	DigestUnchecked      // a follower doesn't compare digests
 	AckEarly             // a leader answers once it has the proposal itself
 	StaleServe           // a voter that leads takes itself for fresh without asking the others
 	ReceiptAge           // a follower counts an age from a heartbeat's receipt
-	PersistLate          // a voter sends before it has written
 	BaseUnchecked        // the state machine takes a change to whatever version it has
 )
 
@@ -50,6 +49,7 @@
 	Voters  []uint64
 	Seed    uint64
 	Entries int // bytes of entries between two images; 0 is the usual, 1 MB or a quarter of the text
+	Kept    int // changes kept, the same for all voters; 0 is the usual, 4,096
 	Flaw    Flaw
 }
 
@@ -167,6 +167,7 @@
 type FollowerTerms struct {
 	Name, Region, Kind string
 	Members            []Target
+	Kept               int // changes that a member keeps; 0 is the usual, 4,096. A node keeps none
 	Seed               uint64
 	Flaw               Flaw
 }
--- a/internal/controlplane/follower.go
+++ b/internal/controlplane/follower.go
@@ -12,12 +12,12 @@
 )
 
 const (
-	silentAfter  = 3000.0 // ms without a frame, after which another member is tried
+	silentAfter  = 2500.0 // ms without a frame, after which another member is tried
 	dialWithin   = 1000.0
 	againFrom    = 200.0 // between two tries, growing to
 	againUpTo    = 2000.0
 	staleAfter   = 2000.0 // a server whose copy may be older is left for another,
-	restFrom     = 5000.0 // at most so often, growing to
+	restFrom     = 1000.0 // at most so often, growing to: the next one may be as old, and the one after has what was committed 1 s ago
 	restUpTo     = 30e3
 	homeEvery    = 30e3  // from a member of another region, one of the own is tried again, up to twice that
 	mostBad      = 3     // wrong digests from one member, after which another is tried
@@ -71,7 +71,7 @@
 func NewFollower(t FollowerTerms, c Copy, now float64) *Follower {
 	most := 0
 	if t.Kind == KindMember {
-		most = mostKept
+		most = cmp.Or(t.Kept, mostKept)
 	}
 	f := &Follower{t: t, chance: rand.New(rand.NewPCG(t.Seed, xxhash.Sum64String(t.Name))), h: newHistory(0, nothing(), most),
 		wait: againFrom, rest: restFrom, freshAt: math.Inf(-1), askedAt: math.Inf(-1)}
@@ -187,16 +187,19 @@
 	}
 	if kind == frameHello {
 		s.Digest, s.Region, s.Kind = doc.digest[:], f.t.Region, f.t.Kind
-		if f.bad > 0 {
-			s.Held = 0 // nothing that this follower could go on from
-			d := nothing().digest
-			s.Digest = d[:]
-		}
+		s.Whole = f.bad > 0
 	}
 	f.out = append(f.out, FollowerOutput{Frame: frame(kind, &s)})
 	f.toldAt, f.changed = now, false
 }
 
+// Heard tells that something came, be it a part of a frame: a long one on a slow link is no silence.
+func (f *Follower) Heard(now float64) {
+	if f.link == linked {
+		f.heardAt = now
+	}
+}
+
 // Frame takes what the member says.
 func (f *Follower) Frame(now float64, data []byte) {
 	if f.link != linked {
@@ -242,7 +245,7 @@
 		return nil
 	}
 	next, err := doc.splice(c.Splices)
-	if err == nil && next.digest != c.Digest && f.t.Flaw != DigestUnchecked && f.t.Flaw != OutOfOrder {
+	if err == nil && next.digest != c.Digest && f.t.Flaw != DigestUnchecked && c.Version == version+1 {
 		err = errDigest
 	}
 	if err != nil {
@@ -333,7 +336,7 @@
 	switch {
 	case b.Sent > version && b.Sent <= b.Head, f.in == nil && b.Whole > 0, f.in != nil && b.Whole > uint64(len(f.in.data)):
 		f.askAgain(now) // something of it was lost
-	case b.Head == version && b.Digest != doc.digest.start() && f.t.Flaw != DigestUnchecked && f.t.Flaw != OutOfOrder:
+	case b.Head == version && b.Digest != doc.digest.start() && f.t.Flaw != DigestUnchecked:
 		if now-f.askedAt >= askEvery {
 			return f.wrong(now)
 		}
