--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -194,7 +194,6 @@
 		}
 		return spans
 	})
-	x.judge()
 }
 
 // middle is what the node in the middle of its kind has taken between two looks: one that came anew meanwhile got the whole again,
@@ -247,6 +246,9 @@
 	}
 	if r.Load.Ops > 0 {
 		not(!r.Load.Rules.Kept, "the real nodes broke a rule: %s", r.Load.Rules.Text)
+		for _, b := range r.Load.Rules.Breaches[:min(len(r.Load.Rules.Breaches), 3)] {
+			not(true, "  %s", strings.ReplaceAll(b, "\n", "; "))
+		}
 	}
 }
 
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -141,6 +141,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.report.judge()
 	return &r.report, nil
 }
 
