--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -313,6 +313,7 @@
 	f := r.Finding
 	fmt.Fprintf(w, "%d changes acknowledged, after %s; %d without an answer, %d not begun\n", len(r.Commits), percentiles(staleness(append([]float64(nil), r.Commits...))),
 		r.Unanswered, r.Unmade)
+	fmt.Fprintf(w, "all nodes started at once; to their first version in force: %s\n", percentiles(f.Start))
 	fmt.Fprintf(w, "from the acknowledgement to in force, %d changes at %d nodes: %s\n", f.Changes, e.Nodes, percentiles(f.Reachable))
 	if f.Cut.Pairs > 0 {
 		fmt.Fprintf(w, "%d nodes were cut off; from when they could be reached to in force, %d changes at nodes: %s\n", f.CutNodes, f.Cut.Pairs, percentiles(f.Cut))
