--- a/cmd/pearknot-lab/main_test.go
+++ b/cmd/pearknot-lab/main_test.go
@@ -23,6 +23,8 @@
 func TestCommandLine(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "bad.toml")
 	require.NoError(t, os.WriteFile(bad, []byte("seconds = 5\n[fleet]\nnodez = 3\n"), 0o600))
+	big := filepath.Join(t.TempDir(), "big.toml")
+	require.NoError(t, os.WriteFile(big, []byte("name = \"big\"\nnodes = 1500\nhollow_per_process = 5\n"), 0o600))
 	for _, c := range []struct {
 		args   string
 		status int
@@ -39,6 +41,8 @@
 		{"sweep ../../experiments/calm.toml --virtual --over fleet.nodes=0", 2, "fleet.nodes: 0 is not 1 to 5000"},
 		{"compare /nowhere /nowhere", 2, "/nowhere"}, {"report /nowhere", 2, "/nowhere"}, {"demo --seconds 1", 2, "--seconds 1"},
 		{"node --config /nowhere", 2, "/nowhere"},
+		{"scale", 2, "accepts 1 arg"}, {"scale /nowhere.toml", 2, "/nowhere.toml"}, {"scale " + bad, 2, bad + ":2:2: unknown key fleet"},
+		{"scale " + big + " --pearknot /nowhere", 2, "big would take 322 processes, over 300"}, {"hollow /nowhere", 2, "/nowhere"},
 		{"schedules --control-plane --voters 4", 2, "3 or 5 voters"}, {"schedules --control-plane --seeds 0", 2, "give one at least"},
 		{"schedules --control-plane --seeds 1", 0, "3 schedules"},
 	} {
--- a/cmd/pearknot-lab/scale.go
+++ b/cmd/pearknot-lab/scale.go
@@ -69,6 +69,6 @@
 // hollowCommand is a process of hollow nodes, as scale starts it.
 func hollowCommand() *cobra.Command {
 	return &cobra.Command{Use: "hollow FILE", Hidden: true, Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
-		return scale.Hollow(c.Context(), args[0], slog.New(slog.NewTextHandler(c.ErrOrStderr(), &slog.HandlerOptions{Level: slog.LevelWarn})))
+		return command.Missing(scale.Hollow(c.Context(), args[0], slog.New(slog.NewTextHandler(c.ErrOrStderr(), &slog.HandlerOptions{Level: slog.LevelWarn}))))
 	}}
 }
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -175,35 +175,43 @@
 // set puts on all links what the faults that are on make of them.
 func (s *site) set(on []Fault) {
 	for _, w := range s.ways {
-		f := wires.Fault{}
-		for _, x := range on {
-			from, to := x.at(s.e, w.from), x.at(s.e, w.to)
-			switch x.Kind {
-			case Cut:
-				if from != to {
-					f = dropped(f, wires.BothWays)
-				}
-			case CutIn, CutOut:
-				if from != to { // what is called from within goes out to the target
-					f = dropped(f, map[bool]wires.Way{true: wires.ToTarget, false: wires.FromTarget}[from == (x.Kind == CutOut)])
-				}
-			case Slow:
-				if from || w.kind == memberKind && to {
-					f.Rate, f.Delay = x.Rate, clock.Span(x.Delay)
-				}
-			case Lose:
-				f.Refuse = f.Refuse || w.kind != memberKind && from && to
-			case Deaf:
-				switch x.Member {
-				case memberName(w.member):
-					f = dropped(f, wires.ToTarget)
-				case memberName(w.caller):
-					f = dropped(f, wires.FromTarget)
-				}
+		w.Set(w.fault(s.e, on))
+	}
+}
+
+// fault is what the faults that are on make of a link.
+func (w *way) fault(e *Experiment, on []Fault) (f wires.Fault) {
+	for _, x := range on {
+		from, to := x.at(e, w.from), x.at(e, w.to)
+		switch x.Kind {
+		case Cut:
+			if from != to {
+				f = dropped(f, wires.BothWays)
+			}
+		case CutIn, CutOut:
+			switch out := x.Kind == CutOut; {
+			case from == to:
+			case from == out: // what is called from within goes out to the target
+				f = dropped(f, wires.ToTarget)
+			default:
+				f = dropped(f, wires.FromTarget)
+			}
+		case Slow:
+			if from || w.kind == memberKind && to {
+				f.Rate, f.Delay = x.Rate, clock.Span(x.Delay)
+			}
+		case Lose:
+			f.Refuse = f.Refuse || w.kind != memberKind && from && to
+		case Deaf:
+			switch x.Member {
+			case memberName(w.member):
+				f = dropped(f, wires.ToTarget)
+			case memberName(w.caller):
+				f = dropped(f, wires.FromTarget)
 			}
 		}
-		w.Set(f)
 	}
+	return f
 }
 
 func dropped(f wires.Fault, on wires.Way) wires.Fault {
--- a/internal/lab/scale/run_test.go
+++ b/internal/lab/scale/run_test.go
@@ -148,3 +148,40 @@
 	assert.Positive(t, r.Load.Ops)
 	assert.Len(t, r.Middle, 2)
 }
+
+// whoever is told how it goes, and ends it then.
+type interrupter struct{ end context.CancelFunc }
+
+func (i interrupter) Write(b []byte) (int, error) {
+	if strings.Contains(string(b), "members up") {
+		i.end()
+	}
+	return len(b), nil
+}
+
+// Whatever ends a run, its processes and files end with it: an interrupt, and a process that ends by itself, which is told in a line.
+func TestEnds(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	e, err := Decode("x.toml", []byte(small))
+	require.NoError(t, err)
+	bin := build(t)
+	tmp, err := os.MkdirTemp("", "pk")
+	require.NoError(t, err)
+	defer os.RemoveAll(tmp)
+	t.Setenv("TMPDIR", tmp)
+	for want, bin := range map[string]string{"context canceled": bin, "m1 ended by itself (exit status 1): ": "/bin/false"} {
+		ctx, end := context.WithCancel(t.Context())
+		_, err = Run(ctx, e, Options{Pearknot: bin, Hollow: []string{os.Args[0], "hollow"}, Out: interrupter{end}})
+		end()
+		assert.ErrorContains(t, err, want)
+		left, err := filepath.Glob(filepath.Join(tmp, "*"))
+		require.NoError(t, err)
+		assert.Empty(t, left)
+		lines, err := filepath.Glob("/proc/[0-9]*/cmdline")
+		require.NoError(t, err)
+		for _, name := range lines {
+			line, _ := os.ReadFile(name)
+			assert.NotContains(t, string(line), tmp)
+		}
+	}
+}
