--- a/internal/lab/scale/report.go
+++ b/internal/lab/scale/report.go
@@ -94,6 +94,7 @@
 	Experiment *Experiment
 	MachineMB  float64
 	Fair       bool
+	Document   int             // bytes
 	Quiet      map[string]Cost // by kind
 	Changing   map[string]Cost
 	Worst      map[string]float64
@@ -140,7 +141,8 @@
 		n := float64(count)
 		c := Cost{Count: count, Bytes: float64(b.bytes[kind]-a.bytes[kind]) / s / n, Messages: float64(b.frames[kind]-a.frames[kind]) / s / n,
 			Core: (b.cpu[kind] - a.cpu[kind]).Seconds() / s / n}
-		if kind == memberKind { // the busiest one's, of all of its links
+		if kind == memberKind { // bytes are the busiest one's, of all of its links; messages those with nodes
+			c.Messages = float64(b.frames[hollowKind]+b.frames[realKind]-a.frames[hollowKind]-a.frames[realKind]) / s / n
 			c.Bytes = 0
 			for k := range b.memberBytes {
 				c.Bytes = max(c.Bytes, float64(b.memberBytes[k]-a.memberBytes[k])/s)
@@ -257,7 +259,7 @@
 	e := r.Experiment
 	fmt.Fprintf(w, "\n%s: %d nodes, %d of them real, %d hollow in %d processes; %d members, %d of them voters; %d regions, %d zones\n", e.Name, e.Nodes, e.Real,
 		e.Nodes-e.Real, e.hollowProcesses(), e.Members.Count, e.Members.Voters, e.Regions, e.Zones)
-	fmt.Fprintf(w, "%d tenants in the document, %g changes a second of about %d bytes for %g s; hollow nodes' copies on disk: %v\n", e.Tenants, e.Changes.PerSecond,
+	fmt.Fprintf(w, "%d tenants in a document of %d KB, %g changes a second of about %d bytes for %g s; hollow nodes' copies on disk: %v\n", e.Tenants, r.Document>>10, e.Changes.PerSecond,
 		e.Changes.Bytes, e.Seconds, e.Copies)
 	for _, x := range e.Faults {
 		fmt.Fprintf(w, "fault: %s from %g s on for %g s", x, x.At, x.For)
@@ -292,7 +294,7 @@
 		costs map[string]Cost
 	}{{"quiet", r.Quiet}, {"with changes", r.Changing}} {
 		row("bytes a second, "+x.when, "%.0f", x.costs, func(c Cost) float64 { return c.Bytes }, true)
-		row("messages a second, "+x.when, "%.2f", x.costs, func(c Cost) float64 { return c.Messages }, false)
+		row("messages a second, "+x.when, "%.2f", x.costs, func(c Cost) float64 { return c.Messages }, true)
 		row("% of a core, "+x.when, "%.2f", x.costs, func(c Cost) float64 { return 100 * c.Core }, true)
 	}
 	row("bytes, worst second", "%.0f", r.Changing, func(c Cost) float64 { return c.Worst }, false)
@@ -301,9 +303,9 @@
 		fmt.Fprintf(w, " %12.1f", r.MemoryMB[kind])
 	}
 	fmt.Fprint(w, `
-Bytes are counted on the links, both ways; a member's are the busiest one's. A hollow node's processor time and memory are its
-process's, divided by its nodes and less nothing; a real node's are all it does, its load among them. Memory is the largest RSS, of
-members and real nodes the largest one's.
+Both ways. Bytes are counted on the links, and a member's are the busiest one's; messages by the nodes, and a member's are those with
+nodes, the mean. A hollow node's processor time and memory are its process's, divided by its nodes and less nothing; a real node's are
+all it does, its load among them. Memory is the largest RSS, of members and real nodes the largest one's.
 
 `)
 	for _, what := range slices.Sorted(maps.Keys(r.Middle)) {
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -394,6 +394,7 @@
 	}
 	r.mu.Lock()
 	base := r.report.head
+	r.report.Document = len(text)
 	r.mu.Unlock()
 	begun := r.clock.Now()
 	version, err := r.plane.Apply(ctx, base, text, "lab", reason)
