--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -93,7 +93,7 @@
 func Run(ctx context.Context, e *Experiment, o Options) (_ *Report, err error) {
 	if o.Fair {
 		x := *e
-		x.Nodes, x.Real, x.Faults = 2*fairNodes, fairNodes, nil
+		x.Name, x.Nodes, x.Real, x.Faults = e.Name+" --fair", 2*fairNodes, fairNodes, nil
 		e = &x
 	}
 	machine, err := machineMB()
