--- a/cmd/pearknot-lab/main_test.go
+++ b/cmd/pearknot-lab/main_test.go
@@ -23,6 +23,8 @@
 func TestCommandLine(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "bad.toml")
 	require.NoError(t, os.WriteFile(bad, []byte("seconds = 5\n[fleet]\nnodez = 3\n"), 0o600))
+	big := filepath.Join(t.TempDir(), "big.toml")
+	require.NoError(t, os.WriteFile(big, []byte("name = \"big\"\nnodes = 1500\nhollow_per_process = 5\n"), 0o600))
 	for _, c := range []struct {
 		args   string
 		status int
@@ -43,6 +45,8 @@
 		{"capacity --quick --update x", 2, "--update goes with neither"},
 		{"capacity --target ../../experiments/capacity/target.toml --update /nowhere", 2, "/nowhere"},
 		{"capacity --target ../../experiments/capacity/target.toml --pearknot x --only nonsense", 2, `no such row: "nonsense"; there are links, `},
+		{"scale", 2, "accepts 1 arg"}, {"scale /nowhere.toml", 2, "/nowhere.toml"}, {"scale " + bad, 2, bad + ":2:2: unknown key fleet"},
+		{"scale " + big + " --pearknot /nowhere", 2, "big would take 322 processes, over 300"}, {"hollow /nowhere", 2, "/nowhere"},
 		{"schedules --control-plane --voters 4", 2, "3 or 5 voters"}, {"schedules --control-plane --seeds 0", 2, "give one at least"},
 		{"schedules --control-plane --seeds 1", 0, "3 schedules"},
 	} {
