--- a/internal/controlplane/member/member.go
+++ b/internal/controlplane/member/member.go
@@ -41,6 +41,7 @@
 	acceptAgain  = 50 * time.Millisecond
 	voteSilence  = 3 * time.Second // without a word of the other end: after a long cut the kernel would send again only minutes later
 	voteWord     = time.Second
+	slowDisk     = time.Second     // nobody is told anything meanwhile: followers go to another member after 2.5 s
 	proposeFor   = 4 * time.Second // then the caller asks again, by the change's ID
 )
 
@@ -329,10 +330,14 @@
 			}
 			return true
 		case o.Persist != nil:
+			begun := time.Now()
 			if err := m.store.persist(o.Persist); err != nil { // what a voter has said it must have
 				m.end(fmt.Errorf("voter's store: %w", err))
 				return false
 			}
+			if took := time.Since(begun); took > slowDisk {
+				m.log.Warn("voter's disk is slow", "took_ms", took.Milliseconds())
+			}
 		case o.Send != nil:
 			if v := m.votes[o.Send.To]; v != nil {
 				v.send(o.Send.Data)
