--- a/internal/lab/capacity/cost.go
+++ b/internal/lab/capacity/cost.go
@@ -75,9 +75,10 @@
 	byFile     = "a file and SIGHUP for each process, read whole"
 	byMesh     = "links between all members of a peers file"
 	byEach     = "the module looks at each backend for a request"
-	byTenant   = "the module walks all tenants for a request, the listener finds one by walking their names"
+	byTenant   = "sums kept as requests come, tenants by a sorted order of names"
 	byRing     = "a ring on disk, here before 30 backends"
 	byMissing  = "missing"
+	byPlane    = "the control plane tells differences in its place: section 6"
 	byListing  = "the list told whole at a start"
 	byNode     = "one process"
 	byAgent    = "one look at each instance a second"
@@ -179,10 +180,10 @@
 	add("processor time of all nodes' reading of it", listCPU.times(t.Nodes*1e-3), "s", 0, byListing)
 
 	role, event = "the control machines", "a day's changes of configuration"
-	add("settings told whole to all nodes", settings.times(t.Nodes*t.Day.Changes/daySeconds), "B/s", 0, byMissing)
-	add("a machine's part, as many nodes as it has by its share", settings.times(t.Nodes/t.Limit.Machines*t.Day.Changes/daySeconds), "B/s", 0, byMissing)
+	add("settings told whole to all nodes", settings.times(t.Nodes*t.Day.Changes/daySeconds), "B/s", 0, byPlane)
+	add("a machine's part, as many nodes as it has by its share", settings.times(t.Nodes/t.Limit.Machines*t.Day.Changes/daySeconds), "B/s", 0, byPlane)
 	event = "one change of configuration"
-	add("settings told whole to all nodes within the time", settings.times(t.Nodes/t.Limit.InForce), "B/s", 0, byMissing)
+	add("settings told whole to all nodes within the time", settings.times(t.Nodes/t.Limit.InForce), "B/s", 0, byPlane)
 
 	role, event = "an operator's command", "quiet"
 	add("a look at all instances of one agent", s.at("agent.view.ms", t.Nodes).times(1e-3), "s", 0, "pearknot fleet status")
@@ -216,7 +217,6 @@
 	return []Cost{
 		nothing("routes: the program knows none", "a node, requests"),
 		nothing("services: the program knows one list", "a node, requests"),
-		nothing("configuration from the control machines: nothing runs there", "the control machines"),
 	}
 }
 
