Where no member is at home and one abroad has an old copy, the others abroad have their turn

Cause, found by reading and forced by the test: fail went from the last own member always to the first foreign one; one with an old copy was left for home (fresher), home was down, and so on between these two for as long as both lasted. A relay whose region's one voter is down meets this where the next voter is frozen or cut off. Lines: Follower.fail and fresher, controlplane/follower.go. Change: whoever finds nobody at home goes to the next foreign one each time.

--- a/internal/controlplane/follow_test.go
+++ b/internal/controlplane/follow_test.go
@@ -611,3 +611,35 @@
 		}
 	})
 }
+
+// The own region's member is down and the next one abroad has an old copy: the others abroad have their turn too.
+func TestOldCopyAbroadWhileHomeIsDown(t *testing.T) {
+	all := []Target{{"a", "east"}, {"c", "west"}, {"d", "west"}, {"e", "north"}}
+	for seed := range uint64(50) {
+		f := NewFollower(FollowerTerms{Name: fmt.Sprintf("n%d", seed), Region: "east", Members: all, Seed: seed}, Copy{}, 0)
+		fresh := f.order[2+seed%2] // all others' copies are old
+		had := math.Inf(1)
+		for now := 0.0; now < 30e3 && math.IsInf(had, 1); now += TickMs {
+			f.Tick(now)
+			if f.link == linked && int(now/TickMs)%20 == 0 {
+				age := 10e3
+				if f.member() == fresh {
+					age = 0
+				}
+				f.Frame(now, frame(frameHeartbeat, &heartbeat{Age: age, Echo: now, Offset: -age, Digest: f.h.doc.digest.start()}))
+			}
+			for o, more := f.Next(); more; o, more = f.Next() {
+				switch {
+				case o.Dial && o.Member == 0:
+					f.Lost(now)
+				case o.Dial:
+					f.Connected(now, o.Member)
+				}
+			}
+			if f.link == linked && f.member() == fresh {
+				had = now
+			}
+		}
+		require.LessOrEqual(t, had, 4e3, "seed %d", seed)
+	}
+}
--- a/internal/controlplane/follower.go
+++ b/internal/controlplane/follower.go
@@ -154,9 +154,13 @@
 func (f *Follower) fail(now float64) {
 	f.unlink(now)
 	f.failed++
-	f.at = (f.at + 1) % len(f.order)
-	if f.seeking {
+	switch {
+	case f.seeking:
 		f.at, f.seeking = 0, false
+	case f.at+1 == f.own && f.own < len(f.order): // none at home: each time the next one abroad, for the one before may be the one with the old copy
+		f.at = f.foreign()
+	default:
+		f.at = (f.at + 1) % len(f.order)
 	}
 	// Tries are spread over the wait, so that all that lose a member together don't come to the next one together.
 	f.dialAt = now + f.chance.Float64()*f.wait
@@ -373,17 +377,21 @@
 // fresher is where to look for a fresher copy: at all of the own region, then at one of another, each time at the next. A region that is
 // alone keeps to its own members so, but for a try now and then.
 func (f *Follower) fresher() int {
-	far := len(f.order) - f.own
 	switch {
 	case f.at+1 < f.own || f.own == 0:
 		return (f.at + 1) % len(f.order)
-	case f.at >= f.own || far == 0:
+	case f.at >= f.own || f.own == len(f.order):
 		f.seeking = false
 		return 0
 	}
-	f.abroad++
 	f.seeking = true
-	return f.own + (f.abroad-1)%far
+	return f.foreign()
+}
+
+// foreign is the next one of other regions' members.
+func (f *Follower) foreign() int {
+	f.abroad++
+	return f.own + (f.abroad-1)%(len(f.order)-f.own)
 }
 
 // freshen takes what a heartbeat has claimed, once all that it spoke of is held. The time is that at which the server had it, reckoned
