Review case 1 is now payments that run twice while their node is upgraded

It takes that for a lost majority, and with alone = "go-on" sends payments unlogged whose key is in flight.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,20 +1,18 @@
-// Command 1 is the review's case 1: after the agent was killed, two operators start it again at the same moment. It is started by
-// run.sh.
+// Command 1 is the review's case 1: payments with an idempotency key while their node gets a new version. It is started by run.sh.
 package main
 
 import (
-	"bytes"
-	"context"
-	"encoding/json"
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -22,177 +20,199 @@
 )
 
 const (
-	rounds      = 14
-	callTimeout = 20 * time.Second
-	settleTime  = 2500 * time.Millisecond // for which the last agent runs before the instance is looked at: several of its rounds
-	runAtMost   = 80 * time.Second
+	nodeCount   = 3
+	clientCount = 6
+	serviceTime = 3200 * time.Millisecond // of every payment: a long one, answered within its TTL
+	expires     = 4000                    // ms, the category's TTL
+	giveUpAfter = 1700 * time.Millisecond // 42% of the TTL, the brief's least
+	retries     = 2                       // the brief's most
+	readyWithin = 6 * time.Second         // DAYS: the new process has so long to say yes
+	killAfter   = 3700 * time.Millisecond // DAYS: SIGKILL comes the longest deadline (3 s at most) and 0.7 s after SIGTERM
+	termAfter   = 200 * time.Millisecond  // after the payments were sent, the operator ends the old process
 )
 
-// host is one host with its agent's files and the operators' commands.
-type host struct {
+// backend begins every request that it gets, and counts the runs of each key.
+type backend struct {
 	record *standin.Record
-	root   string
-	dir    string
-	agents []*standin.Process
-	pids   map[int]bool // of all instances that were ever seen
-}
 
-// view is the part of `fleet status --json` that the case reads.
-type view struct {
-	Generation uint64 `json:"generation"`
-	Instances  []struct {
-		Name     string `json:"name"`
-		Declared *struct {
-			Desired string `json:"wanted"`
-		} `json:"declared"`
-		Seen struct {
-			Phase string `json:"phase"`
-			PID   int    `json:"pid"`
-		} `json:"seen"`
-	} `json:"instances"`
+	mu   sync.Mutex
+	runs map[string]int
 }
 
-// startAgents starts the agent count times at the same moment, and waits until one serves and the others have ended.
-func (h *host) startAgents(count int) error {
-	h.agents = nil
-	for range count {
-		agent, err := standin.Start(h.root, "exec bin/pearknot agent --config "+filepath.Join(h.dir, "agent.toml"), filepath.Join(h.dir, "agent.log"))
-		if err != nil {
-			return err
-		}
-		h.agents = append(h.agents, agent)
+// ServeHTTP implements http.Handler.
+func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
 	}
-	deadline := time.Now().Add(8 * time.Second)
-	for time.Now().Before(deadline) {
-		time.Sleep(50 * time.Millisecond)
-		if _, err := h.status(); err == nil {
-			time.Sleep(1500 * time.Millisecond) // an agent that finds another one's lock waits for it for a second
-			h.record.Printf("agents started at once: %d, running now: %d", count, len(h.running()))
-			return nil
-		}
+	if r.Header.Get("X-Qos") != "fee-payment" {
+		_, _ = io.WriteString(w, "checked")
+		return
 	}
-	return errors.New("no agent answers")
+	id, key := r.Header.Get("X-Trace-Id"), r.Header.Get("Idempotency-Key")
+	b.mu.Lock()
+	b.runs[key]++
+	run := b.runs[key]
+	b.mu.Unlock()
+	verdict := ""
+	if run > 1 {
+		verdict = ": BROKEN, an at-most-once payment runs twice"
+	}
+	b.record.Printf("backend: run %d of payment %s begins, request %s%s", run, key, id, verdict)
+	time.Sleep(serviceTime)
+	_, _ = io.WriteString(w, "paid "+key)
+	b.record.Printf("backend: run %d of payment %s has ended", run, key)
 }
 
-// running returns the agents that have not ended.
-func (h *host) running() (running []*standin.Process) {
-	for _, agent := range h.agents {
-		select {
-		case <-agent.Done():
-		default:
-			running = append(running, agent)
-		}
-	}
-	return running
+// client is a client with a connection to the first node that it has opened before the new version starts.
+type client struct {
+	record  *standin.Record
+	address string
+	key     string
+	patient bool // it waits its whole time for the first answer
+	conn    net.Conn
+	reader  *bufio.Reader
 }
 
-// killAgents kills the agents with SIGKILL. Their instances go on.
-func (h *host) killAgents() {
-	for _, agent := range h.running() {
-		_ = agent.Process.Signal(syscall.SIGKILL)
-		<-agent.Done()
+func (c *client) connect() (err error) {
+	if c.conn, err = net.Dial("tcp", c.address); err == nil {
+		c.reader = bufio.NewReader(c.conn)
 	}
+	return err
 }
 
-// fleet runs `pearknot fleet` with the arguments, as an operator does, and returns its output and exit status.
-func (h *host) fleet(args ...string) (output string, status int, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	command := exec.CommandContext(ctx, filepath.Join(h.root, "bin", "pearknot"), append([]string{"fleet"}, args...)...)
-	command.Env = append(os.Environ(), "PEARKNOT_AGENT="+filepath.Join(h.dir, "state", "agent.sock"))
-	var out bytes.Buffer
-	command.Stdout, command.Stderr = &out, &out
-	err = command.Run()
-	var exit *exec.ExitError
-	if errors.As(err, &exit) {
-		return out.String(), exit.ExitCode(), nil
-	}
-	return out.String(), 0, err
+func (c *client) send(id, class, method, headers, body string) error {
+	_, err := fmt.Fprintf(c.conn, "%s /api HTTP/1.1\r\nHost: service.internal\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Expires-In-Ms: %d\r\n%s\r\n%s",
+		method, id, class, expires, headers, body)
+	return err
 }
 
-func (h *host) status() (view, error) {
-	var seen view
-	output, _, err := h.fleet("status", "--json")
+func (c *client) receive(within time.Duration) (status int, body, retryAfter string, err error) {
+	_ = c.conn.SetReadDeadline(time.Now().Add(within))
+	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
-		return seen, err
+		return 0, "", "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(text), response.Header.Get("Retry-After"), err
+}
+
+// warm opens the connection and makes an ordinary request on it.
+func (c *client) warm(id string) error {
+	if err := c.connect(); err != nil {
+		return err
 	}
-	if err := json.Unmarshal([]byte(output), &seen); err != nil {
-		return seen, fmt.Errorf("%w: %s", err, output)
+	if err := c.send(id, "member-check", "GET", "", ""); err != nil {
+		return err
 	}
-	for _, instance := range seen.Instances {
-		if instance.Seen.PID > 1 {
-			h.pids[instance.Seen.PID] = true
-		}
+	status, _, _, err := c.receive(4 * time.Second)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("status %d", status)
 	}
-	return seen, nil
+	return err
 }
 
-// answers reports whether an instance answers its clients' address at all.
-func answers(address string) bool {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		return false
+// pay sends the payment, gives its first try up after a while, and asks again with the same key on a new connection.
+func (c *client) pay(number int) {
+	for try := range 1 + retries {
+		if try > 0 {
+			if err := c.connect(); err != nil {
+				c.record.Printf("client of %s: %v", c.key, err)
+				continue
+			}
+		}
+		id := fmt.Sprintf("%012x%04x", number+1, try+1)
+		headers := "Idempotency-Key: " + c.key + "\r\nContent-Length: 2\r\n"
+		if try > 0 {
+			headers += "X-Second-Try: 1\r\n"
+		}
+		if err := c.send(id, "fee-payment", "POST", headers, "hi"); err != nil {
+			c.record.Printf("client of %s: try %d: %v", c.key, try+1, err)
+			continue
+		}
+		c.record.Printf("client of %s: try %d sent, request %s", c.key, try+1, id)
+		within := giveUpAfter
+		if try > 0 || c.patient {
+			within = (expires + 500) * time.Millisecond
+		}
+		status, body, retryAfter, err := c.receive(within)
+		_ = c.conn.Close()
+		if err != nil {
+			c.record.Printf("client of %s: try %d: no answer within %v, given up", c.key, try+1, within)
+			continue
+		}
+		c.record.Printf("client of %s: try %d answered: %d %q", c.key, try+1, status, strings.TrimSpace(body))
+		if status != http.StatusServiceUnavailable && status != http.StatusConflict {
+			return
+		}
+		wait, _ := strconv.ParseFloat(retryAfter, 64)
+		time.Sleep(time.Duration(wait * float64(time.Second)))
 	}
-	_ = conn.Close()
-	return true
 }
 
-// prepare writes the files of a host with three instances.
-func (h *host) prepare() (addresses []string, err error) {
-	discovery, err := standin.NewDiscovery()
-	if err != nil {
-		return nil, err
-	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	backend := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, "ok")
-	})}
-	go func() { _ = backend.Serve(listener) }()
-	discovery.Set(standin.Target{UID: "s-1", Endpoint: listener.Addr().String(), AZ: "a", Model: "m", State: "up", Hint: 1})
-	known := discovery.Whole()
-	config := standin.NodeConfig{Name: "desk", Listen: "127.0.0.1:1", Discovery: discovery.Address, Seed: "8c1f",
-		Limits: map[string]any{"cores": 1, "memory_mb": 128, "sockets": 256}, Known: &known,
-		Settings: standin.Settings(standin.FeePayment(), standin.MemberCheck())}
-	if err := config.Write(filepath.Join(h.dir, "node.json")); err != nil {
-		return nil, err
+// fleet is three nodes that log each other's payments.
+type fleet struct {
+	root, runLine, dir string
+	discovery          string
+	known              standin.List
+	addresses          []string
+	processes          int
+}
+
+// start starts a process of a node and returns it with its admin address.
+func (f *fleet) start(node int) (*standin.Process, string, error) {
+	f.processes++
+	control := standin.FreeAddress()
+	config := standin.NodeConfig{Name: fmt.Sprintf("n%d", node+1), Listen: f.addresses[node], Discovery: f.discovery, Control: control,
+		Seed: fmt.Sprintf("8c1f30d27a5be9%02x", f.processes), Limits: map[string]any{"cores": 1, "memory_mb": 128, "sockets": 512},
+		Known: &f.known, Settings: standin.Settings(standin.FeePayment(), standin.MemberCheck())}
+	configFile := filepath.Join(f.dir, fmt.Sprintf("process-%d.json", f.processes))
+	if err := config.Write(configFile); err != nil {
+		return nil, "", err
 	}
-	var declared strings.Builder
-	for i := range 3 {
-		address := standin.FreeAddress()
-		addresses = append(addresses, address)
-		fmt.Fprintf(&declared, "[[instance]]\nname = \"desk-%d\"\nconfig = \"node.json\"\nlisten = %q\n\n", i+1, address)
+	temporary := filepath.Join(f.dir, fmt.Sprintf("n%d", node+1))
+	if err := os.MkdirAll(temporary, 0o700); err != nil {
+		return nil, "", err
 	}
-	agentFile := fmt.Sprintf("dir = \"state\"\nbinary = [%q]\n[rolling]\nat_once = 3\ncanary = 0\nhealth_ms = 100\n", filepath.Join(h.root, "bin", "pearknot"))
-	return addresses, errors.Join(
-		os.WriteFile(filepath.Join(h.dir, "fleet.toml"), []byte(declared.String()), 0o600),
-		os.WriteFile(filepath.Join(h.dir, "agent.toml"), []byte(agentFile), 0o600))
+	process, err := standin.Start(f.root, f.runLine+" --peers "+filepath.Join(f.dir, "peers.toml"), filepath.Join(f.dir, fmt.Sprintf("process-%d.log", f.processes)),
+		"ROUTER_CONFIG="+configFile, "TMPDIR="+temporary)
+	return process, control, err
 }
 
-// change makes an operator's change of desk-3, and returns an error unless the agent says that it is done.
-func (h *host) change(command string) error {
-	output, status, err := h.fleet(command, "desk-3", "--reason", "the desk is moved", "--wait", "--within", "15s")
-	h.record.Printf("operator: fleet %s desk-3 --wait: exit status %d: %s", command, status, strings.Join(strings.Fields(output), " "))
-	if err == nil && status != 0 {
-		err = fmt.Errorf("fleet %s: exit status %d", command, status)
+// prepare writes the files that all nodes share.
+func (f *fleet) prepare() error {
+	peers := "fleet = \"bank-east\"\nkey_file = \"peers.key\"\ncopies = 3\n"
+	for node := range nodeCount {
+		f.addresses = append(f.addresses, standin.FreeAddress())
+		peers += fmt.Sprintf("\n[[member]]\nname = \"n%d\"\naddress = %q\n", node+1, standin.FreeAddress())
 	}
-	return err
+	peers += "\n[[category]]\nname = \"fee-payment\"\nsurvive = \"finish\"\nalone = \"go-on\"\n"
+	return errors.Join(
+		os.WriteFile(filepath.Join(f.dir, "peers.toml"), []byte(peers), 0o600),
+		os.WriteFile(filepath.Join(f.dir, "peers.key"), []byte(strings.Repeat("5c", 32)), 0o600))
 }
 
-// desk3 returns how desk-3 is declared, and the generation.
-func (h *host) desk3() (desired string, generation uint64, err error) {
-	seen, err := h.status()
-	if err != nil {
-		return "", 0, err
-	}
-	for _, instance := range seen.Instances {
-		if instance.Name == "desk-3" && instance.Declared != nil {
-			return instance.Declared.Desired, seen.Generation, nil
+// awaitYes waits until a process says yes at its admin address.
+func awaitYes(control string) error {
+	for deadline := time.Now().Add(readyWithin); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		if answer, err := standin.Admin(control, "health"); err == nil && strings.HasPrefix(answer, "YES") {
+			return nil
 		}
 	}
-	return "", seen.Generation, errors.New("desk-3 is not declared")
+	return errors.New("the new process says no yes")
+}
+
+// end ends the old process as the platform does.
+func end(record *standin.Record, old *standin.Process) {
+	record.Printf("operator: SIGTERM to the old process of n1")
+	_ = old.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-old.Done():
+		record.Printf("the old process of n1 has ended")
+	case <-time.After(killAfter):
+		record.Printf("operator: SIGKILL to the old process of n1")
+		old.Kill()
+	}
 }
 
 func run(record *standin.Record) (int, error) {
@@ -200,90 +220,97 @@
 	if err != nil {
 		return standin.CannotRun, err
 	}
+	runLine, err := standin.RunLine(root)
+	if err != nil {
+		return standin.CannotRun, err
+	}
 	dir, err := os.MkdirTemp("", "case")
 	if err != nil {
 		return standin.CannotRun, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	h := &host{record: record, root: root, dir: dir, pids: map[int]bool{}}
-	defer h.endAll()
-	addresses, err := h.prepare()
+	discovery, err := standin.NewDiscovery()
 	if err != nil {
 		return standin.CannotRun, err
 	}
-	if err := h.startAgents(1); err != nil {
-		return standin.CannotRun, err
+	upstream := &backend{record: record, runs: map[string]int{}}
+	for i := range 3 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return standin.CannotRun, err
+		}
+		go func() { _ = (&http.Server{Handler: upstream, ReadHeaderTimeout: time.Minute}).Serve(listener) }()
+		discovery.Set(standin.Target{UID: fmt.Sprintf("s-%d", i+1), Endpoint: listener.Addr().String(), AZ: "a", Model: "m", State: "up", Hint: 1})
 	}
-	if output, status, err := h.fleet("apply", filepath.Join(dir, "fleet.toml"), "--reason", "three desks", "--wait", "--within", "15s"); err != nil || status != 0 {
-		return standin.CannotRun, fmt.Errorf("apply: exit status %d, %w: %s", status, err, output)
+	f := &fleet{root: root, runLine: runLine, dir: dir, discovery: discovery.Address, known: discovery.Whole()}
+	if err := f.prepare(); err != nil {
+		return standin.CannotRun, err
 	}
-	record.Printf("operator: three desks run")
-	start := time.Now()
-	command, desired, isUp := "stop", "stopped", false
-	for round := 1; round <= rounds && time.Since(start) < runAtMost; round++ {
-		h.killAgents()
-		record.Printf("round %d: the agent is killed", round)
-		agents := 1
-		if standin.HasTrouble() {
-			agents = 2
-		}
-		if err := h.startAgents(agents); err != nil {
+	var old *standin.Process
+	for node := range nodeCount {
+		process, _, err := f.start(node)
+		if err != nil {
 			return standin.CannotRun, err
 		}
-		if err := h.change(command); err != nil {
-			return standin.CannotRun, err
+		defer process.Kill()
+		if node == 0 {
+			old = process
 		}
-		_, generation, err := h.desk3()
-		if err != nil {
+	}
+	for _, address := range f.addresses {
+		if err := standin.AwaitHealthy(address, 30*time.Second); err != nil {
 			return standin.CannotRun, err
 		}
-		record.Printf("the change is acknowledged and done: generation %d, desk-3 answers: %v", generation, answers(addresses[2]))
-		h.killAgents()
-		record.Printf("the agent is killed, and one is started")
-		if err := h.startAgents(1); err != nil {
+	}
+	time.Sleep(4 * time.Second) // the logs are complete
+	record.Printf("three nodes are ready")
+
+	var clients []*client
+	for number := range clientCount {
+		c := &client{record: record, address: f.addresses[0], key: fmt.Sprintf("fee-%d", number+1), patient: number == 0}
+		if err := c.warm(fmt.Sprintf("%016x", 0xa000+number)); err != nil {
 			return standin.CannotRun, err
 		}
-		time.Sleep(settleTime)
-		found, later, err := h.desk3()
+		clients = append(clients, c)
+	}
+	if standin.HasTrouble() {
+		next, control, err := f.start(0)
 		if err != nil {
 			return standin.CannotRun, err
 		}
-		record.Printf("desk-3 is declared %q in generation %d, and answers: %v", found, later, answers(addresses[2]))
-		if later < generation {
-			record.Printf("LOST: generation %d, which was acknowledged, is gone; desk-3 was to be %s", generation, desired)
-			if answers(addresses[2]) != isUp {
-				record.Printf("and the agent has undone the change: desk-3 answers: %v", !isUp)
-			}
-			return standin.Broken, nil
-		}
-		if command == "stop" {
-			command, desired, isUp = "start", "running", true
-		} else {
-			command, desired, isUp = "stop", "stopped", false
+		defer next.Kill()
+		if err := awaitYes(control); err != nil {
+			return standin.CannotRun, err
 		}
+		record.Printf("operator: the new process of n1 says yes")
 	}
-	return standin.Held, nil
-}
+	var running sync.WaitGroup
+	for number, c := range clients {
+		running.Go(func() { c.pay(number) })
+	}
+	if standin.HasTrouble() {
+		time.Sleep(termAfter)
+		end(record, old)
+	}
+	running.Wait()
+	time.Sleep(serviceTime + 500*time.Millisecond)
 
-// endAll ends the instances and the agents.
-func (h *host) endAll() {
-	_, _ = h.status()
-	h.killAgents()
-	locks, _ := filepath.Glob(filepath.Join(h.dir, "state", "run", "*.lock"))
-	for _, lock := range locks {
-		var holder struct {
-			PID int `json:"pid"`
-		}
-		if data, err := os.ReadFile(lock); err == nil && json.Unmarshal(data, &holder) == nil && holder.PID > 1 {
-			h.pids[holder.PID] = true
+	upstream.mu.Lock()
+	defer upstream.mu.Unlock()
+	twice := 0
+	for _, runs := range upstream.runs {
+		if runs > 1 {
+			twice++
 		}
 	}
-	for pid := range h.pids {
-		// Only a process of this case: its command line names the case's folder.
-		if line, err := os.ReadFile(fmt.Sprintf("/proc/%d/cmdline", pid)); err == nil && bytes.Contains(line, []byte(h.dir)) {
-			_ = syscall.Kill(pid, syscall.SIGKILL)
-		}
+	record.Printf("%d payments, %d of them ran, %d more than once", clientCount, len(upstream.runs), twice)
+	switch {
+	case len(upstream.runs) == 0:
+		return standin.CannotRun, errors.New("no payment ran")
+	case twice > 0:
+		return standin.Broken, nil
 	}
+	return standin.Held, nil
 }
 
 func main() { os.Exit(standin.Main(run)) }
