--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,8 +1,10 @@
-// Command 1 is the review's case 1: payments with an idempotency key while their node gets a new version. It is started by run.sh.
+// Command 1 is the review's case 1: an operator takes a backend out while the endpoint list calls all backends gone. It is started by
+// run.sh.
 package main
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -10,209 +12,190 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
 	"pearknot/review/standin"
 )
 
 const (
-	nodeCount   = 3
-	clientCount = 6
-	serviceTime = 3200 * time.Millisecond // of every payment: a long one, answered within its TTL
-	expires     = 4000                    // ms, the category's TTL
-	giveUpAfter = 1700 * time.Millisecond // 42% of the TTL, the brief's least
-	retries     = 2                       // the brief's most
-	readyWithin = 6 * time.Second         // DAYS: the new process has so long to say yes
-	killAfter   = 3700 * time.Millisecond // DAYS: SIGKILL comes the longest deadline (3 s at most) and 0.7 s after SIGTERM
-	termAfter   = 200 * time.Millisecond  // after the payments were sent, the operator ends the old process
+	backendCount = 4
+	clientCount  = 16
+	serviceTime  = 60 * time.Millisecond  // of every request; the brief has 39 to 78 ms
+	drainGrace   = 400 * time.Millisecond // the brief's
+	socketSlack  = 50 * time.Millisecond  // PROTOCOL: each time limit is 50 ms longer
+	expires      = 2000                   // ms that a client waits, of the category's 2.5 s
+
+	listWrongAt = 2 * time.Second         // from the start of the traffic on
+	cordonAt    = 4 * time.Second         // the operator takes s-1 out
+	stopAfter   = 1500 * time.Millisecond // after the yes, the operator stops s-1, to restart it
+	startAfter  = 3 * time.Second         // after the yes, s-1 runs again
+	backAfter   = 5 * time.Second         // after the yes, the operator puts it back
+	listRightAt = 13 * time.Second        // the list was wrong for 11 s, of the brief's 9.1 to 25 s
+	endAt       = 15 * time.Second
 )
 
-// backend begins every request that it gets, and counts the runs of each key.
+// backend is one server. It notes what it begins, and what was in work when it was stopped.
 type backend struct {
-	record *standin.Record
+	name, address string
+	record        *standin.Record
 
-	mu   sync.Mutex
-	runs map[string]int
+	mu       sync.Mutex
+	server   *http.Server
+	takenOut time.Time // when the operator got the yes; zero while it is not taken out
+	late     int       // begun after the grace
+	working  map[string]bool
+	cutOff   int // begun after the grace, and in work when it was stopped
 }
 
-// ServeHTTP implements http.Handler.
-func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		return
-	}
-	if r.Header.Get("X-Qos") != "fee-payment" {
-		_, _ = io.WriteString(w, "checked")
-		return
+// start opens the backend's address.
+func (b *backend) start() error {
+	listener, err := net.Listen("tcp", b.address)
+	if err != nil {
+		return err
 	}
-	id, key := r.Header.Get("X-Trace-Id"), r.Header.Get("Idempotency-Key")
+	b.address = listener.Addr().String()
+	server := &http.Server{Handler: b, ReadHeaderTimeout: time.Minute}
 	b.mu.Lock()
-	b.runs[key]++
-	run := b.runs[key]
+	b.server, b.working = server, map[string]bool{}
 	b.mu.Unlock()
-	verdict := ""
-	if run > 1 {
-		verdict = ": BROKEN, an at-most-once payment runs twice"
-	}
-	b.record.Printf("backend: run %d of payment %s begins, request %s%s", run, key, id, verdict)
-	time.Sleep(serviceTime)
-	_, _ = io.WriteString(w, "paid "+key)
-	b.record.Printf("backend: run %d of payment %s has ended", run, key)
-}
-
-// client is a client with a connection to the first node that it has opened before the new version starts.
-type client struct {
-	record  *standin.Record
-	address string
-	key     string
-	patient bool // it waits its whole time for the first answer
-	conn    net.Conn
-	reader  *bufio.Reader
+	go func() { _ = server.Serve(listener) }()
+	return nil
 }
 
-func (c *client) connect() (err error) {
-	if c.conn, err = net.Dial("tcp", c.address); err == nil {
-		c.reader = bufio.NewReader(c.conn)
+// stop ends the backend as a process that dies: its connections end, and new ones are refused.
+func (b *backend) stop() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, isLate := range b.working {
+		if isLate {
+			b.cutOff++
+		}
+		b.record.Printf("backend %s: stopped while it worked on %s (sent after the grace: %v)", b.name, id, isLate)
 	}
-	return err
-}
-
-func (c *client) send(id, class, method, headers, body string) error {
-	_, err := fmt.Fprintf(c.conn, "%s /api HTTP/1.1\r\nHost: service.internal\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Expires-In-Ms: %d\r\n%s\r\n%s",
-		method, id, class, expires, headers, body)
-	return err
+	_ = b.server.Close()
 }
 
-func (c *client) receive(within time.Duration) (status int, body, retryAfter string, err error) {
-	_ = c.conn.SetReadDeadline(time.Now().Add(within))
-	response, err := http.ReadResponse(c.reader, nil)
-	if err != nil {
-		return 0, "", "", err
+// setTakenOut notes that the operator has taken the backend out, or put it back.
+func (b *backend) setTakenOut(out bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.takenOut = time.Time{}
+	if out {
+		b.takenOut = time.Now()
 	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
-	return response.StatusCode, string(text), response.Header.Get("Retry-After"), err
 }
 
-// warm opens the connection and makes an ordinary request on it.
-func (c *client) warm(id string) error {
-	if err := c.connect(); err != nil {
-		return err
-	}
-	if err := c.send(id, "member-check", "GET", "", ""); err != nil {
-		return err
+// ServeHTTP implements http.Handler.
+func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Trace-Id")
+	began := time.Now() // PROTOCOL: for drains, a send counts from its first byte, not from its last
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
 	}
-	status, _, _, err := c.receive(4 * time.Second)
-	if err == nil && status != http.StatusOK {
-		err = fmt.Errorf("status %d", status)
+	b.mu.Lock()
+	isLate := !b.takenOut.IsZero() && began.Sub(b.takenOut) > drainGrace+socketSlack
+	if isLate {
+		b.late++
+		b.record.Printf("backend %s: %s begun %.3f s after the operator's yes: BROKEN", b.name, id, began.Sub(b.takenOut).Seconds())
 	}
-	return err
+	b.working[id] = isLate
+	b.mu.Unlock()
+	time.Sleep(serviceTime)
+	b.mu.Lock()
+	delete(b.working, id)
+	b.mu.Unlock()
+	_, _ = io.WriteString(w, "posted "+id)
 }
 
-// pay sends the payment, gives its first try up after a while, and asks again with the same key on a new connection.
-func (c *client) pay(number int) {
-	for try := range 1 + retries {
-		if try > 0 {
-			if err := c.connect(); err != nil {
-				c.record.Printf("client of %s: %v", c.key, err)
-				continue
-			}
-		}
-		id := fmt.Sprintf("%012x%04x", number+1, try+1)
-		headers := "Idempotency-Key: " + c.key + "\r\nContent-Length: 2\r\n"
-		if try > 0 {
-			headers += "X-Second-Try: 1\r\n"
-		}
-		if err := c.send(id, "fee-payment", "POST", headers, "hi"); err != nil {
-			c.record.Printf("client of %s: try %d: %v", c.key, try+1, err)
-			continue
-		}
-		c.record.Printf("client of %s: try %d sent, request %s", c.key, try+1, id)
-		within := giveUpAfter
-		if try > 0 || c.patient {
-			within = (expires + 500) * time.Millisecond
-		}
-		status, body, retryAfter, err := c.receive(within)
-		_ = c.conn.Close()
-		if err != nil {
-			c.record.Printf("client of %s: try %d: no answer within %v, given up", c.key, try+1, within)
-			continue
-		}
-		c.record.Printf("client of %s: try %d answered: %d %q", c.key, try+1, status, strings.TrimSpace(body))
-		if status != http.StatusServiceUnavailable && status != http.StatusConflict {
-			return
+// counts are the clients' answers.
+type counts struct{ served, refused, failed, unanswered atomic.Int64 }
+
+// client sends one request after the other until ctx is done.
+func client(ctx context.Context, record *standin.Record, address string, number int, seen *counts) {
+	for i := 0; ctx.Err() == nil; i++ {
+		id := fmt.Sprintf("%08x%08x", number, i)
+		status, err := post(address, id)
+		switch {
+		case err != nil:
+			seen.unanswered.Add(1)
+			record.Printf("client: %s: no answer: %v", id, err)
+		case status == http.StatusOK:
+			seen.served.Add(1)
+		case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+			seen.refused.Add(1)
+		default:
+			seen.failed.Add(1)
+			record.Printf("client: %s: status %d: the notice may have been posted or not", id, status)
 		}
-		wait, _ := strconv.ParseFloat(retryAfter, 64)
-		time.Sleep(time.Duration(wait * float64(time.Second)))
+		time.Sleep(20 * time.Millisecond)
 	}
 }
 
-// fleet is three nodes that log each other's payments.
-type fleet struct {
-	root, runLine, dir string
-	discovery          string
-	known              standin.List
-	addresses          []string
-	processes          int
-}
-
-// start starts a process of a node and returns it with its admin address.
-func (f *fleet) start(node int) (*standin.Process, string, error) {
-	f.processes++
-	control := standin.FreeAddress()
-	config := standin.NodeConfig{Name: fmt.Sprintf("n%d", node+1), Listen: f.addresses[node], Discovery: f.discovery, Control: control,
-		Seed: fmt.Sprintf("8c1f30d27a5be9%02x", f.processes), Limits: map[string]any{"cores": 1, "memory_mb": 128, "sockets": 512},
-		Known: &f.known, Settings: standin.Settings(standin.FeePayment(), standin.MemberCheck())}
-	configFile := filepath.Join(f.dir, fmt.Sprintf("process-%d.json", f.processes))
-	if err := config.Write(configFile); err != nil {
-		return nil, "", err
+func post(address, id string) (status int, err error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return 0, err
 	}
-	temporary := filepath.Join(f.dir, fmt.Sprintf("n%d", node+1))
-	if err := os.MkdirAll(temporary, 0o700); err != nil {
-		return nil, "", err
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := fmt.Fprintf(conn, "POST /api HTTP/1.1\r\nHost: service.internal\r\nX-Trace-Id: %s\r\nX-Qos: post-notice\r\n"+
+		"X-Expires-In-Ms: %d\r\nConnection: close\r\nContent-Length: 6\r\n\r\nnotice", id, expires); err != nil {
+		return 0, err
 	}
-	process, err := standin.Start(f.root, f.runLine+" --peers "+filepath.Join(f.dir, "peers.toml"), filepath.Join(f.dir, fmt.Sprintf("process-%d.log", f.processes)),
-		"ROUTER_CONFIG="+configFile, "TMPDIR="+temporary)
-	return process, control, err
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	return response.StatusCode, err
 }
 
-// prepare writes the files that all nodes share.
-func (f *fleet) prepare() error {
-	peers := "fleet = \"bank-east\"\nkey_file = \"peers.key\"\ncopies = 3\n"
-	for node := range nodeCount {
-		f.addresses = append(f.addresses, standin.FreeAddress())
-		peers += fmt.Sprintf("\n[[member]]\nname = \"n%d\"\naddress = %q\n", node+1, standin.FreeAddress())
-	}
-	peers += "\n[[category]]\nname = \"fee-payment\"\nsurvive = \"finish\"\nalone = \"go-on\"\n"
-	return errors.Join(
-		os.WriteFile(filepath.Join(f.dir, "peers.toml"), []byte(peers), 0o600),
-		os.WriteFile(filepath.Join(f.dir, "peers.key"), []byte(strings.Repeat("5c", 32)), 0o600))
+// settings are those of boards-dakar: only draining binds, no second copies, at-most-once notices.
+func settings() map[string]any {
+	all := standin.Settings(
+		standin.Category{"name": "post-notice", "benefit": 2, "idempotency": "side_effect", "overdueBenefit": 0, "targetLatency": 500, "ttl": 2500},
+		standin.Category{"name": "board-change", "benefit": 8, "idempotency": "token", "dedupScope": "all", "keyTtl": 1000, "overdueBenefit": 0,
+			"targetLatency": 500, "ttl": 1500})
+	all["rules"] = map[string]any{"askWithin": 10000, "coldFrom": 0.15, "drainGrace": drainGrace.Milliseconds(), "fallMultiple": 3,
+		"overloadFor": 2000, "warmWithin": 22000, "removalNotBinding": true}
+	bounds := all["bounds"].(map[string]any)
+	bounds["secondCopies"] = false
+	return all
 }
 
-// awaitYes waits until a process says yes at its admin address.
-func awaitYes(control string) error {
-	for deadline := time.Now().Add(readyWithin); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		if answer, err := standin.Admin(control, "health"); err == nil && strings.HasPrefix(answer, "YES") {
-			return nil
-		}
+// call makes a call at the admin address and fails unless the answer is a yes.
+func call(record *standin.Record, address, line string) error {
+	answer, err := standin.Admin(address, line)
+	record.Printf("operator: %s: %s", line, strings.TrimSpace(answer))
+	if err == nil && !strings.HasPrefix(answer, "YES") {
+		err = fmt.Errorf("%s: %s", line, answer)
 	}
-	return errors.New("the new process says no yes")
+	return err
 }
 
-// end ends the old process as the platform does.
-func end(record *standin.Record, old *standin.Process) {
-	record.Printf("operator: SIGTERM to the old process of n1")
-	_ = old.Process.Signal(syscall.SIGTERM)
-	select {
-	case <-old.Done():
-		record.Printf("the old process of n1 has ended")
-	case <-time.After(killAfter):
-		record.Printf("operator: SIGKILL to the old process of n1")
-		old.Kill()
+// operate takes s-1 out, restarts it, and puts it back.
+func operate(record *standin.Record, control string, b *backend, started time.Time) error {
+	time.Sleep(time.Until(started.Add(cordonAt)))
+	if err := call(record, control, "cordon "+b.name); err != nil {
+		return err
 	}
+	yes := time.Now()
+	b.setTakenOut(true)
+	time.Sleep(time.Until(yes.Add(stopAfter)))
+	record.Printf("operator: stops %s", b.name)
+	b.stop()
+	time.Sleep(time.Until(yes.Add(startAfter)))
+	if err := b.start(); err != nil {
+		return err
+	}
+	record.Printf("operator: %s runs again", b.name)
+	time.Sleep(time.Until(yes.Add(backAfter)))
+	b.setTakenOut(false)
+	return call(record, control, "uncordon "+b.name)
 }
 
 func run(record *standin.Record) (int, error) {
@@ -233,81 +216,67 @@
 	if err != nil {
 		return standin.CannotRun, err
 	}
-	upstream := &backend{record: record, runs: map[string]int{}}
-	for i := range 3 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+	var backends []*backend
+	var targets, gone []standin.Target
+	for i := range backendCount {
+		b := &backend{name: fmt.Sprintf("s-%d", i+1), address: "127.0.0.1:0", record: record}
+		if err := b.start(); err != nil {
 			return standin.CannotRun, err
 		}
-		go func() { _ = (&http.Server{Handler: upstream, ReadHeaderTimeout: time.Minute}).Serve(listener) }()
-		discovery.Set(standin.Target{UID: fmt.Sprintf("s-%d", i+1), Endpoint: listener.Addr().String(), AZ: "a", Model: "m", State: "up", Hint: 1})
+		backends = append(backends, b)
+		target := standin.Target{UID: b.name, Endpoint: b.address, AZ: "a", Model: "m", State: "up", Hint: 1}
+		targets = append(targets, target)
+		target.State = "removed"
+		gone = append(gone, target)
 	}
-	f := &fleet{root: root, runLine: runLine, dir: dir, discovery: discovery.Address, known: discovery.Whole()}
-	if err := f.prepare(); err != nil {
+	discovery.Set(targets...)
+	known := discovery.Whole()
+	address, control := standin.FreeAddress(), standin.FreeAddress()
+	config := standin.NodeConfig{Name: "n1", Listen: address, Discovery: discovery.Address, Control: control, Seed: "8c1f30d27a5be964",
+		Limits: map[string]any{"cores": 1, "memory_mb": 128, "sockets": 512}, Known: &known, Settings: settings()}
+	configFile := filepath.Join(dir, "config.json")
+	if err := config.Write(configFile); err != nil {
 		return standin.CannotRun, err
 	}
-	var old *standin.Process
-	for node := range nodeCount {
-		process, _, err := f.start(node)
-		if err != nil {
-			return standin.CannotRun, err
-		}
-		defer process.Kill()
-		if node == 0 {
-			old = process
-		}
+	node, err := standin.Start(root, runLine, filepath.Join(dir, "node.log"), "ROUTER_CONFIG="+configFile, "TMPDIR="+dir)
+	if err != nil {
+		return standin.CannotRun, err
 	}
-	for _, address := range f.addresses {
-		if err := standin.AwaitHealthy(address, 30*time.Second); err != nil {
-			return standin.CannotRun, err
-		}
+	defer node.Kill()
+	if err := standin.AwaitHealthy(address, 30*time.Second); err != nil {
+		return standin.CannotRun, err
 	}
-	time.Sleep(4 * time.Second) // the logs are complete
-	record.Printf("three nodes are ready")
+	record.Printf("node is ready")
 
-	var clients []*client
+	started := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(endAt))
+	defer cancel()
+	var clients sync.WaitGroup
+	var seen counts
 	for number := range clientCount {
-		c := &client{record: record, address: f.addresses[0], key: fmt.Sprintf("fee-%d", number+1), patient: number == 0}
-		if err := c.warm(fmt.Sprintf("%016x", 0xa000+number)); err != nil {
-			return standin.CannotRun, err
-		}
-		clients = append(clients, c)
-	}
-	if standin.HasTrouble() {
-		next, control, err := f.start(0)
-		if err != nil {
-			return standin.CannotRun, err
-		}
-		defer next.Kill()
-		if err := awaitYes(control); err != nil {
-			return standin.CannotRun, err
-		}
-		record.Printf("operator: the new process of n1 says yes")
-	}
-	var running sync.WaitGroup
-	for number, c := range clients {
-		running.Go(func() { c.pay(number) })
+		clients.Go(func() { client(ctx, record, address, number, &seen) })
 	}
+	operated := make(chan error, 1)
+	go func() { operated <- operate(record, control, backends[0], started) }()
 	if standin.HasTrouble() {
-		time.Sleep(termAfter)
-		end(record, old)
+		time.Sleep(time.Until(started.Add(listWrongAt)))
+		discovery.Set(gone...)
+		record.Printf("discovery: the list calls all backends gone; all serve")
+		time.Sleep(time.Until(started.Add(listRightAt)))
+		discovery.Set(targets...)
+		record.Printf("discovery: the list is right again")
 	}
-	running.Wait()
-	time.Sleep(serviceTime + 500*time.Millisecond)
-
-	upstream.mu.Lock()
-	defer upstream.mu.Unlock()
-	twice := 0
-	for _, runs := range upstream.runs {
-		if runs > 1 {
-			twice++
-		}
+	clients.Wait()
+	if err := <-operated; err != nil {
+		return standin.CannotRun, err
 	}
-	record.Printf("%d payments, %d of them ran, %d more than once", clientCount, len(upstream.runs), twice)
+	late, cutOff := backends[0].late, backends[0].cutOff
+	record.Printf("served %d, refused %d, failed %d, unanswered %d; begun at %s after the grace: %d, of these cut off by its restart: %d",
+		seen.served.Load(), seen.refused.Load(), seen.failed.Load(), seen.unanswered.Load(), backends[0].name, late, cutOff)
 	switch {
-	case len(upstream.runs) == 0:
-		return standin.CannotRun, errors.New("no payment ran")
-	case twice > 0:
+	case seen.served.Load() == 0:
+		return standin.CannotRun, errors.New("nothing was served")
+	case late > 0:
 		return standin.Broken, nil
 	}
 	return standin.Held, nil
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -22,6 +22,7 @@
 	readEvery   = 100 * time.Millisecond // a slow client reads a part this often, and never pauses longer
 	slowFor     = 75 * time.Second       // then it reads the rest at full speed
 	ttl         = 6000                   // ms, the category's
+	pausedAfter = time.Second            // a client that was held up for longer itself proves nothing
 )
 
 // rates are the slow clients' rates in bytes a second. The page's slowest client takes or sends 64 kB a second.
@@ -103,6 +104,9 @@
 		if err != nil {
 			record.Printf("client %s: CUT OFF after %d of %d bytes and %.1f s, longest pause between two reads %v: %v",
 				id, total, len(content), time.Since(start).Seconds(), longest.Round(time.Millisecond), err)
+			if longest > pausedAfter {
+				return false, fmt.Errorf("was held up itself for %v", longest)
+			}
 			return false, nil
 		}
 	}
--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -206,7 +207,8 @@
 	err  error
 }
 
-// Start starts a command line of the deploy file by /bin/sh -c from the repository's root. Its output goes to logPath.
+// Start starts a command line of the deploy file by /bin/sh -c from the repository's root. Its output goes to logPath. The process
+// ends with this one, however that ends. Start must be called on the goroutine of Main.
 func Start(root, commandLine, logPath string, env ...string) (*Process, error) {
 	log, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -216,7 +218,7 @@
 	p := &Process{Cmd: exec.Command("/bin/sh", "-c", commandLine), done: make(chan struct{})}
 	p.Dir, p.Stdout, p.Stderr = root, log, log
 	p.Env = append(os.Environ(), env...)
-	p.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	p.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := p.Start(); err != nil {
 		return nil, err
 	}
@@ -314,7 +316,11 @@
 	return answer, err
 }
 
-// Main runs a case, whose record goes to the file that the program's argument names, and returns its exit status.
+// runAtMost is the time after which a case that still runs ends as one that couldn't run.
+const runAtMost = 112 * time.Second
+
+// Main runs a case, whose record goes to the file that the program's argument names, and returns its exit status. It must be
+// called on the first goroutine.
 func Main(run func(record *Record) (int, error)) int {
 	if len(os.Args) != 2 {
 		fmt.Fprintln(os.Stderr, "usage: case RECORD")
@@ -325,6 +331,12 @@
 		fmt.Fprintln(os.Stderr, err)
 		return CannotRun
 	}
+	// The processes that the case starts get a signal when the thread that started them ends, which is when this process does.
+	runtime.LockOSThread()
+	time.AfterFunc(runAtMost, func() {
+		record.Printf("could not run: not over after %v; exit status %d", runAtMost, CannotRun)
+		os.Exit(CannotRun)
+	})
 	status, err := run(record)
 	if err != nil {
 		record.Printf("could not run: %v", err)
