Answer requests with long bodies in time while their backend reads nothing

The same of a request that was queued; and a backend was told the whole time to live (4998 of 5000 ms after 600 ms in the queue).

Cause: a streamed request's time began when the node had passed its last byte on (Call.beginResponseTimeout); until then its deadline was 1,024 s later (decode). A backend that does not read, or the queue, keeps the node from reading the body, which lies in the sockets, so its time never began. Only the 10 s of each write to the backend ended it, and each write put off an earlier deadline, that of a shutdown too.

Ruled out: the balancer's queue and retries (one attempt each, begun at once), the two other backends (50 ms).

Once all bytes have arrived the balancer has the deadline; else it is enforced every 25 ms (awaitAnswer, Node.ShortenDeadline). Call.sendBodyPart keeps to the call's deadline, Call.start tells the time left. It works because the clock never runs behind the client's last byte. For plain HTTP and TLS, with a length and in chunks, queued and in flight.

TestSlowLongBodyIsServed and TestBodyClock guard against the opposite, clients cut off that still send.

Memory: a clock of some 120 bytes a streamed request.

--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -32,7 +32,7 @@
 	AttemptEnded
 	LoadReported
 	TimerFired
-	// DeadlineShortened is recorded by a node that shuts down.
+	// DeadlineShortened is recorded by a node that shuts down, and when a streamed body has arrived or its time is over.
 	DeadlineShortened
 	// Decided is a decision that the host took.
 	Decided
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -197,18 +197,31 @@
 	n.mailbox.Put(func() {
 		n.drainDeadline = deadline
 		for _, request := range n.requests {
-			if request.Deadline > deadline {
-				request.Deadline = deadline
-				n.decider.DeadlineShortened(n.now, &request.Request)
-			}
-			for _, call := range request.calls {
-				call.ShortenDeadline(n.clock.Time(deadline))
-			}
+			n.shortenDeadline(request, deadline)
 		}
 		time.AfterFunc(clock.Duration(deadline+drainGraceMs-n.now), func() { n.mailbox.Put(n.failOpenRequests) })
 	})
 }
 
+// ShortenDeadline moves a request's deadline to an earlier time, in ms of the node's clock. A later one has no effect.
+func (n *Node) ShortenDeadline(request *Request, deadline float64) {
+	n.mailbox.Put(func() {
+		if n.requests[request.ID] == request && !request.answered {
+			n.shortenDeadline(request, deadline)
+		}
+	})
+}
+
+func (n *Node) shortenDeadline(request *Request, deadline float64) {
+	if request.Deadline > deadline {
+		request.Deadline = deadline
+		n.decider.DeadlineShortened(n.now, &request.Request)
+	}
+	for _, call := range request.calls {
+		call.ShortenDeadline(n.clock.Time(deadline))
+	}
+}
+
 // failOpenRequests fails the requests that the balancer has left open at the end of a drain. Their clients may still be
 // connected, as in abortRequest.
 func (n *Node) failOpenRequests() {
--- /dev/null
+++ b/internal/server/bodyclock_test.go
@@ -0,0 +1,245 @@
+package server
+
+import (
+	"bufio"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// maxLateness is by how much an answer may miss its request's deadline: 500 ms by the operators' contract, and 50 ms for sockets.
+const maxLateness = 550 * time.Millisecond
+
+// longBodyForm is a way to send a request with a streamed body.
+type longBodyForm struct {
+	name   string
+	dial   func(*testing.T, *Server) net.Conn
+	encode func(size int) (framingHeader, body string)
+}
+
+func longBodyForms() []longBodyForm {
+	withLength := func(size int) (string, string) {
+		return fmt.Sprintf("Content-Length: %d", size), strings.Repeat("x", size)
+	}
+	inChunks := func(size int) (string, string) {
+		const chunk = 50_000
+		body := strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat("x", chunk)), size/chunk)
+		return "Transfer-Encoding: chunked", body + "0\r\n\r\n"
+	}
+	return []longBodyForm{
+		{"a length", dialPlain, withLength},
+		{"chunks", dialPlain, inChunks},
+		{"a length over TLS", dialEncrypted, withLength},
+		{"chunks over TLS", dialEncrypted, inChunks},
+	}
+}
+
+func dialPlain(t *testing.T, srv *Server) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", srv.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func dialEncrypted(t *testing.T, srv *Server) net.Conn {
+	t.Helper()
+	conn, err := dialTLS(srv, &tls.Config{})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// longBodyHead returns the header of a request with a streamed body.
+func longBodyHead(id string, ttl time.Duration, framingHeader string) string {
+	return fmt.Sprintf("POST /api HTTP/1.1\r\nHost: s\r\nX-Trace-Id: %s\r\nX-Qos: check\r\nX-Expires-In-Ms: %d\r\nX-Size-Hint: 100\r\n%s\r\n\r\n",
+		id, ttl.Milliseconds(), framingHeader)
+}
+
+// startHangingBackend starts a backend that accepts connections and reads nothing. Its system buffers few bytes.
+func startHangingBackend(t *testing.T) (address string) {
+	t.Helper()
+	config := net.ListenConfig{Control: func(_, _ string, socket syscall.RawConn) error {
+		return socket.Control(func(fd uintptr) {
+			assert.NoError(t, unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4<<10))
+		})
+	}}
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+			defer conn.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// requireUnservedInTime sends a request and requires an answer other than 200 within the time that the contract gives it.
+func requireUnservedInTime(t *testing.T, conn net.Conn, text string, ttl time.Duration) {
+	t.Helper()
+	_, err := io.WriteString(conn, text)
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(ttl+maxLateness)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err, "no answer in time")
+	_ = response.Body.Close()
+	assert.GreaterOrEqual(t, response.StatusCode, http.StatusBadGateway)
+}
+
+// requireStatusOK reads a response, which has to be 200.
+func requireStatusOK(t *testing.T, conn net.Conn) {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	_ = response.Body.Close()
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
+
+// Guards against answers seconds late: a long body waited in the sockets behind a backend that read nothing, while the
+// request's time to live, which counts from the client's last byte, had not begun for the node.
+func TestLongBodyIsAnsweredInTimeWhileBackendHangs(t *testing.T) {
+	const size, ttl = 3_500_000, 700 * time.Millisecond // more than one socket buffers, and less than two
+	for _, form := range longBodyForms() {
+		t.Run(form.name, func(t *testing.T) {
+			t.Parallel()
+			srv, _ := startServerWithBackend(t, startHangingBackend(t), 256)
+			framingHeader, body := form.encode(size)
+			requireUnservedInTime(t, form.dial(t, srv), longBodyHead("hung", ttl, framingHeader)+body, ttl)
+		})
+	}
+}
+
+// Guards against the same fault of a request that is queued: its long body was taken for one that the client still sends.
+func TestQueuedLongBodyIsAnsweredInTime(t *testing.T) {
+	const size, ttl = 150_000, 700 * time.Millisecond
+	for _, form := range longBodyForms() {
+		t.Run(form.name, func(t *testing.T) {
+			t.Parallel()
+			backend := startSlowBackend(t)
+			srv, _ := startServerWithBackend(t, backend.Addr().String(), 256)
+			occupyBackend(t, srv, backend)
+			framingHeader, body := form.encode(size)
+			requireUnservedInTime(t, form.dial(t, srv), longBodyHead("queued", ttl, framingHeader)+body, ttl)
+			close(backend.release)
+		})
+	}
+}
+
+// Guards against a backend that is told more time than the client waits: the time in the queue was not subtracted.
+func TestQueuedLongBodyTellsBackendTheTimeLeft(t *testing.T) {
+	const size, ttl, queued = 150_000, 5 * time.Second, 600 * time.Millisecond
+	for _, form := range longBodyForms() {
+		t.Run(form.name, func(t *testing.T) {
+			t.Parallel()
+			backend := startSlowBackend(t)
+			srv, _ := startServerWithBackend(t, backend.Addr().String(), 256)
+			occupyBackend(t, srv, backend)
+			conn := form.dial(t, srv)
+			framingHeader, body := form.encode(size)
+			_, err := io.WriteString(conn, longBodyHead("queued", ttl, framingHeader)+body)
+			require.NoError(t, err)
+			<-time.After(queued)
+			close(backend.release)
+			requireStatusOK(t, conn)
+			told, err := strconv.Atoi(backend.expires("queued"))
+			require.NoError(t, err)
+			const slack = 150 // ms, by the operators' contract
+			assert.LessOrEqual(t, told, int((ttl-queued).Milliseconds())+slack)
+		})
+	}
+}
+
+// Guards against cutting a client off that takes longer for its body than its request's time to live, which begins only with
+// the last byte.
+func TestSlowLongBodyIsServed(t *testing.T) {
+	const size, ttl, pause = 150_000, 600 * time.Millisecond, 150 * time.Millisecond
+	const part = streamBufferBytes // a part fills a read exactly, so that its size doesn't tell that nothing follows yet
+	for _, form := range longBodyForms() {
+		t.Run(form.name, func(t *testing.T) {
+			t.Parallel()
+			backend := startSlowBackend(t)
+			close(backend.release)
+			srv, _ := startServerWithBackend(t, backend.Addr().String(), 256)
+			conn := form.dial(t, srv)
+			framingHeader, body := form.encode(size)
+			text := longBodyHead("slow", ttl, framingHeader) + body
+			for ; text != ""; text = text[min(part, len(text)):] {
+				_, err := io.WriteString(conn, text[:min(part, len(text))])
+				require.NoError(t, err)
+				<-time.After(pause)
+			}
+			requireStatusOK(t, conn)
+		})
+	}
+}
+
+func TestBodyClock(t *testing.T) {
+	const timeout = time.Second
+	unread := func(count int64) func() int64 { return func() int64 { return count } }
+	newClock := func(size int64) *bodyClock {
+		conn, _ := connPair(t)
+		return conn.startBodyClock(size, 100, float64(timeout.Milliseconds())+defaultTransitMs, 0)
+	}
+	for name, test := range map[string]struct {
+		size int64
+		act  func(*bodyClock)
+		want time.Duration // from the start until the deadline
+	}{
+		"no progress": {size: 1000, want: timeout, act: func(*bodyClock) {}},
+		"a read waited for the client": {size: 1000, want: 3*time.Second + timeout, act: func(clock *bodyClock) {
+			clock.beginRead(unread(0))
+			time.Sleep(3 * time.Second)
+			clock.endRead(10)
+		}},
+		"a read waits for the client": {size: 1000, want: 3*time.Second + timeout, act: func(clock *bodyClock) {
+			clock.beginRead(unread(0))
+			time.Sleep(3 * time.Second)
+		}},
+		"the bytes had arrived before they were read": {size: 1000, want: timeout, act: func(clock *bodyClock) {
+			time.Sleep(3 * time.Second)
+			clock.beginRead(unread(10))
+			clock.endRead(10)
+		}},
+		"more is missing than the client can have buffered": {size: 10 << 20, want: 3*time.Second + timeout, act: func(clock *bodyClock) {
+			time.Sleep(3 * time.Second)
+			clock.observe(unread(1 << 20))
+			time.Sleep(3 * time.Second)
+			clock.observe(unread(6<<20 + 1000))
+		}},
+		"in chunks, more has arrived than the client can have buffered at the checkpoint": {size: -1, want: 3*time.Second + timeout, act: func(clock *bodyClock) {
+			time.Sleep(3 * time.Second)
+			clock.observe(unread(5 << 20))
+			time.Sleep(3 * time.Second)
+			clock.observe(unread(10 << 20))
+			time.Sleep(3 * time.Second)
+			clock.observe(unread(11 << 20))
+		}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			clock := newClock(test.size)
+			test.act(clock)
+			assert.Equal(t, test.want, clock.deadline().Sub(start), name)
+		})
+	}
+
+	clock := newClock(1000)
+	assert.False(t, clock.observe(unread(899)))
+	assert.True(t, clock.observe(unread(900)), "the body has arrived completely")
+	clock.isEncrypted = true
+	assert.False(t, clock.observe(unread(900)), "of encrypted bytes not all are the body's")
+	assert.False(t, newClock(-1).observe(unread(900)), "the size is unknown")
+}
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -83,7 +83,8 @@
 	tcp         *net.TCPConn
 	budget      *descriptors.Budget
 	admitter    *connectionAdmitter
-	admissionID uint64 // id of the connection at the admitter; 0 is none
+	admissionID uint64                    // id of the connection at the admitter; 0 is none
+	bodyClock   atomic.Pointer[bodyClock] // of the body that is streamed; nil if none is
 
 	mu              sync.Mutex
 	hasRequest      bool
@@ -124,17 +125,20 @@
 
 // Read reads from the connection, and tracks the framing of the requests.
 func (c *clientConn) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
+	isDisconnectCheck := len(buffer) == 1 // net/http reads a single byte to notice a disconnect, after the request's body
+	if isDisconnectCheck {
+		c.bodyClock.Store(nil)
+	}
+	n, err := c.readPlaintext(buffer)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendLateRead() {
-		n, err = c.Conn.Read(buffer)
+		n, err = c.readPlaintext(buffer)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.framing.observe(buffer[:n]) {
 		c.pipelined = true
 	}
-	// net/http reads a single byte to notice a disconnect, and stops watching once that byte has arrived.
-	c.httpStoppedWatching = len(buffer) == 1 && n == 1
+	c.httpStoppedWatching = isDisconnectCheck && n == 1 // net/http stops watching once the byte has arrived
 	if c.httpStoppedWatching && c.hasRequest {
 		const readsTrailing = true
 		c.startWatch(readsTrailing)
@@ -142,12 +146,23 @@
 	return n, err
 }
 
+// readPlaintext reads what the client sent, decrypted if the connection is a TLS one.
+func (c *clientConn) readPlaintext(buffer []byte) (int, error) {
+	if c.isTLS() {
+		return c.Conn.Read(buffer)
+	}
+	return c.readTCP(buffer)
+}
+
+// isTLS reports whether the connection is a TLS one.
+func (c *clientConn) isTLS() bool { return c.Conn != net.Conn(c.tcp) }
+
 // extendLateRead extends a read deadline that expired although the first bytes of a request had arrived. Then this process
 // was paused, not the client, which may have sent the whole request and must get a response.
 func (c *clientConn) extendLateRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.readInterrupted || c.closed || c.framing.stage != stageIdle || c.Conn != net.Conn(c.tcp) {
+	if c.readInterrupted || c.closed || c.framing.stage != stageIdle || c.isTLS() {
 		return false
 	}
 	n, _ := c.peek()
@@ -216,6 +231,7 @@
 // releaseFromRequest is called when the response has been handed to net/http, which then writes it out and closes.
 func (c *clientConn) releaseFromRequest() {
 	c.stopWatch()
+	c.bodyClock.Store(nil)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.hasRequest = false
@@ -233,7 +249,7 @@
 	if c.admissionID != 0 {
 		c.admitter.connClosed(c)
 	}
-	if c.Conn == net.Conn(c.tcp) {
+	if !c.isTLS() {
 		defer c.budget.ReleaseClient()
 		return c.tcp.Close()
 	}
--- a/internal/server/decode.go
+++ b/internal/server/decode.go
@@ -7,7 +7,6 @@
 	"slices"
 	"strconv"
 
-	"pearknot/internal/clock"
 	"pearknot/internal/config"
 	"pearknot/internal/node"
 	"pearknot/internal/upstream"
@@ -66,24 +65,27 @@
 	if reason := conn.framingError(); reason != "" { // more bytes may have arrived with the end of the body
 		return nil, badRequest("%s", reason)
 	}
-	timeLeft := header.ttlMs
+	sinceSentMs := conn.transitTimeMs()
+	deadline := s.clock.Now() - sinceSentMs + header.ttlMs
 	var streamed *upstream.StreamedBody
 	if len(body) > upstream.MaxBufferedBody {
-		// The rest of the body is passed on as it arrives. The time to live counts from the body's last byte, so the deadline
-		// allows for the longest time that a body may take. The time-out is shorter by the time that the last byte is assumed
-		// to have taken from the client to here.
+		// The rest of the body is passed on as it arrives.
 		rest.conn = conn
-		streamed = &upstream.StreamedBody{Size: r.ContentLength, Timeout: clock.Duration(header.ttlMs - defaultTransitMs), Reader: rest}
-		timeLeft += maxBodyTimeMs
+		bodyClock := conn.startBodyClock(r.ContentLength, int64(len(body)), header.ttlMs, sinceSentMs)
+		streamed = &upstream.StreamedBody{Size: r.ContentLength, Deadline: bodyClock.deadline, Reader: rest}
+		if !bodyClock.observe(conn.unreadBytes) {
+			// The time to live counts from the body's last byte, so the deadline allows for the longest time that a body may
+			// take. Until then enforceBodyDeadline applies the clock's.
+			deadline += maxBodyTimeMs
+		}
 	}
-	now := s.clock.Now()
 	request := node.NewRequest(upstream.NewMessage(r.Method, r.RequestURI, r.Host, r.Header, body, streamed))
 	request.Config = deployment.BalancerConfig
 	request.Class = header.class
 	request.Tenant = tenantIndex(deployment, r)
 	request.IsClientRetry = r.Header.Get(clientRetryHeader) == "1"
 	request.CostHint, request.HasCostHint = header.costHint, header.hasCostHint
-	request.Deadline = now - conn.transitTimeMs() + timeLeft
+	request.Deadline = deadline
 	if s.requestLogging != nil {
 		logged, malformed := s.loggedRequest(r, request, body)
 		if malformed != nil {
--- a/internal/server/handler.go
+++ b/internal/server/handler.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -121,14 +122,49 @@
 		return
 	}
 	s.node.Submit(request)
-	select {
-	case answer := <-request.Answer():
-		s.writeAnswer(w, conn, answer)
-		return
-	case <-r.Context().Done():
-	case <-conn.gone:
+	answer, answered := s.awaitAnswer(r.Context(), conn, request)
+	if !answered {
+		s.node.Cancel(request)
+		// A client that has closed only its sending side may still read.
+		answer = node.Answer{Status: node.Failed}
+	}
+	s.writeAnswer(w, conn, answer)
+}
+
+// awaitAnswer waits for a request's answer, and enforces the deadline of one whose body is streamed. It reports false if the
+// client has disconnected.
+func (s *Server) awaitAnswer(ctx context.Context, conn *clientConn, request *node.Request) (answer node.Answer, answered bool) {
+	var check <-chan time.Time // never ready unless the body is streamed
+	bodyClock := conn.bodyClock.Load()
+	if bodyClock != nil {
+		ticker := time.NewTicker(bodyDeadlineCheckInterval)
+		defer ticker.Stop()
+		check = ticker.C
+	}
+	for {
+		select {
+		case answer = <-request.Answer():
+			return answer, true
+		case <-ctx.Done():
+			return answer, false
+		case <-conn.gone:
+			return answer, false
+		case <-check:
+			if s.enforceBodyDeadline(conn, bodyClock, request) {
+				check = nil
+			}
+		}
+	}
+}
+
+// enforceBodyDeadline shortens a request's deadline to that of its body's clock, once that is final or has passed, and reports
+// whether it has done so.
+func (s *Server) enforceBodyDeadline(conn *clientConn, bodyClock *bodyClock, request *node.Request) (isShortened bool) {
+	isFinal := bodyClock.observe(conn.unreadBytes)
+	left := time.Until(bodyClock.deadline())
+	if !isFinal && left > 0 {
+		return false
 	}
-	s.node.Cancel(request)
-	// A client that has closed only its sending side may still read.
-	s.writeAnswer(w, conn, node.Answer{Status: node.Failed})
+	s.node.ShortenDeadline(request, s.clock.Now()+float64(left.Microseconds())/1e3)
+	return true
 }
--- a/internal/server/tlslistener.go
+++ b/internal/server/tlslistener.go
@@ -233,7 +233,7 @@
 
 // handshake runs a handshake and hands the connection to Accept.
 func (l *tlsListener) handshake(client *clientConn, h *handshake) {
-	conn := tls.Server(client.tcp, l.config)
+	conn := tls.Server(tlsTransport{client.tcp, client}, l.config)
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	err := conn.HandshakeContext(ctx)
 	cancel()
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -115,19 +115,19 @@
 }
 
 // start is called right before the first byte is written. ok reports whether the call may be sent. timeout is the remaining
-// time, which is sent to the backend; for a streamed body it counts from the body's last byte.
+// time, which is sent to the backend.
 func (c *Call) start(conn net.Conn) (timeout time.Duration, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	timeout = time.Until(c.deadline)
+	if c.Message.IsStreamed() {
+		timeout = min(timeout, time.Until(c.Message.stream.Deadline()))
+	}
 	if timeout <= 0 || !c.mayStart() {
 		return 0, false
 	}
 	c.conn, c.started = conn, true
 	_ = conn.SetDeadline(c.deadline)
-	if c.Message.IsStreamed() {
-		timeout = c.Message.stream.Timeout
-	}
 	return timeout, true
 }
 
@@ -159,7 +159,8 @@
 	}
 }
 
-// sendBodyPart writes a part of a streamed body. The backend has stallTimeout to read it.
+// sendBodyPart writes a part of a streamed body. The backend has stallTimeout to read it, but not beyond the call's deadline:
+// the client may have sent the whole body long ago.
 func (c *Call) sendBodyPart(conn net.Conn, part []byte) error {
 	buffers := net.Buffers{part}
 	if c.Message.stream.isChunked() {
@@ -170,7 +171,11 @@
 		c.mu.Unlock()
 		return net.ErrClosed
 	}
-	_ = conn.SetWriteDeadline(time.Now().Add(stallTimeout))
+	deadline := time.Now().Add(stallTimeout)
+	if c.deadline.Before(deadline) {
+		deadline = c.deadline
+	}
+	_ = conn.SetWriteDeadline(deadline)
 	c.mu.Unlock()
 	_, err := buffers.WriteTo(conn)
 	return err
@@ -198,7 +203,7 @@
 	if c.canceled {
 		return false
 	}
-	deadline := time.Now().Add(c.Message.stream.Timeout)
+	deadline := c.Message.stream.Deadline()
 	if deadline.Before(c.deadline) {
 		c.deadline = deadline
 	}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -37,9 +37,12 @@
 
 // StreamedBody is the part of a long request body that the client has yet to send.
 type StreamedBody struct {
-	Size    int64         // of the complete body in bytes; negative for one in chunks, whose size is unknown
-	Timeout time.Duration // of the request, from the last byte of its body
-	Reader  io.Reader     // ends with io.EOF only if the body is complete
+	Size   int64     // of the complete body in bytes; negative for one in chunks, whose size is unknown
+	Reader io.Reader // ends with io.EOF only if the body is complete
+
+	// Deadline returns the request's deadline by what is known of the body so far. It moves to later times while the client
+	// sends, and no longer once Reader has returned io.EOF.
+	Deadline func() time.Time
 }
 
 func (s *StreamedBody) isChunked() bool { return s.Size < 0 }
