Keep writing long bodies to readers that are slow but steady

Cause: each write of a part had a deadline of its own (streamResponse 5 s, Call.sendBodyPart 10 s), and a write that did not end by then was taken for a reader that had stopped. A socket whose send buffer is full is reported writable only once a third of the buffer is free, 1.4 of 4 MB here, and a receiver announces room in steps; a steady reader of 100 kB a second needs 14 s for the first alone.

Ruled out: a pause of the client, the backend, memory.

Change: package writestall watches the bytes that the reader's system acknowledges and reckons by when a reader of 32 KiB a second has read them (30 s at most, for readers that vanish); a write fails 5 or 10 s after that. It is independent of the sizes of both sides' buffers, so that no steady reader above the rate is cut off by it, and a reader of nothing is let go after 9 s (5 s before). Where the count is not known, each write has the timeout, as before. Used for responses (both listeners, a length, chunks, the close) and requests (both framings), from the first byte on.

Memory: a monitor of some 150 bytes and a timer for each body that is streamed.

--- a/internal/server/response.go
+++ b/internal/server/response.go
@@ -10,6 +10,7 @@
 
 	"pearknot/internal/node"
 	"pearknot/internal/upstream"
+	"pearknot/internal/writestall"
 )
 
 const (
@@ -107,26 +108,39 @@
 }
 
 // streamResponse passes a long response on as it arrives: the first bytes at once, the rest no faster than the client reads.
-// The client may be slow, but must read each part within writeTimeout. If the backend does not finish the response, the
+// The client may be slow, but must not stop reading, see package writestall. If the backend does not finish the response, the
 // connection is aborted, so that the client can tell that the body is incomplete.
 func (s *Server) streamResponse(w http.ResponseWriter, conn *clientConn, reply *upstream.Reply) {
 	controller := http.NewResponseController(w)
 	s.writeHeader(w, conn, http.StatusOK, reply.Stream.Size)
+	_ = controller.SetWriteDeadline(time.Time{}) // the monitor sets it
+	monitor := writestall.Start(writestall.OfConn(conn.tcp), writeTimeout, func() {
+		_ = controller.SetWriteDeadline(time.Unix(1, 0)) // the pending write fails at once
+	})
+	defer monitor.Stop()
 	part, buffer := reply.Body, make([]byte, streamBufferBytes)
 	reply.Body = nil
 	for {
-		if _, err := w.Write(part); err != nil || controller.Flush() != nil {
+		monitor.BeginWrite()
+		_, err := w.Write(part)
+		if err == nil {
+			err = controller.Flush()
+		}
+		monitor.EndWrite()
+		if err != nil {
+			s.log.Debug("client response write failed", "error", err)
 			return // the client has disconnected or does not read
 		}
 		n, err := reply.Stream.Read(buffer)
 		part = buffer[:n]
 		if errors.Is(err, io.EOF) && n == 0 {
+			// net/http has yet to write the end of a body in chunks.
+			_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout + writestall.MaxPause))
 			return
 		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			s.log.Debug("response aborted", "error", err)
 			panic(http.ErrAbortHandler)
 		}
-		_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -32,7 +32,8 @@
 	// "Misbehaving clients"); the rest of that time is for a connection that waits for a file descriptor before it is accepted.
 	readTimeout = 2200 * time.Millisecond
 
-	// writeTimeout is the timeout for writing a response; it restarts with each part of a long one.
+	// writeTimeout is the timeout for writing a response. For a long one it counts from when the client should have read what
+	// it has been sent, see package writestall.
 	writeTimeout = 5 * time.Second
 
 	// idleTimeout is the timeout of a connection between requests: some clients send one request and never close theirs.
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pearknot/balancer"
+	"pearknot/internal/writestall"
 )
 
 // Result holds the outcome of a call and its response.
@@ -140,13 +141,16 @@
 
 // sendBody copies the rest of a streamed body from the client to the backend. It returns the errors of the two sides
 // separately: readErr means that the client failed or took too long.
-func (c *Call) sendBody(conn net.Conn) (readErr, writeErr error) {
+func (c *Call) sendBody(conn net.Conn, monitor *writestall.Monitor) (readErr, writeErr error) {
 	body := c.Message.stream.Reader
 	buffer := make([]byte, streamBufferSize)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
-			if writeErr := c.sendBodyPart(conn, buffer[:n]); writeErr != nil {
+			monitor.BeginWrite()
+			writeErr := c.sendBodyPart(conn, buffer[:n])
+			monitor.EndWrite()
+			if writeErr != nil {
 				return nil, writeErr
 			}
 		}
@@ -159,24 +163,13 @@
 	}
 }
 
-// sendBodyPart writes a part of a streamed body. The backend has stallTimeout to read it, but not beyond the call's deadline:
-// the client may have sent the whole body long ago.
+// sendBodyPart writes a part of a streamed body. The call's deadline binds the write: the client may have sent the whole body
+// long ago.
 func (c *Call) sendBodyPart(conn net.Conn, part []byte) error {
 	buffers := net.Buffers{part}
 	if c.Message.stream.isChunked() {
 		buffers = chunkBuffers(part)
 	}
-	c.mu.Lock()
-	if c.canceled {
-		c.mu.Unlock()
-		return net.ErrClosed
-	}
-	deadline := time.Now().Add(stallTimeout)
-	if c.deadline.Before(deadline) {
-		deadline = c.deadline
-	}
-	_ = conn.SetWriteDeadline(deadline)
-	c.mu.Unlock()
 	_, err := buffers.WriteTo(conn)
 	return err
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"pearknot/internal/writestall"
 )
 
 // conn is a connection to a backend. It carries one request at a time and belongs to the backend's actor, or to the
@@ -22,6 +24,14 @@
 	return &conn{Conn: netConn, reader: NewReader(netConn), address: address}
 }
 
+// ackedBytes returns the connection's count of acknowledged bytes.
+func (c *conn) ackedBytes() writestall.AckedBytes {
+	if socket, ok := c.Conn.(syscall.Conn); ok {
+		return writestall.OfConn(socket)
+	}
+	return writestall.Unknown
+}
+
 // connState tells how a connection may be used after an exchange.
 type connState uint8
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"os"
 	"time"
 
 	"pearknot/balancer"
+	"pearknot/internal/writestall"
 )
 
 // exchange writes a call's request and reads the response. It uses the connection exclusively and does not close it.
@@ -44,15 +46,31 @@
 // it was written, and otherwise the call's result and what can be done with the connection.
 func (b *Backend) writeMessage(call *Call, c *conn, timeout time.Duration) (failure *Result, state connState) {
 	message := call.Message.buffers(float64(timeout.Microseconds()) / 1e3)
+	if call.Message.IsStreamed() {
+		return b.writeStreamedMessage(call, c, message)
+	}
+	if written, err := message.WriteTo(c.Conn); err != nil {
+		return b.writeFailed(call, written, err)
+	}
+	return nil, connReusable
+}
+
+// writeStreamedMessage is writeMessage for a streamed body, of which message has the beginning. If the backend stops reading, the
+// write fails, although the client may have time left.
+func (b *Backend) writeStreamedMessage(call *Call, c *conn, message net.Buffers) (failure *Result, state connState) {
+	monitor := writestall.Start(c.ackedBytes(), stallTimeout, func() { call.ShortenDeadline(time.Now()) })
+	defer monitor.Stop()
+	monitor.BeginWrite()
 	written, err := message.WriteTo(c.Conn)
-	if err == nil && call.Message.IsStreamed() {
-		var readErr error
-		readErr, err = call.sendBody(c)
-		if readErr != nil { // the client failed; the backend never got the complete request, so it did not run it
-			call.release()
-			b.config.Log.Debug("client request body read failed", "backend", b.name, "error", readErr)
-			return &Result{Outcome: balancer.OutcomeNotSent}, connClosed
-		}
+	monitor.EndWrite()
+	if err != nil {
+		return b.writeFailed(call, written, err)
+	}
+	readErr, err := call.sendBody(c, monitor)
+	if readErr != nil { // the client failed; the backend never got the complete request, so it did not run it
+		call.release()
+		b.config.Log.Debug("client request body read failed", "backend", b.name, "error", readErr)
+		return &Result{Outcome: balancer.OutcomeNotSent}, connClosed
 	}
 	if err != nil {
 		return b.writeFailed(call, written, err)
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// stallTimeout is the longest time for which either side of a streamed body may send or read nothing. Backends and
-	// clients sometimes pause for seconds; one that has stopped permanently must not occupy a descriptor for long.
+	// stallTimeout is the longest time for which a backend may send nothing of a streamed response, or read nothing of a
+	// streamed request beyond the time of a slow reader, see package writestall. Backends sometimes pause for seconds; one that
+	// has stopped permanently must not occupy a descriptor for long.
 	stallTimeout = 10 * time.Second
 
 	// streamThreshold is the number of bytes of a long response that must have arrived before it is forwarded. If a
