Don't blame clients for the time in which their long body is not read

What callers saw: a request with a body over 64 KiB that was queued for over 4 s got a 502 as soon as it was sent to a backend, with 15 s of its time left, although its client had sent everything at once.

Cause: bodyReader's deadline allowed 2 s and 1 s for each 32 KiB since the start of the reading, also while nothing was read, because the request was queued or its backend paused. The next read had a deadline in the past; it fails at once, and net/http takes that for a disconnect of the client.

Evidence: TestLongBodyIsServedAfterLongQueueing (queued for 4.5 s; a length and chunks, plain and TLS): 502 in four of four forms before, 200 now.

Change: only the time that the reads take counts. It works because a read takes time only while the client has sent nothing.

--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -25,20 +25,23 @@
 // meanwhile, which unread bytes had hidden. The backend does not get the body's end, and so never runs the request.
 var errClientGone = errors.New("the client has disconnected")
 
-// bodyReader reads a client's body with a deadline that grows with the bytes received.
+// bodyReader reads a client's body with a deadline that grows with the bytes received. Only the time of the reads counts, since the
+// client can't help it if the request is queued or its backend pauses.
 type bodyReader struct {
 	controller *http.ResponseController
 	source     io.Reader
-	start      time.Time
-	total      int64       // bytes read
-	conn       *clientConn // set once the body is streamed to a backend
+	total      int64         // bytes read
+	readTime   time.Duration // that the reads took
+	conn       *clientConn   // set once the body is streamed to a backend
 }
 
 func (b *bodyReader) Read(buffer []byte) (int, error) {
 	allowed := bodyGracePeriod + time.Duration(b.total)*time.Second/minBodyRate
-	_ = b.controller.SetReadDeadline(b.start.Add(allowed))
+	start := time.Now()
+	_ = b.controller.SetReadDeadline(start.Add(allowed - b.readTime))
 	n, err := b.source.Read(buffer)
 	b.total += int64(n)
+	b.readTime += time.Since(start)
 	if err == io.EOF { //nolint:errorlint // an io.Reader returns io.EOF itself
 		// net/http goes on reading to notice a disconnect, which the deadline would interrupt.
 		_ = b.controller.SetReadDeadline(time.Time{})
@@ -58,7 +61,6 @@
 	reader := &bodyReader{
 		controller: http.NewResponseController(w),
 		source:     http.MaxBytesReader(w, r.Body, upstream.MaxBody),
-		start:      time.Now(),
 	}
 	// Without a body no deadline is set. If this process was paused, the deadline would have expired, which net/http treats
 	// as a disconnect of the client.
--- a/internal/server/bodyclock_test.go
+++ b/internal/server/bodyclock_test.go
@@ -162,6 +162,27 @@
 	}
 }
 
+// Guards against blaming the client for the time in which its body was not read: a request that had been queued for over 4 s was
+// rejected as if its client had not sent the rest.
+func TestLongBodyIsServedAfterLongQueueing(t *testing.T) {
+	const size, ttl, queued = 150_000, 20 * time.Second, 4500 * time.Millisecond
+	for _, form := range longBodyForms() {
+		t.Run(form.name, func(t *testing.T) {
+			t.Parallel()
+			backend := startSlowBackend(t)
+			srv, _ := startServerWithBackend(t, backend.Addr().String(), 256)
+			occupyBackend(t, srv, backend)
+			conn := form.dial(t, srv)
+			framingHeader, body := form.encode(size)
+			_, err := io.WriteString(conn, longBodyHead("queued", ttl, framingHeader)+body)
+			require.NoError(t, err)
+			<-time.After(queued)
+			close(backend.release)
+			requireStatusOK(t, conn)
+		})
+	}
+}
+
 // Guards against cutting a client off that takes longer for its body than its request's time to live, which begins only with
 // the last byte.
 func TestSlowLongBodyIsServed(t *testing.T) {
