Take a request's body clock before its body can be read to the end

Cause, found by reading: serveRequest took the clock of a streamed body after the request was submitted. The body may have been read to its end by then, and net/http's next read, which waits for a disconnect, clears the connection's clock; the request's deadline would then not be enforced while its last part is written to a backend. Not seen in a run, and no test forces it: the body is over 64 KiB, and the handler goes on within microseconds.

Change: the clock is taken before Submit.

--- a/internal/server/handler.go
+++ b/internal/server/handler.go
@@ -121,8 +121,9 @@
 		s.writeAnswer(w, conn, rejection)
 		return
 	}
+	bodyClock := conn.bodyClock.Load() // before the body is read on, which clears the field at the body's end
 	s.node.Submit(request)
-	answer, answered := s.awaitAnswer(r.Context(), conn, request)
+	answer, answered := s.awaitAnswer(r.Context(), conn, bodyClock, request)
 	if !answered {
 		s.node.Cancel(request)
 		// A client that has closed only its sending side may still read.
@@ -131,11 +132,10 @@
 	s.writeAnswer(w, conn, answer)
 }
 
-// awaitAnswer waits for a request's answer, and enforces the deadline of one whose body is streamed. It reports false if the
-// client has disconnected.
-func (s *Server) awaitAnswer(ctx context.Context, conn *clientConn, request *node.Request) (answer node.Answer, answered bool) {
+// awaitAnswer waits for a request's answer, and enforces the deadline of one whose body is streamed; bodyClock is nil for the
+// others. It reports false if the client has disconnected.
+func (s *Server) awaitAnswer(ctx context.Context, conn *clientConn, bodyClock *bodyClock, request *node.Request) (answer node.Answer, answered bool) {
 	var check <-chan time.Time // never ready unless the body is streamed
-	bodyClock := conn.bodyClock.Load()
 	if bodyClock != nil {
 		ticker := time.NewTicker(bodyDeadlineCheckInterval)
 		defer ticker.Stop()
