--- a/internal/server/bodyclock_test.go
+++ b/internal/server/bodyclock_test.go
@@ -183,6 +183,29 @@
 	}
 }
 
+// Guards against the opposite: a client that stopped within its body got the time in the queue in addition to its own.
+func TestClientThatStopsWithinQueuedLongBodyIsLetGo(t *testing.T) {
+	const size, sent, ttl, queued, allowed = 90_000, 70_000, 20 * time.Second, 2500 * time.Millisecond, 5 * time.Second
+	for name, dial := range map[string]func(*testing.T, *Server) net.Conn{"plain": dialPlain, "TLS": dialEncrypted} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			backend := startSlowBackend(t)
+			srv, _ := startServerWithBackend(t, backend.Addr().String(), 256)
+			occupyBackend(t, srv, backend)
+			conn := dial(t, srv)
+			_, err := io.WriteString(conn, longBodyHead("half", ttl, fmt.Sprintf("Content-Length: %d", size))+strings.Repeat("x", sent))
+			require.NoError(t, err)
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(allowed)))
+			<-time.After(queued)
+			close(backend.release)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err, "the client is not let go in time")
+			_ = response.Body.Close()
+			assert.GreaterOrEqual(t, response.StatusCode, http.StatusBadGateway)
+		})
+	}
+}
+
 // Guards against cutting a client off that takes longer for its body than its request's time to live, which begins only with
 // the last byte.
 func TestSlowLongBodyIsServed(t *testing.T) {
