--- a/cmd/pearknot/tls_fixture_test.go
+++ b/cmd/pearknot/tls_fixture_test.go
@@ -42,18 +42,24 @@
 	return fixture
 }
 
-// startNode starts a node that serves TLS, and returns it with its TLS address and control socket.
-func (fixture *tlsFixture) startNode(name string, sockets int) (node *testNode, address, socket string) {
+// writeTLSFile writes the file of a node that serves TLS, and returns its name and the TLS address.
+func (fixture *tlsFixture) writeTLSFile(name string) (file, address string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(fixture.t, err)
 	address = l.Addr().String()
 	require.NoError(fixture.t, l.Close())
-	file := filepath.Join(fixture.dir, name+".toml")
+	file = filepath.Join(fixture.dir, name+".toml")
 	require.NoError(fixture.t, os.WriteFile(file, fmt.Appendf(nil, "listen = %q\ndir = %q\n[limits]\norders_per_hour = 50\nbackoff_s = 1\n[[authority]]\ndirectory = %q\nroots_file = \"roots.pem\"\n"+
 		"[[certificate]]\nname = \"a\"\nnames = [\"one.example\", \"two.example\"]\n", address, filepath.Join(fixture.dir, "store"), fixture.directory), 0o600))
 	if fixture.challengeAddress.Load() == nil {
 		fixture.challengeAddress.Store(&address)
 	}
+	return file, address
+}
+
+// startNode starts a node that serves TLS, and returns it with its TLS address and control socket.
+func (fixture *tlsFixture) startNode(name string, sockets int) (node *testNode, address, socket string) {
+	file, address := fixture.writeTLSFile(name)
 	socket = filepath.Join(fixture.dir, name)
 	return startNode(fixture.t, sockets, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") }, "--tls", file, "--control", socket), address, socket
 }
