Bound the memory that clients can make a node hold

Callers saw a node pass limits.memory_mb and be killed while hundreds of clients wrote slowly, stopped within bodies, sent heads of many short fields or read long answers slowly: all requests in flight there were lost. Cause: nothing counted memory. Up to 750 connections (1,024 descriptors) could each hold 64 KiB of a body, read with io.ReadAll, which holds more meanwhile; a head of 16 KiB in 3,000 fields takes some 0.4 MB once parsed; answers and stream buffers came on top. The runtime's limit was 70% of the node's, though the program's own pages alone take 13 of 32 MB, so that the collector worked at its limit and others waited up to 24 s. Change: internal/memory. A plan divides limits.memory_mb: the resident pages of files, 1 MB in reserve, the rest is the runtime's limit; 70% of that, less the program's 4 MB, is what clients may hold, three quarters of it connections (34 kB each with a small request, 72 kB with TLS), the rest buffers. A connection is accepted only with its bytes; others wait in the listener's queue, and the longest idle connections are closed for as many as wait there, after 0.5 s. Heads over 2 KiB and bodies over 4 KiB reserve as they arrive; without room the body whose client keeps the server waiting longest is evicted, and after 0.25 s the request is answered 503 with Retry-After: nothing of it was sent. More than 255 fields: 431. Answers for which there is no room are streamed in 4 KiB parts. Refusals are logged with the reason and what is reserved. Because each byte that a client causes is reserved before it is allocated, no form of traffic can hold more than the plan gives out.

--- a/internal/discovery/poll.go
+++ b/internal/discovery/poll.go
@@ -137,7 +137,7 @@
 	if _, err := io.WriteString(conn, "GET "+target+" HTTP/1.1\r\nHost: "+w.Address+"\r\n\r\n"); err != nil {
 		return nil, false, err
 	}
-	response, _, reusable, err := upstream.ReadReply(reader, false, maxListBytes, maxListBytes)
+	response, _, reusable, err := upstream.ReadReply(reader, false, maxListBytes, maxListBytes, nil)
 	if err != nil {
 		return nil, false, err
 	}
--- /dev/null
+++ b/internal/memory/budget_test.go
@@ -0,0 +1,73 @@
+package memory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Buffers never take a connection's place, nor connections a buffer's.
+func TestPartsOfBudgetAreSeparate(t *testing.T) {
+	shortages := 0
+	b := NewBudget(func() { shortages++ })
+	b.SetLimits(Limits{Connections: 100, Buffers: 50})
+	assert.True(t, b.TryAcquire(50))
+	assert.False(t, b.TryAcquire(1))
+	assert.True(t, b.AcquireConnection(100))
+	accepted := make(chan bool)
+	go func() { accepted <- b.AcquireConnection(60) }()
+	assert.Eventually(t, b.HasWaitingConnection, 5*time.Second, time.Millisecond)
+	b.Release(50)
+	assert.True(t, b.HasWaitingConnection())
+	b.ReleaseConnection(40)
+	b.ReleaseConnection(60)
+	assert.True(t, <-accepted)
+	assert.Equal(t, 1, shortages)
+	used, _ := b.Usage()
+	assert.Equal(t, Limits{Connections: 60}, used)
+}
+
+// A limit that is too small for any connection still lets one in, and a closed budget none.
+func TestFirstConnectionAndClose(t *testing.T) {
+	b := NewBudget(func() {})
+	b.SetLimits(Limits{})
+	assert.True(t, b.AcquireConnection(10))
+	done := make(chan bool)
+	go func() { done <- b.AcquireConnection(10) }()
+	assert.Eventually(t, b.HasWaitingConnection, 5*time.Second, time.Millisecond)
+	b.Close()
+	assert.False(t, <-done)
+}
+
+func TestWaitMakesRoom(t *testing.T) {
+	b := NewBudget(func() {})
+	b.SetLimits(Limits{Buffers: 10})
+	assert.True(t, b.Wait(10, func() { t.Fatal("there was room") }))
+	assert.False(t, b.Wait(1, func() {}))
+	assert.True(t, b.Wait(1, func() { b.Release(10) }))
+}
+
+func TestNilBudgetHasNoLimit(t *testing.T) {
+	var b *Budget
+	assert.True(t, b.TryAcquire(1<<40))
+	assert.True(t, b.AcquireConnection(1<<40))
+	b.Release(1 << 40)
+	b.ReleaseConnection(1 << 40)
+	assert.False(t, b.HasWaitingConnection())
+}
+
+// All that a plan gives out, and what the runtime does not count, is within the limit.
+func TestPlanIsWithinLimit(t *testing.T) {
+	const fileBytes, allConnections = 13 << 20, 25 << 20
+	for _, limit := range []int64{32 << 20, 48 << 20, 64 << 20, 192 << 20} {
+		plan := NewPlan(limit, fileBytes, allConnections)
+		assert.LessOrEqual(t, plan.RuntimeBytes+fileBytes, limit)
+		assert.LessOrEqual(t, plan.Clients.Connections+plan.Clients.Buffers+runtimeBase, plan.RuntimeBytes)
+		assert.LessOrEqual(t, plan.Clients.Connections, int64(allConnections))
+		assert.Positive(t, plan.Clients.Buffers)
+	}
+	tooSmall := NewPlan(8<<20, fileBytes, allConnections)
+	assert.Positive(t, tooSmall.Clients.Connections)
+	assert.Positive(t, tooSmall.RuntimeBytes)
+}
--- a/internal/serve/hotrestart.go
+++ b/internal/serve/hotrestart.go
@@ -17,15 +17,12 @@
 	"pearknot/internal/clock"
 	"pearknot/internal/descriptors"
 	"pearknot/internal/hotrestart"
+	"pearknot/internal/memory"
 	"pearknot/internal/node"
 	"pearknot/internal/server"
 )
 
 const (
-	// gcMemoryShare is the garbage collector's share of the memory limit (limits.memory_mb of the configuration). The rest
-	// is for memory that the collector doesn't count: stacks, the program's own pages, and socket buffers.
-	gcMemoryShare = 0.7
-
 	// gcPercent is the growth of the live heap, in percent, that triggers a collection. It is large because the live heap is
 	// only a few MB; the memory limit applies in any case. While the node has two processes, a quarter of it is used.
 	gcPercent = 400
@@ -50,6 +47,8 @@
 	socketPath     string // where a process listens for its successor; empty if hot restart is unavailable
 	maxDescriptors int    // of both processes together
 	budget         *descriptors.Budget
+	memory         *memory.Budget
+	servesTLS      bool
 	clock          *clock.Clock
 	log            *slog.Logger
 	node           *node.Node
@@ -78,11 +77,16 @@
 	return path
 }
 
-// setMemoryLimit limits the garbage collector's memory to this process's share of the node's limit, given the number of the
-// node's processes.
+// setMemoryLimit limits the memory of the Go runtime, and what clients can make it hold, to this process's share of the node's
+// limit (limits.memory_mb of the configuration), given the number of the node's processes.
 func (r *restartCoordinator) setMemoryLimit(processes int64) {
 	if r.config.memoryBytes > 0 {
-		debug.SetMemoryLimit(int64(gcMemoryShare*float64(r.config.memoryBytes)) / processes)
+		allConnections := int64(r.budget.MaxClients()) * server.ConnectionBytes(r.servesTLS)
+		plan := memory.NewPlan(r.config.memoryBytes/processes, memory.ResidentFileBytes(), allConnections)
+		debug.SetMemoryLimit(plan.RuntimeBytes)
+		r.memory.SetLimits(plan.Clients)
+		r.log.Info("memory limits set", "processes", processes, "runtime_kb", plan.RuntimeBytes>>10,
+			"connections_kb", plan.Clients.Connections>>10, "buffers_kb", plan.Clients.Buffers>>10)
 	}
 	debug.SetGCPercent(gcPercent / int(processes*processes))
 }
@@ -139,6 +143,7 @@
 	r.isServing.Store(true)
 	predecessor := r.predecessor
 	if predecessor == nil {
+		r.setMemoryLimit(1) // more of the program is resident by now than at the start
 		r.listen()
 		return
 	}
--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -16,6 +16,7 @@
 	"pearknot/internal/controlplane/client"
 	"pearknot/internal/descriptors"
 	"pearknot/internal/discovery"
+	"pearknot/internal/memory"
 	"pearknot/internal/node"
 	"pearknot/internal/peers"
 	"pearknot/internal/server"
@@ -47,6 +48,7 @@
 
 	settings       *controlPlaneSettings
 	budget         *descriptors.Budget
+	memory         *memory.Budget
 	restart        *restartCoordinator
 	adminAddress   string
 	dumpCapture    func() (string, error)
@@ -94,17 +96,21 @@
 		p.onClose(settings.stop)
 		limit -= client.MaxDescriptors
 	}
-	p.budget = descriptors.New(limit, func() {
+	signalShortage := func() {
 		select {
 		case p.shortage <- struct{}{}:
 		default:
 		}
-	})
+	}
+	p.budget = descriptors.New(limit, signalShortage)
+	p.memory = memory.NewBudget(signalShortage)
 	p.restart = &restartCoordinator{
 		config:         p.config,
 		socketPath:     restartSocketPath(p.config, p.log),
 		maxDescriptors: limit,
 		budget:         p.budget,
+		memory:         p.memory,
+		servesTLS:      p.options.TLS != nil,
 		clock:          p.clock,
 		log:            p.log,
 	}
@@ -154,11 +160,12 @@
 	if cached := p.config.cachedEndpoints; cached != nil {
 		p.watch.Version, p.watch.HasList = cached.Version, true
 	}
-	p.upstreamConfig = &upstream.Config{SetReportValue: config.SetReportValue, Budget: p.budget, Log: p.log}
+	p.upstreamConfig = &upstream.Config{SetReportValue: config.SetReportValue, Budget: p.budget, Memory: p.memory, Log: p.log}
 	p.applyDeployment(p.config.deployment)
 	p.node = node.New(p.config.deployment, p.options.NewDecider, p.clock, p.upstreamConfig, p.watch.StartSession, p.log)
 	p.watch.OnList, p.watch.OnFailure = p.node.EndpointsChanged, p.node.PollFailed
 	p.server = server.New(p.node, p.config.deployment, p.clock, p.budget, p.log)
+	p.server.LimitMemory(p.memory)
 	if err := p.enableAdmission(); err != nil {
 		return err
 	}
@@ -279,11 +286,11 @@
 	return ended
 }
 
-// freeDescriptors closes idle connections at each shortage of descriptors, and repeats that while clients wait for one.
+// freeDescriptors closes idle connections at each shortage of descriptors or memory, and repeats that while clients wait for it.
 func (p *process) freeDescriptors(ctx context.Context) {
 	for {
 		var again <-chan time.Time
-		if p.budget.HasWaitingClient() {
+		if p.budget.HasWaitingClient() || p.memory.HasWaitingConnection() {
 			again = time.After(shortageCheckInterval)
 		}
 		select {
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -11,6 +12,7 @@
 	"time"
 
 	"pearknot/internal/descriptors"
+	"pearknot/internal/memory"
 	"pearknot/internal/tcpinfo"
 )
 
@@ -30,7 +32,11 @@
 type listener struct {
 	*net.TCPListener
 	budget   *descriptors.Budget
+	memory   *memory.Budget
 	admitter *connectionAdmitter // nil admits every connection
+	onRefuse func(reason string) // called when a request is refused within its head
+	evict    func()              // makes room in memory
+	isTLS    bool
 	draining atomic.Bool
 }
 
@@ -39,6 +45,10 @@
 	if !l.budget.AcquireClient() {
 		return nil, net.ErrClosed
 	}
+	if !l.memory.AcquireConnection(l.connectionBytes()) {
+		l.budget.ReleaseClient()
+		return nil, net.ErrClosed
+	}
 	for {
 		if l.draining.Load() {
 			_ = l.SetDeadline(time.Now().Add(listenerQuietPeriod))
@@ -46,6 +56,7 @@
 		tcp, err := l.AcceptTCP()
 		if err != nil {
 			l.budget.ReleaseClient()
+			l.memory.ReleaseConnection(l.connectionBytes())
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				return nil, net.ErrClosed
 			}
@@ -53,6 +64,8 @@
 		}
 		conn := newClientConn(tcp, l.budget)
 		conn.admitter = l.admitter
+		conn.reservation = connReservation{budget: l.memory, connection: l.connectionBytes(), evict: l.evict}
+		conn.onRefuse = l.onRefuse
 		if l.admitter == nil || l.admitter.admit(conn) {
 			return conn, nil
 		}
@@ -84,6 +97,8 @@
 	admitter    *connectionAdmitter
 	admissionID uint64                    // id of the connection at the admitter; 0 is none
 	bodyClock   atomic.Pointer[bodyClock] // of the body that is streamed; nil if none is
+	reservation connReservation           // of memory
+	onRefuse    func(reason string)
 
 	mu              sync.Mutex
 	hasRequest      bool
@@ -132,9 +147,21 @@
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendLateRead() {
 		n, err = c.readPlaintext(buffer)
 	}
+	if head, isWithin := c.observe(buffer[:n], isDisconnectCheck); isWithin {
+		if refusal := c.reservation.growHead(head); refusal != nil {
+			c.refuseHead(refusal)
+			return 0, io.EOF
+		}
+	}
+	return n, err
+}
+
+// observe tracks the framing of bytes that were read. It returns the size of the request's head while that is being read.
+func (c *clientConn) observe(data []byte, isDisconnectCheck bool) (head headSize, isWithin bool) {
+	n := len(data)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.framing.observe(buffer[:n]) {
+	if c.framing.observe(data) {
 		c.pipelined = true
 	}
 	c.httpStoppedWatching = isDisconnectCheck && n == 1 // net/http stops watching once the byte has arrived
@@ -142,7 +169,7 @@
 		const readsTrailing = true
 		c.startWatch(readsTrailing)
 	}
-	return n, err
+	return c.framing.head, n > 0 && !c.hasRequest
 }
 
 // readPlaintext reads what the client sent, decrypted if the connection is a TLS one.
@@ -249,16 +276,22 @@
 		c.admitter.connClosed(c)
 	}
 	if !c.isTLS() {
-		defer c.budget.ReleaseClient()
+		defer c.releaseResources()
 		return c.tcp.Close()
 	}
 	go func() { // writing TLS's close_notify may block on a client that does not read
-		defer c.budget.ReleaseClient()
+		defer c.releaseResources()
 		_ = c.Conn.Close()
 	}()
 	return nil
 }
 
+// releaseResources returns the descriptor and the memory of a connection that has been closed.
+func (c *clientConn) releaseResources() {
+	c.budget.ReleaseClient()
+	c.reservation.releaseConnection()
+}
+
 // transitTimeMs returns how long ago the client sent the request that was just read, in ms: the time that its last bytes
 // waited on this machine, and half a round trip. A busy node reads late, but a request's time to live counts from when the
 // client sent it.
--- a/internal/server/decode.go
+++ b/internal/server/decode.go
@@ -49,7 +49,7 @@
 
 // decode reads a request and its body; of a streamed body it reads the beginning that is buffered. It returns a requestError
 // if the request is malformed.
-func (s *Server) decode(w http.ResponseWriter, r *http.Request, conn *clientConn) (*node.Request, *requestError) {
+func (s *Server) decode(w http.ResponseWriter, r *http.Request, conn *clientConn, reservation *requestReservation) (*node.Request, *requestError) {
 	if reason := conn.framingError(); reason != "" {
 		return nil, badRequest("%s", reason)
 	}
@@ -58,7 +58,7 @@
 	if malformed != nil {
 		return nil, malformed
 	}
-	body, rest, malformed := readBody(w, r)
+	body, rest, malformed := s.readBody(w, r, reservation)
 	if malformed != nil {
 		return nil, malformed
 	}
--- a/internal/server/disconnect_test.go
+++ b/internal/server/disconnect_test.go
@@ -372,7 +372,7 @@
 	r := httptest.NewRequest("GET", "/api", http.NoBody)
 	r.Header = http.Header{"X-Trace-Id": {"a"}, "X-Qos": {"check"}, "X-Expires-In-Ms": {"480"}}
 	recorder := &deadlineCounter{ResponseRecorder: httptest.NewRecorder()}
-	_, malformed := srv.decode(recorder, r, conn)
+	_, malformed := srv.decode(recorder, r, conn, srv.newRequestReservation())
 	assert.Nil(t, malformed)
 	assert.Zero(t, recorder.deadlines)
 }
--- a/internal/server/framing.go
+++ b/internal/server/framing.go
@@ -14,6 +14,7 @@
 	line     [48]byte // the beginning of the current header line; the rest is not needed
 	lineSize int      // bytes of the current header line so far
 	bodyLeft int64    // bytes of the body that have not arrived
+	head     headSize // of the current request
 
 	hasLength    bool // the header has a Content-Length
 	hasEncoding  bool // the header has a Transfer-Encoding
@@ -22,6 +23,12 @@
 	requestEnded bool // the latest request has arrived completely
 }
 
+// headSize is the size of the part of a request's head that has arrived.
+type headSize struct {
+	bytes  int
+	fields int // complete lines, including the request line
+}
+
 type framingStage uint8
 
 const (
@@ -63,7 +70,9 @@
 		copy(f.line[f.lineSize:], part)
 	}
 	f.lineSize += len(part)
+	f.head.bytes += len(data) - len(rest)
 	if isLineEnd {
+		f.head.fields++
 		f.endLine()
 	}
 	return rest
--- a/internal/server/handler.go
+++ b/internal/server/handler.go
@@ -26,10 +26,18 @@
 		return
 	}
 	id := r.Header.Get(idHeader)
-	request, refusal := s.decode(w, r, conn)
+	reservation := s.newRequestReservation()
+	defer reservation.release()
+	defer conn.reservation.releaseHead()
+	request, refusal := s.decode(w, r, conn, reservation)
 	if refusal == nil && !s.reserveID(id) {
 		refusal = &requestError{http.StatusConflict, "the id of an open op"} // part of the protocol; an op is a request
 	}
+	if refusal == errOutOfMemory {
+		s.logRefusal(refusal.reason)
+		s.writeAnswer(w, conn, node.Answer{Status: node.Rejected})
+		return
+	}
 	if refusal != nil {
 		s.logMalformed(refusal.reason)
 		conn.reportToAdmission((*admission.Controller).RequestMalformed)
@@ -93,6 +101,17 @@
 	})
 }
 
+// logRefusal logs requests that were refused for lack of memory, or whose heads are too large, at most once per
+// malformedLogInterval, with the memory that is reserved.
+func (s *Server) logRefusal(reason string) {
+	s.refusedLog.Event(func(sinceLast int64) {
+		used, limits := s.memory.Usage()
+		s.log.Warn("request refused", "reason", reason, "since_last", sinceLast, "connections", s.budget.Clients(),
+			"connections_kb", used.Connections>>10, "max_connections_kb", limits.Connections>>10,
+			"buffers_kb", used.Buffers>>10, "max_buffers_kb", limits.Buffers>>10)
+	})
+}
+
 func (s *Server) serveHealth(w http.ResponseWriter, conn *clientConn) {
 	select {
 	case <-s.node.Ready():
--- a/internal/server/response.go
+++ b/internal/server/response.go
@@ -25,6 +25,9 @@
 
 	// streamBufferBytes is the size of the buffer by which a long response is read and written.
 	streamBufferBytes = 16 << 10
+
+	// minStreamBufferBytes is the size of that buffer when memory is short.
+	minStreamBufferBytes = 4 << 10
 )
 
 // writeAnswer writes a request's answer as a response. Texts and header fields are part of the protocol and must not change:
@@ -97,7 +100,7 @@
 
 // writeHeader writes a response's header. A negative bodySize means that the body's size is unknown.
 func (s *Server) writeHeader(w http.ResponseWriter, conn *clientConn, status int, bodySize int64) {
-	if conn.beginResponse() || s.draining.Load() || s.quiesce.closing.Load() || s.budget.ShouldCloseClients() {
+	if conn.beginResponse() || s.draining.Load() || s.quiesce.closing.Load() || s.budget.ShouldCloseClients() || s.memory.ShouldCloseConnections() {
 		w.Header().Set("Connection", "close")
 	}
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -118,7 +121,9 @@
 		_ = controller.SetWriteDeadline(time.Unix(1, 0)) // the pending write fails at once
 	})
 	defer monitor.Stop()
-	part, buffer := reply.Body, make([]byte, streamBufferBytes)
+	size, release := s.memory.AcquireBuffer(streamBufferBytes, minStreamBufferBytes)
+	defer release()
+	part, buffer := reply.Body, make([]byte, size)
 	reply.Body = nil
 	for {
 		monitor.BeginWrite()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -12,8 +12,10 @@
 import (
 	"errors"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,7 +24,9 @@
 	"pearknot/internal/clock"
 	"pearknot/internal/config"
 	"pearknot/internal/descriptors"
+	"pearknot/internal/memory"
 	"pearknot/internal/node"
+	"pearknot/internal/tcpinfo"
 	"pearknot/internal/throttledlog"
 )
 
@@ -42,11 +46,14 @@
 	// maxHeaderBytes is the maximum size of a request's header; net/http allows 4 KiB more.
 	maxHeaderBytes = 12 << 10
 
-	// minIdleBeforeClose is how long a connection must have had no request before it may be closed to free its descriptor.
-	// Sooner, a request may be in transit, and would fail if it is the connection's first.
-	minIdleBeforeClose = 2 * time.Second
+	// minIdleBeforeClose is how long a connection must have had no request before it may be closed to free its descriptor and
+	// memory. Sooner, a request may be in transit, and would fail if it is the connection's first. While clients wait to be
+	// accepted, the longest idle ones are closed sooner in their favour.
+	minIdleBeforeClose        = 2 * time.Second
+	minIdleWhileClientsWait   = 500 * time.Millisecond
+	spareClosesForWaitingOnes = 8 // clients that arrive meanwhile
 
-	// malformedLogInterval is the minimum time between two log lines about malformed requests.
+	// malformedLogInterval is the minimum time between two log lines about malformed or refused requests.
 	malformedLogInterval = time.Second
 )
 
@@ -57,6 +64,7 @@
 	deployment atomic.Pointer[config.Deployment]
 	clock      *clock.Clock
 	budget     *descriptors.Budget
+	memory     *memory.Budget // nil has no limit
 	log        *slog.Logger
 
 	httpServer     http.Server
@@ -78,7 +86,9 @@
 	idleConns map[net.Conn]time.Time // connections without a request, with the time since when
 	openIDs   map[string]struct{}    // ids of the open requests
 
-	malformedLog *throttledlog.Throttle
+	incompleteBodies incompleteBodies
+	malformedLog     *throttledlog.Throttle
+	refusedLog       *throttledlog.Throttle
 }
 
 // New returns a server that passes requests to n.
@@ -92,6 +102,7 @@
 		idleConns:    map[net.Conn]time.Time{},
 		openIDs:      map[string]struct{}{},
 		malformedLog: throttledlog.New(malformedLogInterval),
+		refusedLog:   throttledlog.New(malformedLogInterval),
 	}
 	s.deployment.Store(deployment)
 	s.httpServer = http.Server{
@@ -107,6 +118,9 @@
 	return s
 }
 
+// LimitMemory bounds what the server holds for its clients by a budget. It is called before Listen.
+func (s *Server) LimitMemory(budget *memory.Budget) { s.memory = budget }
+
 // EnableAdmission limits clients' connections. It is called before Listen. onPressure is called whenever pressure begins (true)
 // or ends (false); it must not block.
 func (s *Server) EnableAdmission(limits admission.Limits, onPressure func(underPressure bool)) {
@@ -135,7 +149,7 @@
 	if err != nil {
 		return err
 	}
-	s.listener = &listener{TCPListener: tcp, budget: s.budget, admitter: s.admitter}
+	s.listener = s.newListener(tcp)
 	return nil
 }
 
@@ -146,11 +160,23 @@
 	if err != nil {
 		return err
 	}
-	inner := &listener{TCPListener: tcp, budget: s.budget, admitter: s.admitter}
+	inner := s.newListener(tcp)
+	inner.isTLS = true
 	s.tlsListener = newTLSListener(inner, config, maxDescriptors)
 	return nil
 }
 
+func (s *Server) newListener(tcp *net.TCPListener) *listener {
+	return &listener{
+		TCPListener: tcp,
+		budget:      s.budget,
+		memory:      s.memory,
+		admitter:    s.admitter,
+		onRefuse:    s.logRefusal,
+		evict:       s.incompleteBodies.evictSlowest,
+	}
+}
+
 func listenTCP(address string, reusePort bool) (*net.TCPListener, error) {
 	listen := net.Listen
 	if reusePort {
@@ -219,10 +245,13 @@
 	return inService, shuttingDown
 }
 
-// CloseIdleConnections closes clients' connections that have had no request for a while, to free descriptors. A client
+// CloseIdleConnections closes clients' connections that have had no request for a while, to free descriptors and memory. A client
 // whose request is in transit during the close sends it again on another connection.
 func (s *Server) CloseIdleConnections() {
 	s.closeIdle(minIdleBeforeClose, closePartial)
+	if waiting := s.waitingClients(); waiting > 0 {
+		s.closeLongestIdle(waiting + spareClosesForWaitingOnes)
+	}
 	if s.tlsListener != nil {
 		s.tlsListener.evictSilent(silentEvictionAge)
 	}
@@ -251,6 +280,36 @@
 	}
 }
 
+// waitingClients returns the number of connections that wait in the listeners' queues.
+func (s *Server) waitingClients() (count int) {
+	for _, l := range s.listeners() {
+		if info, ok := tcpinfo.Get(l.TCPListener); ok {
+			count += int(info.Unacked) // of a listener, the length of its queue
+		}
+	}
+	return count
+}
+
+// closeLongestIdle closes up to count connections that have had no request for minIdleWhileClientsWait, the longest idle ones
+// first. As closeIdle, it never closes one with unread data.
+func (s *Server) closeLongestIdle(count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	conns := slices.SortedFunc(maps.Keys(s.idleConns), func(a, b net.Conn) int { return s.idleConns[a].Compare(s.idleConns[b]) })
+	for _, conn := range conns {
+		c := conn.(*clientConn)
+		if count == 0 || time.Since(s.idleConns[conn]) < minIdleWhileClientsWait {
+			return
+		}
+		if c.hasUnreadData() {
+			continue
+		}
+		_ = c.Close()
+		delete(s.idleConns, conn)
+		count--
+	}
+}
+
 // trackConnState is net/http's hook for changes of a connection's state.
 func (s *Server) trackConnState(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -72,7 +72,7 @@
 			name, value, _ := strings.Cut(h, ":")
 			r.Header.Add(name, value)
 		}
-		request, malformed := srv.decode(httptest.NewRecorder(), r, conn)
+		request, malformed := srv.decode(httptest.NewRecorder(), r, conn, srv.newRequestReservation())
 		if test.want == 0 {
 			require.Nil(t, malformed, name)
 			assert.Less(t, request.Deadline, srv.clock.Now()+maxTTLMs+maxBodyTimeMs, name)
@@ -88,7 +88,7 @@
 		"X-Second-Try": {"1"}, "X-Customer": {"two"}}
 	conn, _ = connPair(t) // its bytes were sent just now
 	before := srv.clock.Now()
-	request, malformed := srv.decode(httptest.NewRecorder(), r, conn)
+	request, malformed := srv.decode(httptest.NewRecorder(), r, conn, srv.newRequestReservation())
 	require.Nil(t, malformed)
 	assert.Equal(t, []any{1, 1, 1.5, true, true}, []any{request.Class, request.Tenant, request.CostHint, request.HasCostHint, request.IsClientRetry})
 	assert.Less(t, request.Deadline, srv.clock.Now()+480, "the TTL counts from when the client sent the request")
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pearknot/balancer"
+	"pearknot/internal/memory"
 	"pearknot/internal/writestall"
 )
 
@@ -141,9 +142,11 @@
 
 // sendBody copies the rest of a streamed body from the client to the backend. It returns the errors of the two sides
 // separately: readErr means that the client failed or took too long.
-func (c *Call) sendBody(conn net.Conn, monitor *writestall.Monitor) (readErr, writeErr error) {
+func (c *Call) sendBody(conn net.Conn, monitor *writestall.Monitor, budget *memory.Budget) (readErr, writeErr error) {
 	body := c.Message.stream.Reader
-	buffer := make([]byte, streamBufferSize)
+	size, release := budget.AcquireBuffer(streamBufferSize, minStreamBufferSize)
+	defer release()
+	buffer := make([]byte, size)
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
--- a/internal/upstream/config.go
+++ b/internal/upstream/config.go
@@ -7,6 +7,7 @@
 
 	"pearknot/balancer"
 	"pearknot/internal/descriptors"
+	"pearknot/internal/memory"
 )
 
 // AtomicDuration is a duration that can be read and changed concurrently.
@@ -23,6 +24,7 @@
 	ConnectTimeout AtomicDuration      // for establishing a connection
 	IdleTimeout    AtomicDuration      // after which an idle connection is closed
 	Budget         *descriptors.Budget // of file descriptors; each connection takes one
+	Memory         *memory.Budget      // of bodies and buffers; nil has no limit
 	Log            *slog.Logger
 
 	// SetReportValue stores a value of a load report in the field for its name in the deployment's settings.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -24,7 +24,7 @@
 		return *failure, state
 	}
 	firstByteAt := c.reader.waitFirstByte()
-	response, rest, reusable, err := ReadReply(c.reader, call.Message.isHead, MaxBody, MaxBufferedBody)
+	response, rest, reusable, err := ReadReply(c.reader, call.Message.isHead, MaxBody, MaxBufferedBody, b.config.Memory)
 	wasCanceled := call.release()
 	if err != nil {
 		return b.readFailed(c, err, wasCanceled), connClosed
@@ -66,7 +66,7 @@
 	if err != nil {
 		return b.writeFailed(call, written, err)
 	}
-	readErr, err := call.sendBody(c, monitor)
+	readErr, err := call.sendBody(c, monitor, b.config.Memory)
 	if readErr != nil { // the client failed; the backend never got the complete request, so it did not run it
 		call.release()
 		b.config.Log.Debug("client request body read failed", "backend", b.name, "error", readErr)
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -21,6 +21,9 @@
 
 	// streamBufferSize is the number of bytes of a stream that are buffered at a time.
 	streamBufferSize = 16 << 10
+
+	// minStreamBufferSize is that number when memory is short.
+	minStreamBufferSize = 4 << 10
 )
 
 // errBodyTooLong is returned when a response's body has, or announces, more bytes than it may have.
