Keep the two processes of an upgrade within the memory limit together

Callers saw: an upgrade amid a crowd took both processes over limits.memory_mb (98 MB of 32, 121 of 64), which kills both. Cause: a process that ran alone used the whole limit, and its successor came on top; when the successor connected, the runtime's limit was halved, but nothing made the predecessor give up connections or return freed memory, and the successor took the rest of the limit when the link ended, before the process had. With a successor each has half; the predecessor closes idle connections and evicts slow bodies beyond its half and returns freed memory to the system, and the successor uses at most what the predecessor's resident memory leaves, looked at every 0.1 s, and all once the process is gone.

--- a/cmd/pearknot/crowd_fixture_test.go
+++ b/cmd/pearknot/crowd_fixture_test.go
@@ -38,7 +38,8 @@
 	dir  string // TMPDIR; empty if there is none
 	mu   sync.Mutex
 	pids []int
-	peak int64 // bytes
+	peak int64   // bytes
+	each []int64 // KiB of each process at the peak
 	stop chan struct{}
 	done chan struct{}
 }
@@ -68,10 +69,15 @@
 	watch.mu.Lock()
 	defer watch.mu.Unlock()
 	total := directoryBytes(watch.dir)
+	var each []int64
 	for _, pid := range watch.pids {
-		total += residentBytes(pid)
+		bytes := residentBytes(pid)
+		each = append(each, bytes>>10)
+		total += bytes
+	}
+	if total > watch.peak {
+		watch.peak, watch.each = total, each
 	}
-	watch.peak = max(watch.peak, total)
 }
 
 // add has the memory of another process counted as well.
@@ -326,6 +332,6 @@
 // assertMemoryWithin fails the test unless the node's memory stayed within its limit.
 func assertMemoryWithin(t testing.TB, watch *memoryWatch, limitMB int) {
 	t.Helper()
-	t.Logf("peak memory %.1f MB of %d", watch.peakMB(), limitMB)
+	t.Logf("peak memory %.1f MB of %d, processes in KiB: %v", watch.peakMB(), limitMB, watch.each)
 	assert.LessOrEqual(t, watch.peakMB(), float64(limitMB), "MB")
 }
--- a/cmd/pearknot/memory_test.go
+++ b/cmd/pearknot/memory_test.go
@@ -52,24 +52,30 @@
 
 // A node stays within its memory limit while it is upgraded amid a crowd: the limit holds for both processes together.
 func TestMemoryLimitHoldsDuringUpgrade(t *testing.T) {
-	for _, memoryMB := range []int{leastMemoryMB, 64} {
-		t.Run(fmt.Sprint(memoryMB, " MB"), func(t *testing.T) {
-			node := startCrowdNode(t, memoryMB, nil)
-			crowd := &crowd{dial: tcpDial(node.address), kinds: crowdKinds(), size: crowdSize}
-			defer crowd.start()()
-			time.Sleep(crowdDuration / 4)
-			for range 2 {
-				old := node.process
-				node.startProcess()
-				time.Sleep(crowdDuration / 4)
-				require.NoError(t, old.Process.Signal(syscall.SIGTERM))
-				kill := time.AfterFunc(killAfterTerm, func() { _ = old.Process.Kill() })
-				_ = old.Wait()
-				kill.Stop()
-			}
-			assertMemoryWithin(t, node.memory, memoryMB)
-		})
+	for _, memoryMB := range []int{64, 192} {
+		t.Run(fmt.Sprint(memoryMB, " MB"), func(t *testing.T) { upgradeInCrowd(t, memoryMB) })
+	}
+}
+
+// The same with the least memory, of which the program's own pages in two processes take most.
+func TestLeastMemoryLimitHoldsDuringUpgrade(t *testing.T) { upgradeInCrowd(t, leastMemoryMB) }
+
+// upgradeInCrowd replaces the process of a node twice amid a crowd.
+func upgradeInCrowd(t *testing.T, memoryMB int) {
+	node := startCrowdNode(t, memoryMB, nil)
+	crowd := &crowd{dial: tcpDial(node.address), kinds: crowdKinds(), size: crowdSize}
+	defer crowd.start()()
+	time.Sleep(crowdDuration / 4)
+	for range 2 {
+		old := node.process
+		node.startProcess()
+		time.Sleep(crowdDuration / 4)
+		require.NoError(t, old.Process.Signal(syscall.SIGTERM))
+		kill := time.AfterFunc(killAfterTerm, func() { _ = old.Process.Kill() })
+		_ = old.Wait()
+		kill.Stop()
 	}
+	assertMemoryWithin(t, node.memory, memoryMB)
 }
 
 // crowdNode is a node with two backends for a crowd.
--- a/internal/hotrestart/link.go
+++ b/internal/hotrestart/link.go
@@ -5,6 +5,9 @@
 	"errors"
 	"fmt"
 	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // ErrNoPeer indicates that there is no other process, or that it has ended.
@@ -59,6 +62,26 @@
 	_ = l.conn.send(message{Kind: kindDescriptorLimit, Number: uint64(max(descriptors, 0))})
 }
 
+// PeerPID returns the process ID of the other process; ok is false if the system does not tell.
+func (l *Link) PeerPID() (pid int, ok bool) {
+	socket, ok := l.conn.Conn.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var credentials *unix.Ucred
+	controlErr := raw.Control(func(fd uintptr) {
+		credentials, err = unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED)
+	})
+	if controlErr != nil || err != nil {
+		return 0, false
+	}
+	return int(credentials.Pid), true
+}
+
 // Close closes the link.
 func (l *Link) Close() { _ = l.conn.Close() }
 
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -49,7 +49,7 @@
 func (b *Budget) SetLimits(limits Limits) {
 	b.mu.Lock()
 	b.limits = limits
-	isExceeded := b.used.Connections > limits.Connections
+	isExceeded := b.used.Connections > limits.Connections || b.used.Buffers > limits.Buffers
 	b.mu.Unlock()
 	if isExceeded {
 		b.onShortage()
@@ -142,14 +142,14 @@
 	b.used.Buffers -= bytes
 }
 
-// HasWaitingConnection reports whether a connection waits for its bytes, or connections use more than they may.
+// HasWaitingConnection reports whether a connection waits for its bytes.
 func (b *Budget) HasWaitingConnection() bool {
 	if b == nil {
 		return false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.connectionWaiting || b.used.Connections > b.limits.Connections
+	return b.connectionWaiting
 }
 
 // ShouldCloseConnections reports whether clients should be asked to close their connections, because these use more than three
@@ -163,6 +163,19 @@
 	return b.used.Connections > b.limits.Connections/4*3
 }
 
+// Excess returns the bytes that are reserved beyond the limits, after these were lowered.
+func (b *Budget) Excess() Limits {
+	if b == nil {
+		return Limits{}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Limits{
+		Connections: max(b.used.Connections-b.limits.Connections, 0),
+		Buffers:     max(b.used.Buffers-b.limits.Buffers, 0),
+	}
+}
+
 // Usage returns the bytes that are reserved, and the limits.
 func (b *Budget) Usage() (used, limits Limits) {
 	if b == nil {
--- a/internal/memory/plan.go
+++ b/internal/memory/plan.go
@@ -21,6 +21,9 @@
 	// connectionShare is the largest share of the clients' bytes that connections may use.
 	connectionShare = 0.75
 
+	// minLimitWithReserve is the smallest limit of a process that leaves memory free for its successor.
+	minLimitWithReserve = 32 << 20
+
 	// minRuntimeBytes and minClientBytes are the smallest results, for a limit that the program alone exceeds.
 	minRuntimeBytes = 4 << 20
 	minClientBytes  = 1 << 20
@@ -41,23 +44,44 @@
 	return Plan{RuntimeBytes: runtimeBytes, Clients: Limits{Connections: connections, Buffers: clientBytes - connections}}
 }
 
+// SuccessorReserve returns the memory that a process leaves free for one that is started to replace it: what a process of the same
+// program takes before it serves clients. Of a limit below minLimitWithReserve nothing is left free.
+func SuccessorReserve(limit, fileBytes int64) int64 {
+	return min(fileBytes+runtimeBase, max(limit-minLimitWithReserve, 0))
+}
+
 // assumedFileBytes is the result of ResidentFileBytes on a system that does not tell.
 const assumedFileBytes = 16 << 20
 
+// Fields of /proc/PID/statm, in pages.
+const (
+	residentField = 1
+	sharedField   = 2
+)
+
 // ResidentFileBytes returns the resident memory of this process that is mapped from files: the program and the C library.
 func ResidentFileBytes() int64 {
-	const sharedField = 2 // of /proc/self/statm, in pages
-	text, err := os.ReadFile("/proc/self/statm")
-	if err != nil {
+	bytes, ok := readStatm("self", sharedField)
+	if !ok {
 		return assumedFileBytes
 	}
-	fields := strings.Fields(string(text))
-	if len(fields) <= sharedField {
-		return assumedFileBytes
-	}
-	pages, err := strconv.ParseInt(fields[sharedField], 10, 64)
+	return bytes
+}
+
+// ResidentBytes returns the resident memory of a process. It reports false if the process has ended or the system does not tell.
+func ResidentBytes(pid int) (bytes int64, ok bool) {
+	return readStatm(strconv.Itoa(pid), residentField)
+}
+
+func readStatm(process string, field int) (bytes int64, ok bool) {
+	text, err := os.ReadFile("/proc/" + process + "/statm")
 	if err != nil {
-		return assumedFileBytes
+		return 0, false
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) <= field {
+		return 0, false
 	}
-	return pages * int64(os.Getpagesize())
+	pages, err := strconv.ParseInt(fields[field], 10, 64)
+	return pages * int64(os.Getpagesize()), err == nil
 }
--- a/internal/serve/hotrestart.go
+++ b/internal/serve/hotrestart.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"os"
 	"reflect"
-	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -23,6 +22,9 @@
 )
 
 const (
+	// memoryCheckInterval is the time between two adjustments of the processes' shares of the memory.
+	memoryCheckInterval = 100 * time.Millisecond
+
 	// gcPercent is the growth of the live heap, in percent, that triggers a collection. It is large because the live heap is
 	// only a few MB; the memory limit applies in any case. While the node has two processes, a quarter of it is used.
 	gcPercent = 400
@@ -48,6 +50,7 @@
 	maxDescriptors int    // of both processes together
 	budget         *descriptors.Budget
 	memory         *memory.Budget
+	memoryShare    atomic.Int32 // one of the memoryShare constants
 	servesTLS      bool
 	clock          *clock.Clock
 	log            *slog.Logger
@@ -77,20 +80,6 @@
 	return path
 }
 
-// setMemoryLimit limits the memory of the Go runtime, and what clients can make it hold, to this process's share of the node's
-// limit (limits.memory_mb of the configuration), given the number of the node's processes.
-func (r *restartCoordinator) setMemoryLimit(processes int64) {
-	if r.config.memoryBytes > 0 {
-		allConnections := int64(r.budget.MaxClients()) * server.ConnectionBytes(r.servesTLS)
-		plan := memory.NewPlan(r.config.memoryBytes/processes, memory.ResidentFileBytes(), allConnections)
-		debug.SetMemoryLimit(plan.RuntimeBytes)
-		r.memory.SetLimits(plan.Clients)
-		r.log.Info("memory limits set", "processes", processes, "runtime_kb", plan.RuntimeBytes>>10,
-			"connections_kb", plan.Clients.Connections>>10, "buffers_kb", plan.Clients.Buffers>>10)
-	}
-	debug.SetGCPercent(gcPercent / int(processes*processes))
-}
-
 // connect connects to a running predecessor and returns its state, or nil if there is no predecessor or its state can't be
 // used. The endpoint list and the balancer's state refer to zones and kinds by index: if the predecessor's zones or kinds
 // differ, only names of backends and the quiesced state are returned.
@@ -109,9 +98,11 @@
 	r.mu.Lock()
 	r.predecessor = link
 	r.mu.Unlock()
+	r.memoryShare.Store(secondOfTwo)
 	predecessorUses := int(predecessorShare*float64(r.maxDescriptors)) + admin.MaxDescriptors // the predecessor has an admin address, too
 	r.budget.SetLimit(r.maxDescriptors - predecessorUses)
-	r.setMemoryLimit(2)
+	r.setMemoryLimit()
+	go r.followPredecessorMemory(link)
 	names := r.config.deploymentNames
 	if !reflect.DeepEqual(state.Zones, names.Zones) || !reflect.DeepEqual(state.Kinds, names.Kinds) {
 		r.log.Warn("predecessor's state not restored: zones or kinds differ")
@@ -143,29 +134,39 @@
 	r.isServing.Store(true)
 	predecessor := r.predecessor
 	if predecessor == nil {
-		r.setMemoryLimit(1) // more of the program is resident by now than at the start
+		r.setMemoryLimit() // more of the program is resident by now than at the start
 		r.listen()
 		return
 	}
 	if err := predecessor.SendReady(); err != nil {
 		r.log.Warn("predecessor process could not be notified", "error", err)
 	}
-	go func() {
-		<-predecessor.Done()
-		r.log.Info("predecessor process ended")
-		r.mu.Lock()
-		r.predecessor = nil
-		r.mu.Unlock()
+	go r.replacePredecessor(predecessor)
+}
+
+// replacePredecessor listens for a successor as soon as the predecessor's link has ended, and uses all resources once its process has.
+func (r *restartCoordinator) replacePredecessor(predecessor *hotrestart.Link) {
+	pid, isKnown := predecessor.PeerPID()
+	<-predecessor.Done()
+	r.log.Info("predecessor process ended")
+	r.mu.Lock()
+	r.predecessor = nil
+	r.mu.Unlock()
+	r.listen()
+	if isKnown {
+		awaitExit(pid)
+	}
+	if r.memoryShare.CompareAndSwap(secondOfTwo, aloneInMemory) { // no successor has connected meanwhile
 		r.useAllResources()
-		r.listen()
-	}()
+	}
 }
 
 // useAllResources gives this process all of the node's descriptors and memory. It is called when no other process of the node
 // is left.
 func (r *restartCoordinator) useAllResources() {
 	r.budget.SetLimit(r.maxDescriptors)
-	r.setMemoryLimit(1)
+	r.memoryShare.Store(aloneInMemory)
+	r.setMemoryLimit()
 	r.node.ProcessesChanged(1)
 }
 
@@ -201,7 +202,9 @@
 func (r *restartCoordinator) handOffState(ctx context.Context) (*hotrestart.State, error) {
 	r.log.Info("successor process connected")
 	r.budget.SetLimit(int(predecessorShare * float64(r.maxDescriptors)))
-	r.setMemoryLimit(2)
+	r.memoryShare.Store(firstOfTwo)
+	r.setMemoryLimit()
+	go r.returnFreedMemory()
 	r.node.ProcessesChanged(2)
 	learned, err := r.node.HandoffState(ctx)
 	if err != nil {
--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -114,7 +114,7 @@
 		clock:          p.clock,
 		log:            p.log,
 	}
-	p.restart.setMemoryLimit(1)
+	p.restart.setMemoryLimit()
 	return nil
 }
 
@@ -290,7 +290,7 @@
 func (p *process) freeDescriptors(ctx context.Context) {
 	for {
 		var again <-chan time.Time
-		if p.budget.HasWaitingClient() || p.memory.HasWaitingConnection() {
+		if p.budget.HasWaitingClient() || p.memory.HasWaitingConnection() || p.memory.Excess() != (memory.Limits{}) {
 			again = time.After(shortageCheckInterval)
 		}
 		select {
--- a/internal/server/memory.go
+++ b/internal/server/memory.go
@@ -53,6 +53,18 @@
 
 var errTooManyFields = &requestError{http.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("more than %d header fields", maxHeadFields-1)}
 
+// releaseExcessMemory closes idle connections and evicts slow bodies while more memory is reserved than the limits allow, after
+// these were lowered.
+func (s *Server) releaseExcessMemory() {
+	excess := s.memory.Excess()
+	if excess.Connections > 0 {
+		s.closeLongestIdle(int(excess.Connections/plainConnBytes)+1, listenerQuietPeriod)
+	}
+	if excess.Buffers > 0 {
+		s.incompleteBodies.evictSlowest()
+	}
+}
+
 // connReservation is the memory that a connection has reserved.
 type connReservation struct {
 	budget     *memory.Budget
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -250,8 +250,9 @@
 func (s *Server) CloseIdleConnections() {
 	s.closeIdle(minIdleBeforeClose, closePartial)
 	if waiting := s.waitingClients(); waiting > 0 {
-		s.closeLongestIdle(waiting + spareClosesForWaitingOnes)
+		s.closeLongestIdle(waiting+spareClosesForWaitingOnes, minIdleWhileClientsWait)
 	}
+	s.releaseExcessMemory()
 	if s.tlsListener != nil {
 		s.tlsListener.evictSilent(silentEvictionAge)
 	}
@@ -290,15 +291,15 @@
 	return count
 }
 
-// closeLongestIdle closes up to count connections that have had no request for minIdleWhileClientsWait, the longest idle ones
+// closeLongestIdle closes up to count connections that have had no request for minIdle, the longest idle ones
 // first. As closeIdle, it never closes one with unread data.
-func (s *Server) closeLongestIdle(count int) {
+func (s *Server) closeLongestIdle(count int, minIdle time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	conns := slices.SortedFunc(maps.Keys(s.idleConns), func(a, b net.Conn) int { return s.idleConns[a].Compare(s.idleConns[b]) })
 	for _, conn := range conns {
 		c := conn.(*clientConn)
-		if count == 0 || time.Since(s.idleConns[conn]) < minIdleWhileClientsWait {
+		if count == 0 || time.Since(s.idleConns[conn]) < minIdle {
 			return
 		}
 		if c.hasUnreadData() {
