Wait for a running process that does not listen for a successor yet

Callers saw: two upgrades in a row: the third process started as if it were the first, without cordons, learned state and its share of memory and descriptors, and both served with the whole limits: 196 to 214 MB of 192 in TestMemoryLimitHoldsDuringUpgrade, four of seven runs. Cause: between the end of a predecessor and the moment when its successor listens (85 ms on a busy node, in the trace of that test), nobody listens at the node's socket, and hotrestart.Connect took that for a first start. Change: each process of a node holds a shared lock on a file beside the socket from its start to its end. A new process that finds nobody listening but the lock held tries again, within the 4.5 s that it had for a busy predecessor. Processes of earlier builds hold no lock, and are treated as before. A killed process's lock goes with it.

--- a/internal/hotrestart/connect.go
+++ b/internal/hotrestart/connect.go
@@ -23,21 +23,21 @@
 // errBusy indicates that the predecessor has another successor, or is shutting down.
 var errBusy = errors.New("the predecessor process has another successor")
 
-// Connect connects to the predecessor that listens at path, if there is one, and gets its state. Without a predecessor, the
-// link, the state and the error are all nil. If the predecessor's state can't be used, Connect returns an error and the link
+// Connect connects to the predecessor that listens at path, if there is one, and gets its state. While no process listens but
+// another one holds the lock, which may be nil, it waits. Without a predecessor, the link, the state and the error are all nil. If the predecessor's state can't be used, Connect returns an error and the link
 // and the state are nil. In both cases the process starts without a predecessor's state.
 //
 // handleCall is called for each call that the predecessor forwards. onDescriptorLimit is called with the number of
 // descriptors that the predecessor may still have open. Both are called from the link's goroutines.
-func Connect(ctx context.Context, path, name string, handleCall CallHandler, onDescriptorLimit func(descriptors int)) (*Link, *State, error) {
+func Connect(ctx context.Context, path, name string, lock *ProcessLock, handleCall CallHandler, onDescriptorLimit func(descriptors int)) (*Link, *State, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	for {
 		link, state, err := connectOnce(ctx, path, name, handleCall, onDescriptorLimit)
-		if !errors.Is(err, errBusy) {
-			if isNotListening(err) {
-				err = nil
-			}
+		switch {
+		case isNotListening(err) && !lock.IsHeldByOther():
+			return nil, nil, nil
+		case !isNotListening(err) && !errors.Is(err, errBusy):
 			return link, state, err
 		}
 		// The running process already has a successor. Either the successor takes over, and listens itself once its
--- a/internal/hotrestart/hotrestart_test.go
+++ b/internal/hotrestart/hotrestart_test.go
@@ -54,7 +54,7 @@
 	listener := listen(t, path, successorGone)
 	assert.Nil(t, listener.Successor())
 	used := make(chan int, 1)
-	link, state, err := Connect(t.Context(), path, "n1", handleAtSuccessor, func(n int) { used <- n })
+	link, state, err := Connect(t.Context(), path, "n1", nil, handleAtSuccessor, func(n int) { used <- n })
 	require.NoError(t, err)
 	assert.Equal(t, &State{KnownNames: []string{"s-1"}, BalancerSnapshot: []byte{1, 2}}, state)
 	text, err := link.Call(t.Context(), Call{Verb: "cordon", ID: "s-1"})
@@ -79,7 +79,7 @@
 	// A third process waits until the second has ended, and then connects to the first.
 	third := make(chan error, 1)
 	go func() {
-		link, _, err := Connect(t.Context(), path, "n1", handleAtSuccessor, nil)
+		link, _, err := Connect(t.Context(), path, "n1", nil, handleAtSuccessor, nil)
 		if err == nil {
 			link.Close()
 			<-link.Done()
@@ -94,7 +94,7 @@
 	require.NoError(t, <-third)
 	assert.True(t, <-successorGone)
 
-	link, _, err = Connect(t.Context(), path, "n1", handleAtSuccessor, nil)
+	link, _, err = Connect(t.Context(), path, "n1", nil, handleAtSuccessor, nil)
 	require.NoError(t, err)
 	listener.Close() // the predecessor is shutting down, so OnSuccessorGone is not called
 	<-link.Done()
@@ -156,7 +156,7 @@
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 			defer cancel()
-			link, state, err := Connect(ctx, path, node, handleAtSuccessor, nil)
+			link, state, err := Connect(ctx, path, node, nil, handleAtSuccessor, nil)
 			assert.Nil(t, link)
 			assert.Nil(t, state)
 			if c.want == "" {
@@ -175,3 +175,41 @@
 	_, err := Listen(filepath.Join(t.TempDir(), "none", "x"), Predecessor{})
 	assert.Error(t, err, "the directory does not exist")
 }
+
+// A process that starts in the moment between the end of one process and the next one's listening is no first process: it waits
+// until that listens, and gets its state.
+func TestConnectWaitsForProcessThatDoesNotListenYet(t *testing.T) {
+	path := socketPath(t)
+	running, err := OpenProcessLock(path)
+	require.NoError(t, err)
+	defer running.Close()
+	require.NoError(t, running.Hold())
+	starting, err := OpenProcessLock(path)
+	require.NoError(t, err)
+	defer starting.Close()
+	connected := make(chan *State, 1)
+	go func() {
+		link, state, err := Connect(t.Context(), path, "n1", starting, nil, nil)
+		assert.NoError(t, err)
+		if link != nil {
+			link.Close()
+		}
+		connected <- state
+	}()
+	select {
+	case <-connected:
+		t.Fatal("it took itself for the first process")
+	case <-time.After(4 * retryInterval):
+	}
+	listener, err := Listen(path, Predecessor{
+		Name:            "n1",
+		CollectState:    func(context.Context) (*State, error) { return &State{KnownNames: []string{"s-1"}}, nil },
+		Log:             slog.New(slog.DiscardHandler),
+		OnSuccessorGone: func() {},
+	})
+	require.NoError(t, err)
+	defer listener.Close()
+	state := <-connected
+	require.NotNil(t, state)
+	assert.Equal(t, []string{"s-1"}, state.KnownNames)
+}
--- a/internal/serve/hotrestart.go
+++ b/internal/serve/hotrestart.go
@@ -57,6 +57,7 @@
 	node           *node.Node
 	server         *server.Server
 	isServing      atomic.Bool
+	lock           *hotrestart.ProcessLock // nil if it is not available
 
 	mu          sync.Mutex
 	predecessor *hotrestart.Link // nil if there is none
@@ -88,7 +89,15 @@
 		return nil
 	}
 	useRemainder := func(used int) { r.budget.SetLimit(r.maxDescriptors - used) }
-	link, state, err := hotrestart.Connect(ctx, r.socketPath, r.config.name, r.handleCall, useRemainder)
+	lock, err := hotrestart.OpenProcessLock(r.socketPath)
+	if err != nil {
+		r.log.Warn("process lock not available", "error", err)
+	}
+	r.lock = lock
+	link, state, err := hotrestart.Connect(ctx, r.socketPath, r.config.name, lock, r.handleCall, useRemainder)
+	if lockErr := lock.Hold(); lockErr != nil {
+		r.log.Warn("process lock not available", "error", lockErr)
+	}
 	if err != nil {
 		r.log.Warn("handoff from the predecessor process failed, starting fresh", "error", err)
 	}
@@ -292,6 +301,7 @@
 	if predecessor != nil {
 		predecessor.Close()
 	}
+	r.lock.Close()
 }
 
 // handleAdminCall executes an operator's command in this process and in the other process of the node, if there is one. When
