Notice within 0.1 s that a client has left behind much unread

Callers saw: a client closed its connection with much behind its queued request, and the request was sent up to seconds later: an attempt for a client that has gone. Cause: the end of a connection is seen only once all before it is read, and the bytes behind a request were read 16 KiB every 25 ms, 0.6 MB a second: 0.3 s for 200 KiB, 5 s for 3 MiB. Change: 4 MiB are read between two checks, so that the some 10 MB which both systems can hold are read within 0.1 s. So that a client that sends without end costs little, one that has sent more than 32 MiB behind its request counts as disconnected.

--- a/internal/server/disconnect.go
+++ b/internal/server/disconnect.go
@@ -22,11 +22,16 @@
 	disconnectCheckInterval = 25 * time.Millisecond
 
 	// maxTrailingBytes bounds the bytes after a request that are read between two checks. The end of the connection can be
-	// seen only after them, but a client that floods the connection must not cost much.
-	maxTrailingBytes = 16 << 10
+	// seen only after them: those that the systems of both sides can hold, some 10 MB, must be read within the contract's
+	// 0.1 s, but a client that floods the connection must not cost much.
+	maxTrailingBytes = 4 << 20
+
+	// maxTrailingTotal is the number of bytes after a request from which on the client counts as disconnected. It is more than
+	// the systems of both sides can hold, so the client sends without end.
+	maxTrailingTotal = 32 << 20
 
 	// trailingBufferBytes is the size of the buffer for one such read.
-	trailingBufferBytes = 4 << 10
+	trailingBufferBytes = 8 << 10
 )
 
 // disconnectWatch holds the state of the watch for a client's disconnect. The connection's lock protects its fields.
@@ -53,13 +58,14 @@
 	tick := time.NewTicker(disconnectCheckInterval)
 	defer tick.Stop()
 	buffer := make([]byte, trailingBufferBytes)
-	for {
+	for total := 0; ; {
 		if readsTrailing {
-			isStopped, err := c.readTrailing(buffer, stop)
+			count, isStopped, err := c.readTrailing(buffer, stop)
 			if isStopped {
 				return
 			}
-			if err != nil {
+			total += count
+			if err != nil || total > maxTrailingTotal {
 				close(gone)
 				return
 			}
@@ -76,9 +82,10 @@
 	}
 }
 
-// readTrailing reads up to maxTrailingBytes of the bytes after the request, until stop is closed or the connection ends.
-func (c *clientConn) readTrailing(buffer []byte, stop <-chan struct{}) (isStopped bool, err error) {
-	for total := 0; total < maxTrailingBytes; {
+// readTrailing reads up to maxTrailingBytes of the bytes after the request, until stop is closed or the connection ends, and returns
+// their number.
+func (c *clientConn) readTrailing(buffer []byte, stop <-chan struct{}) (total int, isStopped bool, err error) {
+	for total < maxTrailingBytes {
 		n, err := c.Conn.Read(buffer)
 		total += n
 		c.mu.Lock()
@@ -88,14 +95,14 @@
 		c.mu.Unlock()
 		select {
 		case <-stop:
-			return true, nil
+			return total, true, nil
 		default:
 		}
 		if err != nil {
-			return false, err
+			return total, false, err
 		}
 	}
-	return false, nil
+	return total, false, nil
 }
 
 // stopWatch ends the watch, if there is one, and prevents another from starting until the next request.
--- a/internal/server/replay_test.go
+++ b/internal/server/replay_test.go
@@ -24,7 +24,7 @@
 			first := occupyBackend(t, srv, backend)
 			conn := connectAndSend(t, srv, requestText("left", 0))
 			require.Eventually(t, func() bool { return srv.openRequests.Load() == 5 }, 10*time.Second, time.Millisecond)
-			_ = conn.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+			_ = conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
 			_, _ = io.WriteString(conn, strings.Repeat("x", size)) // as much as the systems buffer
 			require.NoError(t, conn.Close())
 			time.Sleep(noticeTime)
