Don't run an id again after its client has left, or at both processes of an upgrade

Callers saw: an at-most-once request ran twice: its client left while the attempt was in flight, and the id came again; or it came at the other process of an upgrade, while the first had it or after its client had left there. Cause: a process forgot an id with its response, though the attempt that was canceled may still run, and asked no other process. While a node has two processes, each asks the other for the id of an at-most-once request, by a call "request-id" on the hot restart's link; one of an earlier build answers that it does not know the call, and is taken to know none. Class of bug: identity forgotten before the work is known to have ended. Not covered: what a process remembers goes with it when it ends. Without an upgrade nothing is asked; the request's path has one map access more.

--- a/cmd/pearknot/memory_test.go
+++ b/cmd/pearknot/memory_test.go
@@ -81,26 +81,29 @@
 // crowdNode is a node with two backends for a crowd.
 type crowdNode struct {
 	*testNode
-	file   string
-	dir    string // TMPDIR
-	dial   func(ctx context.Context) (net.Conn, error)
-	args   []string
-	log    *logLines
-	memory *memoryWatch
+	file     string
+	backends []*crowdBackend
+	dir      string // TMPDIR
+	dial     func(ctx context.Context) (net.Conn, error)
+	args     []string
+	log      *logLines
+	memory   *memoryWatch
 }
 
 // startCrowdNode starts a node with that much memory. fixture is nil if the crowd's connections are plain.
 func startCrowdNode(t *testing.T, memoryMB int, fixture *tlsFixture) *crowdNode {
 	var entries []string
+	var backends []*crowdBackend
 	for k := range 2 {
 		backend := newCrowdBackend(t)
+		backends = append(backends, backend)
 		entries = append(entries, strings.Replace(endpointEntry(backend.Listener.Addr().String(), "up"), "s-1", fmt.Sprint("s-", k+1), 1))
 	}
 	known := strings.Join(entries, ",")
 	dir, err := os.MkdirTemp("", "pk") // short: a socket's path is bounded
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = os.RemoveAll(dir) })
-	node := &crowdNode{testNode: &testNode{t: t}, dir: dir}
+	node := &crowdNode{testNode: &testNode{t: t}, dir: dir, backends: backends}
 	node.file = writeConfig(t, newFaultyDiscovery(t, 41, known), memoryMB, mostDescriptors, known, settings)
 	text, err := os.ReadFile(node.file)
 	require.NoError(t, err)
--- a/internal/serve/hotrestart.go
+++ b/internal/serve/hotrestart.go
@@ -383,6 +383,11 @@
 // handleCall executes a call in this process only.
 func (r *restartCoordinator) handleCall(ctx context.Context, call hotrestart.Call) (string, error) {
 	switch verb := admin.Verb(call.Verb); verb {
+	case verbLookUpID:
+		if r.server.KnowsID(call.ID) {
+			return answerKnownID, nil
+		}
+		return "", nil
 	case admin.Cordon:
 		return r.setCordoned(ctx, call, true, "out")
 	case admin.Uncordon:
@@ -404,6 +409,23 @@
 	return "", errUnknownCall
 }
 
+// verbLookUpID is the call by which a process asks the other one whether it knows a request's id. The answer is answerKnownID if it does.
+// A process of an earlier build answers with an error, and knows none.
+const (
+	verbLookUpID  admin.Verb = "request-id"
+	answerKnownID            = "known"
+)
+
+// lookUpID is the server's IDLookup.
+func (r *restartCoordinator) lookUpID(ctx context.Context, id string) (isKnown bool, err error) {
+	other := r.otherProcess()
+	if other == nil {
+		return false, nil
+	}
+	text, err := other.Call(ctx, hotrestart.Call{Verb: string(verbLookUpID), ID: id})
+	return text == answerKnownID, err
+}
+
 // setCordoned cordons or uncordons a backend and returns text as the answer.
 func (r *restartCoordinator) setCordoned(ctx context.Context, call hotrestart.Call, cordoned bool, text string) (string, error) {
 	if err := r.node.Cordon(ctx, call.ID, cordoned, call.Force); err != nil {
--- a/internal/server/disconnect_test.go
+++ b/internal/server/disconnect_test.go
@@ -320,7 +320,7 @@
 // 200 for a handler that returns, and formerly that was sent over TLS, or before the admitter closed the connection.
 func TestRequestNotTakenIsNotAnswered(t *testing.T) {
 	conn, _ := connPair(t)
-	srv := &Server{log: slog.New(slog.DiscardHandler), clock: clock.New(), budget: conn.budget, openIDs: map[string]struct{}{},
+	srv := &Server{log: slog.New(slog.DiscardHandler), clock: clock.New(), budget: conn.budget, ids: newRequestIDs(),
 		admitter: &connectionAdmitter{controller: admission.New(admission.DefaultLimits(16))}}
 	srv.deployment.Store(&config.Deployment{Classes: []string{"check"}})
 	for name, evict := range map[string]func(){
@@ -332,7 +332,7 @@
 		r.Header = http.Header{"X-Trace-Id": {"a"}, "X-Qos": {"check"}, "X-Expires-In-Ms": {"480"}}
 		recorder := httptest.NewRecorder()
 		assert.PanicsWithValue(t, http.ErrAbortHandler, func() { srv.ServeHTTP(recorder, r.WithContext(withConn(r.Context(), conn))) }, name)
-		assert.Empty(t, srv.openIDs, name)
+		assert.Empty(t, srv.ids.open, name)
 	}
 }
 
--- a/internal/server/handler.go
+++ b/internal/server/handler.go
@@ -30,10 +30,10 @@
 	defer reservation.release()
 	defer conn.reservation.releaseHead()
 	request, refusal := s.decode(w, r, conn, reservation)
-	if refusal == nil && !s.reserveID(id) {
-		refusal = &requestError{http.StatusConflict, "the id of an open op"} // part of the protocol; an op is a request
+	if refusal == nil {
+		refusal = s.claimID(r.Context(), id, request)
 	}
-	if refusal == errOutOfMemory {
+	if refusal == errOutOfMemory || refusal == errNotLookedUp {
 		s.logRefusal(refusal.reason)
 		s.writeAnswer(w, conn, node.Answer{Status: node.Rejected})
 		return
@@ -44,7 +44,7 @@
 		s.writeResponse(w, conn, refusal.status, []byte(refusal.reason+"\n"))
 		return
 	}
-	defer s.releaseID(id)
+	defer s.ids.release(id)
 	if !conn.beginRequest(request.Streamed) {
 		// The request was not accepted. If this handler returned, net/http would send a 200, which could still reach the
 		// client while the connection is being closed.
@@ -79,21 +79,6 @@
 	s.writeResponse(w, conn, http.StatusInternalServerError, nil)
 }
 
-// reserveID reserves a request's id until releaseID. It reports false if another open request has the id.
-func (s *Server) reserveID(id string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, isOpen := s.openIDs[id]
-	s.openIDs[id] = struct{}{}
-	return !isOpen
-}
-
-func (s *Server) releaseID(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.openIDs, id)
-}
-
 // logMalformed logs malformed requests at most once per malformedLogInterval, with their number since the last log line.
 func (s *Server) logMalformed(reason string) {
 	s.malformedLog.Event(func(sinceLast int64) {
@@ -141,6 +126,7 @@
 		return
 	}
 	bodyClock := conn.bodyClock.Load() // before the body is read on, which clears the field at the body's end
+	deadline := request.Deadline
 	s.node.Submit(request)
 	answer, answered := s.awaitAnswer(r.Context(), conn, bodyClock, request)
 	if !answered {
@@ -148,6 +134,9 @@
 		// A client that has closed only its sending side may still read.
 		answer = node.Answer{Status: node.Failed}
 	}
+	if answer.Status == node.Failed {
+		s.rememberIfUncertain(r.Header.Get(idHeader), request, deadline)
+	}
 	s.writeAnswer(w, conn, answer)
 }
 
--- a/internal/server/replay_test.go
+++ b/internal/server/replay_test.go
@@ -3,12 +3,18 @@
 import (
 	"bufio"
 	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"pearknot/balancer"
+	"pearknot/internal/discovery"
+	"pearknot/internal/node"
 )
 
 // noticeTime is the time after a client's close from which no attempt may begin for it, and what a busy machine adds.
@@ -37,3 +43,34 @@
 		})
 	}
 }
+
+// The id of an at-most-once request whose client has left while an attempt was in flight comes again, while the first may still
+// run, on a new connection. It does not run twice.
+func TestIDOfClientThatLeftDoesNotRunTwice(t *testing.T) {
+	for name, leave := range map[string]func(net.Conn){"close": closeConn, "reset": closeWithReset} {
+		t.Run(name, func(t *testing.T) {
+			backend := startSlowBackend(t)
+			srv := startAtMostOnceServer(t, backend.Addr().String())
+			conn := connectAndSend(t, srv, requestText("again", 0))
+			require.Eventually(t, func() bool { return len(backend.requestIDs()) == 1 }, 10*time.Second, time.Millisecond)
+			leave(conn)
+			require.Eventually(t, func() bool { return srv.openRequests.Load() == 0 }, 10*time.Second, time.Millisecond)
+			conn = connectAndSend(t, srv, requestText("again", 0))
+			_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			close(backend.release)
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusConflict, response.StatusCode)
+			assert.Equal(t, []string{"again"}, backend.requestIDs())
+		})
+	}
+}
+
+// startAtMostOnceServer is startServerWithBackend with a class whose requests must not run twice.
+func startAtMostOnceServer(t *testing.T, address string) *Server {
+	t.Helper()
+	srv, _, _ := startServer(t, 256, &balancer.Config{Seed: 1, Nodes: 1, MaxAttempts: 1, CancelAttempts: true, PollEndpoints: true, PollInterval: 60e3, OverloadMultiple: 3,
+		OverloadWindow: 1000, Classes: []balancer.Class{{Idempotency: balancer.AtMostOnce, LatencyObjective: 60e3, PriorityWeight: 1, LateWeight: 1}}},
+		node.NewBalancer, &discovery.List{Complete: true, Endpoints: []discovery.Endpoint{{Name: "s", Address: address, State: balancer.BackendReady, Weight: 1}}})
+	return srv
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -84,8 +84,9 @@
 
 	mu        sync.Mutex
 	idleConns map[net.Conn]time.Time // connections without a request, with the time since when
-	openIDs   map[string]struct{}    // ids of the open requests
 
+	ids              *requestIDs
+	lookUpID         IDLookup // nil if the node has no other process
 	incompleteBodies incompleteBodies
 	malformedLog     *throttledlog.Throttle
 	refusedLog       *throttledlog.Throttle
@@ -100,7 +101,7 @@
 		log:          log,
 		serveDone:    make(chan struct{}),
 		idleConns:    map[net.Conn]time.Time{},
-		openIDs:      map[string]struct{}{},
+		ids:          newRequestIDs(),
 		malformedLog: throttledlog.New(malformedLogInterval),
 		refusedLog:   throttledlog.New(malformedLogInterval),
 	}
