Use no connection to a backend's process that another one has replaced

Callers saw: a backend's machine vanished and a new process came up at its address; requests still went to connections of the old one, which lead nowhere: at-most-once requests were answered 502 after their whole time, though the endpoint list named the new start, and an answer of the old process counted for the new one. Cause: a connection was known by its address alone; the start time in the list went to the slow start only. Change: a later start of a backend in the list is another incarnation. Idle connections of the one before are closed; a connection that was in use or being dialed then is not reused, as with a change of the address. An attempt in flight may still be answered. Class of bug: identity by address.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -155,12 +155,16 @@
 // the entry, so b.State is the previous state. If RemovalIsHint is set, a removed backend that was not
 // draining keeps its connections until the balancer forgets it.
 func (n *Node) setEndpoint(b *backend, endpoint discovery.Endpoint) {
+	hasRestarted := endpoint.Started > b.endpoint.Started
 	b.endpoint = endpoint
 	switch {
 	case endpoint.State != balancer.BackendRemoved:
 		if b.upstream == nil {
 			b.upstream = upstream.NewBackend(endpoint.Name, n.upstreamConfig)
 		}
+		if hasRestarted {
+			b.upstream.Restarted()
+		}
 		b.upstream.Update(endpoint.Address, endpoint.State == balancer.BackendReady && !n.cordons.cordoned[endpoint.Name])
 	case b.State == balancer.BackendDraining || !n.deployment.BalancerConfig.RemovalIsHint:
 		b.closeUpstream()
--- a/internal/upstream/backend.go
+++ b/internal/upstream/backend.go
@@ -28,6 +28,7 @@
 
 	// The fields below are used only by the actor's goroutine.
 	address        string
+	incarnation    uint64  // number of restarts of the backend's process that the endpoint list has named
 	idle           []*conn // the most recently used last
 	activeCalls    int
 	waitingForIdle int // number of activeCalls that wait until an idle connection may be reused
@@ -61,6 +62,15 @@
 	})
 }
 
+// Restarted notifies the backend that another process has replaced the one at its address. The machine of the old one may have
+// vanished, which leaves connections open that lead nowhere: only connections that are dialed from now on are used.
+func (b *Backend) Restarted() {
+	b.mailbox.Put(func() {
+		b.incarnation++
+		b.closeIdleLongerThan(0)
+	})
+}
+
 // Send starts a call. Its OnDone is called exactly once.
 func (b *Backend) Send(call *Call) {
 	b.mailbox.Put(func() {
@@ -134,17 +144,17 @@
 }
 
 // dialFinished handles a new connection, or the error of dialing it.
-func (b *Backend) dialFinished(call *Call, address string, netConn net.Conn, err error) {
+func (b *Backend) dialFinished(call *Call, target dialTarget, netConn net.Conn, err error) {
 	if err != nil {
 		b.config.Budget.ReleaseBackend()
 		b.config.Log.Debug("backend connection failed", "backend", b.name, "error", err)
 		b.finishCall(call, nil, Result{Outcome: dialOutcome(err)}, connClosed)
 		return
 	}
-	c := newConn(netConn, address)
-	// The endpoint list has changed the backend's address during the dial. Another process may listen at the old one by
-	// now, and must not get the request.
-	if address != b.address {
+	c := newConn(netConn, target)
+	// The endpoint list has changed the backend's address, or named another process, during the dial. Another process may
+	// listen at the old address by now and must not get the request, or the connection leads to the process that has gone.
+	if target != b.target() {
 		b.finishCall(call, c, Result{Outcome: balancer.OutcomeNotSent}, connClosed)
 		return
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -14,14 +14,14 @@
 type conn struct {
 	net.Conn
 	reader     *Reader
-	address    string // the address that was dialed
-	reused     bool   // it has carried a request before
+	target     dialTarget
+	reused     bool // it has carried a request before
 	idleSince  time.Time
 	idleBefore time.Duration // idle time before its latest request
 }
 
-func newConn(netConn net.Conn, address string) *conn {
-	return &conn{Conn: netConn, reader: NewReader(netConn), address: address}
+func newConn(netConn net.Conn, target dialTarget) *conn {
+	return &conn{Conn: netConn, reader: NewReader(netConn), target: target}
 }
 
 // ackedBytes returns the connection's count of acknowledged bytes.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -65,15 +65,23 @@
 		b.finishCall(call, nil, Result{Outcome: balancer.OutcomeNotSent}, connClosed)
 		return
 	}
-	address := b.address
+	target := b.target()
 	go func() {
 		var dialer net.Dialer
-		netConn, err := dialer.DialContext(ctx, "tcp", address)
+		netConn, err := dialer.DialContext(ctx, "tcp", target.address)
 		cancel()
-		b.mailbox.Put(func() { b.dialFinished(call, address, netConn, err) })
+		b.mailbox.Put(func() { b.dialFinished(call, target, netConn, err) })
 	}()
 }
 
+// dialTarget identifies the process to which a connection leads.
+type dialTarget struct {
+	address     string
+	incarnation uint64
+}
+
+func (b *Backend) target() dialTarget { return dialTarget{b.address, b.incarnation} }
+
 // dialOutcome returns the outcome of a call whose connection was not established. A cancellation, or a lack of descriptors,
 // ports or memory on this machine, says nothing about the backend and must not count against it.
 func dialOutcome(err error) balancer.Outcome {
@@ -86,13 +94,13 @@
 }
 
 // returnConn returns the connection of a call that has ended to the pool; nil means that it had none. It becomes idle if it
-// is reusable and the backend still has that address and accepts attempts. Otherwise it is closed.
+// is reusable and leads to the backend's present process, which accepts attempts. Otherwise it is closed.
 func (b *Backend) returnConn(c *conn, reusable bool) {
 	b.activeCalls--
 	if c == nil {
 		return
 	}
-	if !reusable || !b.acceptsAttempts.Load() || c.address != b.address {
+	if !reusable || !b.acceptsAttempts.Load() || c.target != b.target() {
 		b.closeConn(c)
 		return
 	}
--- a/internal/upstream/races_test.go
+++ b/internal/upstream/races_test.go
@@ -52,7 +52,7 @@
 	defer far.Close()
 	backend, _ := newTestBackend(t, "127.0.0.1:1")
 	call := NewCall(NewMessage("GET", "/", "s", nil, nil, nil), time.Now().Add(10*time.Second), nil)
-	result, _ := backend.exchange(call, newConn(&failingWriteConn{near, func() { call.Cancel() }}, "127.0.0.1:1"))
+	result, _ := backend.exchange(call, newConn(&failingWriteConn{near, func() { call.Cancel() }}, dialTarget{address: "127.0.0.1:1"}))
 	assert.Equal(t, balancer.OutcomeNotSent, result.Outcome)
 }
 
@@ -69,7 +69,7 @@
 	backend.Update(newStub.Addr().String(), true)
 	backend.mailbox.Put(func() {
 		backend.activeCalls++
-		backend.dialFinished(call, oldStub.Addr().String(), netConn, nil)
+		backend.dialFinished(call, dialTarget{address: oldStub.Addr().String()}, netConn, nil)
 	})
 	assert.Equal(t, balancer.OutcomeNotSent, (<-results).Outcome)
 	assert.Empty(t, oldStub.requests)
@@ -101,7 +101,7 @@
 	call := NewCall(message, time.Now().Add(10*time.Second), nil)
 	results := make(chan Result, 1)
 	go func() {
-		result, _ := backend.exchange(call, newConn(&lastChunkConn{near, call.Cancel}, "127.0.0.1:1"))
+		result, _ := backend.exchange(call, newConn(&lastChunkConn{near, call.Cancel}, dialTarget{address: "127.0.0.1:1"}))
 		results <- result
 	}()
 	select {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -230,7 +230,7 @@
 			n, _ := far.Read(make([]byte, 1))
 			read <- n
 		}()
-		result, state := backend.exchange(call, newConn(near, "127.0.0.1:1"))
+		result, state := backend.exchange(call, newConn(near, dialTarget{address: "127.0.0.1:1"}))
 		assert.Equal(t, balancer.OutcomeNotSent, result.Outcome, name)
 		assert.Equal(t, connReusable, state, name)
 		_ = near.Close()
