Let clients go in time that stop half way through a large body

Callers saw: with clients that stopped within a large request, backends were busy with them, others got 503, and the stopped clients no answer: 5 s after 100 KiB, some 30 s after 1 MiB, minutes after 8 MiB, where 3 s are promised. Cause: the deadline of a body was an average rate alone, 32 KiB a second: a client that sent much at once could pause for as long as that had earned. Change: a read of a body also waits 2 s at most for the next byte. A client that the node itself has blocked is not concerned: its bytes are there. Evidence: TestClientThatStopsWithinLargeBodyIsLetGo (a length and chunks, 100 KiB, 1 and 8 MiB, plain and TLS) failed in 12 of 12 forms before and passes; the tests of slow and queued bodies pass.

--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -18,6 +18,10 @@
 	// bodyGracePeriod is the time that a body may take in addition to that.
 	bodyGracePeriod = 2 * time.Second
 
+	// maxBodyPause is the longest time for which a client may send nothing of its body, however much it has sent before: by the
+	// operators' contract a client that stops gets its error within 3 s.
+	maxBodyPause = 2 * time.Second
+
 	// minReadPause is the shortest pause between two reads of a body that can have blocked its client.
 	minReadPause = 10 * time.Millisecond
 
@@ -36,7 +40,7 @@
 // errBodyEvicted means that the reading of a body was ended because there is no memory for it.
 var errBodyEvicted = errors.New("no memory for the body")
 
-// bodyReader reads a client's body with a deadline that grows with the bytes received. A time in which nothing is read, because the
+// bodyReader reads a client's body with a deadline that grows with the bytes received, but at most maxBodyPause ahead. A time in which nothing is read, because the
 // request is queued or its backend pauses, does not count if the client may have been blocked by it.
 type bodyReader struct {
 	controller *http.ResponseController
@@ -120,6 +124,9 @@
 	}
 	allowed := bodyGracePeriod + time.Duration(b.total)*time.Second/minBodyRate + b.blocked
 	deadline, lateRead := b.start.Add(allowed), now.Add(lateReadTimeout)
+	if latest := now.Add(maxBodyPause); deadline.After(latest) {
+		deadline = latest
+	}
 	if deadline.Before(lateRead) && b.conn != nil && b.conn.unreadBytes() > 0 {
 		return lateRead // bytes that have arrived are read, however late
 	}
