Go on accepting after errors that the system reports for a moment

Callers would see a node's process end by itself: an accept that failed with ENOBUFS, ENOMEM, EPROTO, EPERM or another error that the language does not call temporary ended Serve, and with it the node and all requests in flight. Cause: net/http ends with the listener's error unless that is temporary, and the listener passed it on. Change: the listener itself tries again after 5 ms, keeping its descriptor and memory, unless it is closed, drained or no listener; the error is logged once a second.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"pearknot/internal/descriptors"
 	"pearknot/internal/memory"
 	"pearknot/internal/tcpinfo"
@@ -31,13 +33,16 @@
 // listener accepts connections while the descriptor budget has room; the others wait in the kernel's queue.
 type listener struct {
 	*net.TCPListener
+	accept   func() (*net.TCPConn, error) // of TCPListener
 	budget   *descriptors.Budget
 	memory   *memory.Budget
 	admitter *connectionAdmitter // nil admits every connection
 	onRefuse func(reason string) // called when a request is refused within its head
-	evict    func()              // makes room in memory
-	isTLS    bool
-	draining atomic.Bool
+
+	onAcceptError func(err error) // called when accepting a connection has failed for a moment
+	evict         func()          // makes room in memory
+	isTLS         bool
+	draining      atomic.Bool
 }
 
 // Accept returns the next admitted connection. It returns net.ErrClosed also when the queue is empty after drain.
@@ -53,8 +58,13 @@
 		if l.draining.Load() {
 			_ = l.SetDeadline(time.Now().Add(listenerQuietPeriod))
 		}
-		tcp, err := l.AcceptTCP()
+		tcp, err := l.accept()
 		if err != nil {
+			if !endsListener(err) {
+				l.onAcceptError(err)
+				time.Sleep(acceptRetryDelay)
+				continue
+			}
 			l.budget.ReleaseClient()
 			l.memory.ReleaseConnection(l.connectionBytes())
 			if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -73,6 +83,17 @@
 	}
 }
 
+// endsListener reports whether Accept can't succeed after an error: the listener is closed, has drained, or is none. Any other error
+// concerns one connection, or the system has run out of something for a moment.
+func endsListener(err error) bool {
+	for _, end := range []error{net.ErrClosed, os.ErrDeadlineExceeded, unix.EBADF, unix.EINVAL, unix.ENOTSOCK, unix.EOPNOTSUPP} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 // drain makes Accept end once no connection has arrived for listenerQuietPeriod.
 func (l *listener) drain() {
 	l.draining.Store(true)
--- a/internal/server/handler.go
+++ b/internal/server/handler.go
@@ -97,6 +97,13 @@
 	})
 }
 
+// logAcceptError logs that connections could not be accepted, as logRefusal does.
+func (s *Server) logAcceptError(err error) {
+	s.acceptLog.Event(func(sinceLast int64) {
+		s.log.Warn("accepting a connection failed, retrying", "error", err, "since_last", sinceLast)
+	})
+}
+
 func (s *Server) serveHealth(w http.ResponseWriter, conn *clientConn) {
 	select {
 	case <-s.node.Ready():
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -90,6 +90,7 @@
 	incompleteBodies incompleteBodies
 	malformedLog     *throttledlog.Throttle
 	refusedLog       *throttledlog.Throttle
+	acceptLog        *throttledlog.Throttle
 }
 
 // New returns a server that passes requests to n.
@@ -104,6 +105,7 @@
 		ids:          newRequestIDs(),
 		malformedLog: throttledlog.New(malformedLogInterval),
 		refusedLog:   throttledlog.New(malformedLogInterval),
+		acceptLog:    throttledlog.New(malformedLogInterval),
 	}
 	s.deployment.Store(deployment)
 	s.httpServer = http.Server{
@@ -170,11 +172,14 @@
 func (s *Server) newListener(tcp *net.TCPListener) *listener {
 	return &listener{
 		TCPListener: tcp,
+		accept:      tcp.AcceptTCP,
 		budget:      s.budget,
 		memory:      s.memory,
 		admitter:    s.admitter,
 		onRefuse:    s.logRefusal,
-		evict:       s.incompleteBodies.evictSlowest,
+
+		onAcceptError: s.logAcceptError,
+		evict:         s.incompleteBodies.evictSlowest,
 	}
 }
 
