Divide the memory by what the process holds for anything but clients

Found by reading while the plan was checked against docs/CAPACITY.md: it took 4 MB for all that is not clients', while 12,000 backends take 56 MB and logged requests up to their memory_mb, so that clients' share and those together could pass the limit. Change: what is live after the latest collection, less what clients have reserved, counts in place of the 4 MB where it is more. The division is looked at again every second, and replaced if a part differs by 256 kB or more. Evidence: TestPlanIsWithinLimit with 70 MB held; no process was played with so many backends.

--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -61,13 +61,16 @@
 func TestPlanIsWithinLimit(t *testing.T) {
 	const fileBytes, allConnections = 13 << 20, 25 << 20
 	for _, limit := range []int64{32 << 20, 48 << 20, 64 << 20, 192 << 20} {
-		plan := NewPlan(limit, fileBytes, allConnections)
+		plan := NewPlan(limit, fileBytes, 0, allConnections)
 		assert.LessOrEqual(t, plan.RuntimeBytes+fileBytes, limit)
 		assert.LessOrEqual(t, plan.Clients.Connections+plan.Clients.Buffers+runtimeBase, plan.RuntimeBytes)
 		assert.LessOrEqual(t, plan.Clients.Connections, int64(allConnections))
 		assert.Positive(t, plan.Clients.Buffers)
 	}
-	tooSmall := NewPlan(8<<20, fileBytes, allConnections)
+	const backends = 70 << 20
+	large := NewPlan(192<<20, fileBytes, backends, allConnections)
+	assert.LessOrEqual(t, large.Clients.Connections+large.Clients.Buffers+backends, large.RuntimeBytes)
+	tooSmall := NewPlan(8<<20, fileBytes, 0, allConnections)
 	assert.Positive(t, tooSmall.Clients.Connections)
 	assert.Positive(t, tooSmall.RuntimeBytes)
 }
--- a/internal/memory/plan.go
+++ b/internal/memory/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"runtime/metrics"
 	"strconv"
 	"strings"
 )
@@ -11,7 +12,7 @@
 	// stacks of threads, and what the runtime frees a little later than it should.
 	nativeReserve = 1 << 20
 
-	// runtimeBase is the memory of a node without clients that the Go runtime counts.
+	// runtimeBase is the least memory of a node without clients that the Go runtime counts.
 	runtimeBase = 4 << 20
 
 	// liveShare is the share of the runtime's memory that may be in use. The rest is for garbage: with less of it, the
@@ -35,15 +36,24 @@
 	Clients      Limits // of the Budget
 }
 
-// NewPlan divides limit bytes. fileBytes is the resident memory of the process that the Go runtime does not count, and
-// allConnections what all connections take that the process has descriptors for.
-func NewPlan(limit, fileBytes, allConnections int64) Plan {
+// NewPlan divides limit bytes. fileBytes is the resident memory of the process that the Go runtime does not count, liveBytes what the
+// runtime holds for anything but clients, such as backends and logged requests, and allConnections what all connections take
+// that the process has descriptors for.
+func NewPlan(limit, fileBytes, liveBytes, allConnections int64) Plan {
 	runtimeBytes := max(limit-fileBytes-nativeReserve, minRuntimeBytes)
-	clientBytes := max(int64(liveShare*float64(runtimeBytes-runtimeBase)), minClientBytes)
+	clientBytes := max(int64(liveShare*float64(runtimeBytes-max(liveBytes, runtimeBase))), minClientBytes)
 	connections := min(int64(connectionShare*float64(clientBytes)), allConnections)
 	return Plan{RuntimeBytes: runtimeBytes, Clients: Limits{Connections: connections, Buffers: clientBytes - connections}}
 }
 
+// IsNear reports whether another plan differs so little that it need not replace this one.
+func (p Plan) IsNear(other Plan) bool {
+	const tolerance = 256 << 10
+	isNear := func(a, b int64) bool { return max(a, b)-min(a, b) < tolerance }
+	return isNear(p.RuntimeBytes, other.RuntimeBytes) && isNear(p.Clients.Connections, other.Clients.Connections) &&
+		isNear(p.Clients.Buffers, other.Clients.Buffers)
+}
+
 // SuccessorReserve returns the memory that a process leaves free for one that is started to replace it: what a process of the same
 // program takes before it serves clients. Of a limit below minLimitWithReserve nothing is left free.
 func SuccessorReserve(limit, fileBytes int64) int64 {
@@ -68,6 +78,13 @@
 	return bytes
 }
 
+// LiveBytes returns the heap that was in use after the latest garbage collection.
+func LiveBytes() int64 {
+	samples := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	metrics.Read(samples)
+	return int64(samples[0].Value.Uint64())
+}
+
 // ResidentBytes returns the resident memory of a process. It reports false if the process has ended or the system does not tell.
 func ResidentBytes(pid int) (bytes int64, ok bool) {
 	return readStatm(strconv.Itoa(pid), residentField)
--- a/internal/serve/hotrestart.go
+++ b/internal/serve/hotrestart.go
@@ -52,12 +52,16 @@
 	memory         *memory.Budget
 	memoryShare    atomic.Int32 // one of the memoryShare constants
 	servesTLS      bool
-	clock          *clock.Clock
-	log            *slog.Logger
-	node           *node.Node
-	server         *server.Server
-	isServing      atomic.Bool
-	lock           *hotrestart.ProcessLock // nil if it is not available
+
+	memoryMu   sync.Mutex
+	memoryPlan memory.Plan // in force
+	gcPercent  int         // in force
+	clock      *clock.Clock
+	log        *slog.Logger
+	node       *node.Node
+	server     *server.Server
+	isServing  atomic.Bool
+	lock       *hotrestart.ProcessLock // nil if it is not available
 
 	mu          sync.Mutex
 	predecessor *hotrestart.Link // nil if there is none
--- a/internal/serve/memory.go
+++ b/internal/serve/memory.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"context"
 	"os"
 	"runtime/debug"
 	"time"
@@ -15,6 +16,9 @@
 // connections and returns what it has freed to the system, and the successor uses only what the predecessor does not have.
 
 const (
+	// planInterval is the time between two adjustments of the division of the memory.
+	planInterval = time.Second
+
 	// exitTimeout bounds the time between the end of a predecessor's link and that of its process.
 	exitTimeout       = 2 * time.Second
 	exitCheckInterval = 5 * time.Millisecond
@@ -30,19 +34,44 @@
 // setMemoryLimit limits the memory of the Go runtime, and what clients can make it hold, to this process's share of the node's
 // limit (limits.memory_mb of the configuration).
 func (r *restartCoordinator) setMemoryLimit() {
+	r.memoryMu.Lock()
+	defer r.memoryMu.Unlock()
 	limit, percent := r.memoryLimit()
-	debug.SetGCPercent(percent)
+	if percent != r.gcPercent {
+		debug.SetGCPercent(percent)
+		r.gcPercent = percent
+	}
 	if r.config.memoryBytes <= 0 {
 		return
 	}
+	used, _ := r.memory.Usage()
+	liveBytes := memory.LiveBytes() - used.Connections - used.Buffers
 	allConnections := int64(r.budget.MaxClients()) * server.ConnectionBytes(r.servesTLS)
-	plan := memory.NewPlan(limit, memory.ResidentFileBytes(), allConnections)
+	plan := memory.NewPlan(limit, memory.ResidentFileBytes(), liveBytes, allConnections)
+	if plan.IsNear(r.memoryPlan) {
+		return
+	}
+	r.memoryPlan = plan
 	debug.SetMemoryLimit(plan.RuntimeBytes)
 	r.memory.SetLimits(plan.Clients)
 	r.log.Debug("memory limits set", "limit_kb", limit>>10, "runtime_kb", plan.RuntimeBytes>>10,
 		"connections_kb", plan.Clients.Connections>>10, "buffers_kb", plan.Clients.Buffers>>10)
 }
 
+// followMemory adjusts the division of the memory to what the process holds, until ctx is done.
+func (r *restartCoordinator) followMemory(ctx context.Context) {
+	tick := time.NewTicker(planInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			r.setMemoryLimit()
+		}
+	}
+}
+
 // memoryLimit returns this process's share of the node's memory in bytes, and the garbage collector's percentage.
 func (r *restartCoordinator) memoryLimit() (limit int64, percent int) {
 	total := r.config.memoryBytes
--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -277,6 +277,7 @@
 // beginServing starts to serve clients. The returned channel receives the error with which the server ends.
 func (p *process) beginServing(lifetime context.Context) <-chan error {
 	go p.freeDescriptors(lifetime)
+	go p.restart.followMemory(lifetime)
 	p.log.Info("serving", "name", p.config.name, "address", p.server.Address(), "control", p.adminAddress, "version", p.options.Version)
 	ended := make(chan error, 1)
 	go func() { ended <- p.server.Serve() }()
