--- a/internal/server/replay_test.go
+++ b/internal/server/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -23,16 +24,34 @@
 // A client closes its connection with so much behind its queued request that the end can't arrive before that has been read. The
 // request is not sent once the time to notice is over.
 func TestQueuedRequestOfClientThatLeavesMuchUnreadIsNotSent(t *testing.T) {
-	for name, size := range map[string]int{"less than a buffer": 200 << 10, "more than a buffer": 3 << 20} {
+	for name, form := range map[string]struct {
+		size    int
+		overTLS bool
+	}{
+		"less than a buffer":           {200 << 10, false},
+		"more than a buffer":           {3 << 20, false},
+		"more than the systems hold":   {40 << 20, false},
+		"less than a buffer, over TLS": {200 << 10, true},
+		"more than a buffer, over TLS": {3 << 20, true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			backend := startSlowBackend(t)
 			srv, _ := startServerWithBackend(t, backend.Addr().String(), 256)
 			first := occupyBackend(t, srv, backend)
-			conn := connectAndSend(t, srv, requestText("left", 0))
+			var conn net.Conn
+			if form.overTLS {
+				var err error
+				conn, err = dialTLS(srv, &tls.Config{})
+				require.NoError(t, err)
+				_, err = io.WriteString(conn, requestText("left", 0))
+				require.NoError(t, err)
+			} else {
+				conn = connectAndSend(t, srv, requestText("left", 0))
+			}
 			require.Eventually(t, func() bool { return srv.openRequests.Load() == 5 }, 10*time.Second, time.Millisecond)
 			_ = conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
-			_, _ = io.WriteString(conn, strings.Repeat("x", size)) // as much as the systems buffer
-			require.NoError(t, conn.Close())
+			_, _ = io.WriteString(conn, strings.Repeat("x", form.size)) // as much as the systems buffer
+			_ = conn.Close()
 			time.Sleep(noticeTime)
 			close(backend.release)
 			for _, conn := range first {
