--- a/cmd/pearknot/incarnation_test.go
+++ b/cmd/pearknot/incarnation_test.go
@@ -62,14 +62,21 @@
 // same name and a later start, or with another name. Once the endpoint list says so, requests go to the new process, on new
 // connections, also if a connection to the old one was in use meanwhile.
 func TestNewProcessAtAddressIsNotTakenForTheOldOne(t *testing.T) {
+	removalIsHint := strings.Replace(settings, `"rules":{`, `"rules":{"removalNotBinding":true,`, 1)
 	for _, isInUse := range []bool{false, true} {
-		for _, newName := range []string{"s-1", "s-2"} {
-			t.Run(fmt.Sprintf("in use %v, new process is %s", isInUse, newName), func(t *testing.T) {
+		for name, form := range map[string]struct{ newName, settings string }{
+			"the same name":                    {"s-1", settings},
+			"another name":                     {"s-2", settings},
+			"the same name, removal is a hint": {"s-1", removalIsHint},
+			"another name, removal is a hint":  {"s-2", removalIsHint},
+		} {
+			newName := form.newName
+			t.Run(fmt.Sprintf("in use %v, %s", isInUse, name), func(t *testing.T) {
 				old := startIncarnation(t, "127.0.0.1:0")
 				address := old.listener.Addr().String()
 				entry := endpointEntry(address, "up")
 				list := newFaultyDiscovery(t, 41, entry)
-				_, nodeAddress, stderr := launch(t, "serve", "-config", writeConfig(t, list, 64, 256, entry, settings))
+				_, nodeAddress, stderr := launch(t, "serve", "-config", writeConfig(t, list, 64, 256, entry, form.settings))
 				log := followLog(t, stderr)
 				node := &testNode{t: t, address: nodeAddress}
 				node.sendUntilServed(newClient(), "first")
--- a/cmd/pearknot/soak_test.go
+++ b/cmd/pearknot/soak_test.go
@@ -42,7 +42,8 @@
 	random     *rand.Rand
 	ended      atomic.Bool
 	allowsNew  atomic.Bool  // clients may open connections
-	lastKill   atomic.Int64 // of a process that was not told to end before, Unix ns
+	isKilling  atomic.Bool  // a process that was not told to end is being killed
+	lastKill   atomic.Int64 // when such a process had ended, Unix ns
 	mu         sync.Mutex
 	payments   []string
 	violations []string
@@ -78,6 +79,9 @@
 		kinds := crowdKinds()
 		random.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
 		crowd := &crowd{dial: s.dial, kinds: kinds[:1+random.IntN(4)], size: 100 + random.IntN(crowdSize)}
+		for _, kind := range crowd.kinds {
+			t.Logf("of a crowd of %d: %s", crowd.size, kind.name)
+		}
 		stopCrowd = crowd.start()
 	}
 	for start := time.Now(); time.Since(start) < soakDuration; {
@@ -111,10 +115,11 @@
 			time.Sleep(time.Duration(s.random.IntN(50)) * time.Millisecond)
 		}
 	case kind == 1:
-		s.lastKill.Store(time.Now().UnixNano())
+		s.isKilling.Store(true)
 		_ = s.process.Process.Kill()
 		_ = s.process.Wait()
 		s.lastKill.Store(time.Now().UnixNano())
+		s.isKilling.Store(false)
 		s.startProcess()
 	case kind == 2 && isUpgradeable:
 		old := s.process
@@ -234,7 +239,10 @@
 	return response.StatusCode, response.Close || bodyErr != nil, nil
 }
 
-func (s *soak) wasKilledSince(start time.Time) bool { return s.lastKill.Load() >= start.UnixNano() }
+// wasKilledSince reports whether a process that was not told to end has been killed since, or is being killed.
+func (s *soak) wasKilledSince(start time.Time) bool {
+	return s.isKilling.Load() || s.lastKill.Load() >= start.UnixNano()
+}
 
 func (s *soak) count(status int) {
 	s.mu.Lock()
