Reject requests in time that wait for a connection to be accepted

Callers saw: while clients held all connections that a node accepts, by long answers that they read slowly, other clients' requests lay in the listener's queue and got no answer, where even a rejection would do. Cause: a connection is accepted only with room in the budgets, and nothing looked at how long the others had waited. Change (internal/server/overflow.go): once connections have waited for 0.5 s the next one is accepted beyond the budgets, one at a time, and rejected with 503 and Retry-After when its request has waited for 0.4 of its time to live; one that has sent nothing is closed after 0.5 s. Up to four rejected ones stay open for 50 ms, so that the close does not discard the answer: from the reserved descriptors.

--- a/cmd/pearknot/slowbackend_test.go
+++ b/cmd/pearknot/slowbackend_test.go
@@ -47,6 +47,7 @@
 
 // A backend writes a long answer slowly, with pauses, far beyond the request's time to live. The client gets all of it.
 func TestLongAnswerOfSlowBackendIsNotCutOff(t *testing.T) {
+	t.Parallel()
 	const partBytes = 8 << 10
 	paces := map[string][]time.Duration{ // pauses after the parts
 		"steadily":              slicesRepeat(400*time.Millisecond, 25),
@@ -110,6 +111,7 @@
 // A backend reads a large request slowly, or stops, and answers late or never. The client gets its final answer within the request's
 // time to live, which counts from when it has written the last byte.
 func TestLargeRequestAtSlowBackendIsAnsweredInTime(t *testing.T) {
+	t.Parallel()
 	dials := startRawBackendNode(t, func(conn net.Conn) {
 		defer conn.Close()
 		reader := bufio.NewReader(conn)
--- a/internal/descriptors/descriptors.go
+++ b/internal/descriptors/descriptors.go
@@ -99,6 +99,22 @@
 	return true
 }
 
+// TryAcquireClient takes a descriptor for a client if one is available. If not, it counts as a waiting client until the next call.
+func (b *Budget) TryAcquireClient() (acquired, closed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed || b.clients >= b.maxClients() || b.inUse() >= b.limit {
+		if !b.clientWaiting {
+			b.clientWaiting = true
+			b.onShortage()
+		}
+		return false, b.closed
+	}
+	b.clientWaiting = false
+	b.clients++
+	return true, false
+}
+
 // ReleaseClient releases a client's descriptor.
 func (b *Budget) ReleaseClient() { b.release(&b.clients) }
 
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -78,6 +78,25 @@
 	return true
 }
 
+// TryAcquireConnection reserves a connection's bytes if they are available. If not, a connection counts as waiting until the next call.
+func (b *Budget) TryAcquireConnection(bytes int64) bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.hasRoomForConnection(bytes) {
+		if !b.connectionWaiting {
+			b.connectionWaiting = true
+			b.onShortage()
+		}
+		return false
+	}
+	b.connectionWaiting = false
+	b.used.Connections += bytes
+	return true
+}
+
 func (b *Budget) hasRoomForConnection(bytes int64) bool {
 	return b.used.Connections == 0 || b.used.Connections+bytes <= b.limits.Connections
 }
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -30,7 +30,8 @@
 	defaultTransitMs = 2.0
 )
 
-// listener accepts connections while the descriptor budget has room; the others wait in the kernel's queue.
+// listener accepts connections while the budgets of descriptors and memory have room; the others wait in the kernel's queue. A request
+// that has waited there for too long is rejected.
 type listener struct {
 	*net.TCPListener
 	accept   func() (*net.TCPConn, error) // of TCPListener
@@ -43,28 +44,21 @@
 	evict         func()          // makes room in memory
 	isTLS         bool
 	draining      atomic.Bool
+
+	rejecting    atomic.Int32 // connections that are open until their clients have read a rejection
+	isBacklogged bool         // the latest connection had waited in the queue for maxShortage; only Accept uses it
 }
 
 // Accept returns the next admitted connection. It returns net.ErrClosed also when the queue is empty after drain.
 func (l *listener) Accept() (net.Conn, error) {
-	if !l.budget.AcquireClient() {
-		return nil, net.ErrClosed
-	}
-	if !l.memory.AcquireConnection(l.connectionBytes()) {
-		l.budget.ReleaseClient()
+	waiting, ok := l.acquire()
+	if !ok {
 		return nil, net.ErrClosed
 	}
 	for {
-		if l.draining.Load() {
-			_ = l.SetDeadline(time.Now().Add(listenerQuietPeriod))
-		}
-		tcp, err := l.accept()
+		tcp, err := l.nextConn(waiting)
+		waiting = nil
 		if err != nil {
-			if !endsListener(err) {
-				l.onAcceptError(err)
-				time.Sleep(acceptRetryDelay)
-				continue
-			}
 			l.budget.ReleaseClient()
 			l.memory.ReleaseConnection(l.connectionBytes())
 			if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -72,6 +66,7 @@
 			}
 			return nil, err
 		}
+		l.isBacklogged = requestAge(tcp) > maxShortage
 		conn := newClientConn(tcp, l.budget)
 		conn.admitter = l.admitter
 		conn.reservation = connReservation{budget: l.memory, connection: l.connectionBytes(), evict: l.evict}
@@ -83,6 +78,29 @@
 	}
 }
 
+// nextConn returns the connection that has waited for room, if that is not nil, or else accepts one.
+func (l *listener) nextConn(waiting *net.TCPConn) (*net.TCPConn, error) {
+	if waiting != nil {
+		return waiting, nil
+	}
+	for {
+		deadline := time.Time{}
+		if l.draining.Load() {
+			deadline = time.Now().Add(listenerQuietPeriod)
+		}
+		_ = l.SetDeadline(deadline)
+		if l.draining.Load() && deadline.IsZero() { // drain has begun just now
+			continue
+		}
+		tcp, err := l.accept()
+		if err == nil || endsListener(err) {
+			return tcp, err
+		}
+		l.onAcceptError(err)
+		time.Sleep(acceptRetryDelay)
+	}
+}
+
 // endsListener reports whether Accept can't succeed after an error: the listener is closed, has drained, or is none. Any other error
 // concerns one connection, or the system has run out of something for a moment.
 func endsListener(err error) bool {
--- a/internal/server/disconnect.go
+++ b/internal/server/disconnect.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"os"
 	"syscall"
 	"time"
@@ -145,13 +146,23 @@
 
 // peek looks at what comes next on the TCP connection: bytes, its end (0 and no error), or nothing yet (EAGAIN).
 func (c *clientConn) peek() (n int, err error) {
-	socket, err := c.tcp.SyscallConn()
+	var buffer [1]byte
+	return peekBytes(c.tcp, buffer[:])
+}
+
+// peekTCP returns how many bytes that have arrived it has copied to the buffer without reading them; 0 or less if there are none.
+func peekTCP(tcp *net.TCPConn, buffer []byte) int {
+	n, _ := peekBytes(tcp, buffer)
+	return n
+}
+
+func peekBytes(tcp *net.TCPConn, buffer []byte) (n int, err error) {
+	socket, err := tcp.SyscallConn()
 	if err != nil {
 		return 0, err
 	}
-	var buffer [1]byte
 	if controlErr := socket.Control(func(fd uintptr) {
-		n, _, err = syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err = syscall.Recvfrom(int(fd), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	}); controlErr != nil {
 		return 0, os.ErrClosed
 	}
--- /dev/null
+++ b/internal/server/overflow.go
@@ -0,0 +1,166 @@
+package server
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"strconv"
+	"time"
+
+	"pearknot/internal/tcpinfo"
+	"pearknot/internal/upstream"
+)
+
+// When clients use all descriptors or memory that they may, further connections wait in the kernel's queue. A request that waits there
+// must get its answer in time. After maxShortage the next connection is therefore accepted beyond the budgets, one at a time, and
+// its request is rejected once it has waited for maxWaitShare of its time to live. Connections behind it have mostly waited as
+// long by then, and are rejected one after the other.
+const (
+	// maxShortage is how long connections may have to wait for room before further ones are accepted to be rejected.
+	maxShortage = 500 * time.Millisecond
+
+	// maxWaitShare is the share of its time to live for which a request waits for its connection to be taken. A rejection after
+	// half of the time would come late for a retry.
+	maxWaitShare = 0.4
+
+	// maxSilentWait is how long a connection waits whose client has sent nothing, or no time to live.
+	maxSilentWait = 500 * time.Millisecond
+
+	// resourceCheckInterval is the time between two looks for room.
+	resourceCheckInterval = 2 * time.Millisecond
+
+	// peekedBytes is how much of a waiting request is looked at: its time to live is near its beginning.
+	peekedBytes = 2 << 10
+
+	// maxRejecting is the number of rejected connections that may be open until their clients have read the answer, for
+	// rejectionLinger at most. They come from the reserved descriptors.
+	maxRejecting    = 4
+	rejectionLinger = 50 * time.Millisecond
+
+	// maxRejectedBytes is how much of a rejected request is read before it is answered.
+	maxRejectedBytes = 256 << 10
+)
+
+const rejectionText = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.500\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// awaitResources waits until a descriptor and memory are available for a connection that has been accepted, and takes them. It reports
+// false if the connection was closed because there was no room in time.
+func (l *listener) awaitResources(tcp *net.TCPConn) bool {
+	var maxWait time.Duration
+	for start := time.Now(); ; time.Sleep(resourceCheckInterval) {
+		acquired, isClosed := l.tryAcquire()
+		if acquired {
+			return true
+		}
+		waited := max(time.Since(start), requestAge(tcp))
+		if maxWait <= maxSilentWait { // the request may have arrived meanwhile
+			maxWait = l.maxWait(tcp)
+		}
+		if isClosed || waited > maxWait {
+			l.reject(tcp)
+			return false
+		}
+	}
+}
+
+// acquire takes a descriptor and memory for the next connection, and returns the one that has waited for them, if it has accepted one.
+// It reports false if the budget was closed.
+func (l *listener) acquire() (waiting *net.TCPConn, ok bool) {
+	for start := time.Now(); ; time.Sleep(resourceCheckInterval) {
+		acquired, isClosed := l.tryAcquire()
+		if acquired || isClosed {
+			return nil, acquired
+		}
+		if time.Since(start) < maxShortage && !l.isBacklogged {
+			continue
+		}
+		_ = l.SetDeadline(time.Now().Add(resourceCheckInterval))
+		tcp, err := l.accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil, false
+		}
+		if err == nil && l.awaitResources(tcp) {
+			return tcp, true
+		}
+	}
+}
+
+func (l *listener) tryAcquire() (acquired, isClosed bool) {
+	acquired, isClosed = l.budget.TryAcquireClient()
+	if acquired && !l.memory.TryAcquireConnection(l.connectionBytes()) {
+		l.budget.ReleaseClient()
+		return false, false
+	}
+	return acquired, isClosed
+}
+
+// requestAge returns how long ago the client last sent something, or opened the connection; 0 if that is not known.
+func requestAge(tcp *net.TCPConn) time.Duration {
+	info, ok := tcpinfo.Get(tcp)
+	if !ok {
+		return 0
+	}
+	if info.Bytes_received == 0 {
+		return time.Duration(info.Last_ack_recv) * time.Millisecond // since the connection was opened
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+
+// maxWait returns how long a connection may wait, by what its client has sent. What TLS has encrypted can't be looked at.
+func (l *listener) maxWait(tcp *net.TCPConn) time.Duration {
+	if l.isTLS {
+		return handshakeTimeout
+	}
+	buffer := make([]byte, peekedBytes)
+	head := buffer[:max(peekTCP(tcp, buffer), 0)]
+	name := []byte("\r\n" + upstream.ExpiresHeader + ":")
+	_, value, found := bytes.Cut(head, name)
+	if !found {
+		return maxSilentWait
+	}
+	value, _, _ = bytes.Cut(value, []byte("\r\n"))
+	ttl, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 32)
+	if err != nil {
+		return maxSilentWait
+	}
+	return time.Duration(min(maxWaitShare*float64(ttl), maxTTLMs) * float64(time.Millisecond))
+}
+
+// reject answers a connection's request, if one has begun to arrive, and closes it.
+func (l *listener) reject(tcp *net.TCPConn) {
+	l.onRefuse("no room for the connection")
+	if l.isTLS || peekTCP(tcp, make([]byte, 1)) <= 0 {
+		_ = tcp.Close()
+		return
+	}
+	if l.rejecting.Load() >= maxRejecting {
+		l.answerRejected(tcp, 0)
+		return
+	}
+	l.rejecting.Add(1)
+	go func() {
+		defer l.rejecting.Add(-1)
+		l.answerRejected(tcp, rejectionLinger)
+	}()
+}
+
+// answerRejected reads what has arrived, so that the close does not discard the answer, and what arrives for that long after it.
+func (l *listener) answerRejected(tcp *net.TCPConn, linger time.Duration) {
+	defer func() { _ = tcp.Close() }()
+	buffer := make([]byte, trailingBufferBytes)
+	for read := 0; read < maxRejectedBytes && peekTCP(tcp, buffer[:1]) > 0; {
+		n, err := tcp.Read(buffer)
+		if err != nil {
+			return
+		}
+		read += n
+	}
+	_ = tcp.SetDeadline(time.Now().Add(linger + resourceCheckInterval))
+	_, _ = tcp.Write([]byte(rejectionText))
+	_ = tcp.CloseWrite()
+	for {
+		if _, err := tcp.Read(buffer); err != nil {
+			return
+		}
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -287,8 +287,11 @@
 	}
 }
 
-// waitingClients returns the number of connections that wait in the listeners' queues.
+// waitingClients returns the number of connections that wait for room.
 func (s *Server) waitingClients() (count int) {
+	if s.budget.HasWaitingClient() || s.memory.HasWaitingConnection() {
+		count++ // the one that has been accepted
+	}
 	for _, l := range s.listeners() {
 		if info, ok := tcpinfo.Get(l.TCPListener); ok {
 			count += int(info.Unacked) // of a listener, the length of its queue
