Reject connections at once whose heads are incomplete while others wait behind them

A client that writes its head slowly held the one place beyond the budgets for 1.6 s, while requests behind it passed their time.

--- a/internal/server/overflow.go
+++ b/internal/server/overflow.go
@@ -113,6 +113,10 @@
 	}
 	buffer := make([]byte, peekedBytes)
 	head := buffer[:max(peekTCP(tcp, buffer), 0)]
+	isIncomplete := len(head) < len(buffer) && !bytes.Contains(head, []byte("\r\n\r\n"))
+	if isIncomplete && l.isBacklogged {
+		return 0 // those behind it wait, and it might be written for seconds
+	}
 	name := []byte("\r\n" + upstream.ExpiresHeader + ":")
 	_, value, found := bytes.Cut(head, name)
 	if !found {
