Reject waiting requests without delay, and with an answer that is always written

Change: no pause between rejections, none of them lingers (what has arrived is read first, so that a complete request's answer is not discarded by the close), and 100 ms for the write, which a new connection has room for.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -45,8 +45,7 @@
 	isTLS         bool
 	draining      atomic.Bool
 
-	rejecting    atomic.Int32 // connections that are open until their clients have read a rejection
-	isBacklogged bool         // the latest connection had waited in the queue for maxShortage; only Accept uses it
+	isBacklogged bool // the latest connection had waited in the queue for maxShortage; only Accept uses it
 }
 
 // Accept returns the next admitted connection. It returns net.ErrClosed also when the queue is empty after drain.
--- a/internal/server/overflow.go
+++ b/internal/server/overflow.go
@@ -32,13 +32,11 @@
 	// peekedBytes is how much of a waiting request is looked at: its time to live is near its beginning.
 	peekedBytes = 2 << 10
 
-	// maxRejecting is the number of rejected connections that may be open until their clients have read the answer, for
-	// rejectionLinger at most. They come from the reserved descriptors.
-	maxRejecting    = 4
-	rejectionLinger = 50 * time.Millisecond
-
 	// maxRejectedBytes is how much of a rejected request is read before it is answered.
 	maxRejectedBytes = 256 << 10
+
+	// rejectionTimeout is the timeout for writing a rejection, which a new connection always has room for.
+	rejectionTimeout = 100 * time.Millisecond
 )
 
 const rejectionText = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.500\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -66,20 +64,23 @@
 // acquire takes a descriptor and memory for the next connection, and returns the one that has waited for them, if it has accepted one.
 // It reports false if the budget was closed.
 func (l *listener) acquire() (waiting *net.TCPConn, ok bool) {
-	for start := time.Now(); ; time.Sleep(resourceCheckInterval) {
+	for start := time.Now(); ; {
 		acquired, isClosed := l.tryAcquire()
 		if acquired || isClosed {
 			return nil, acquired
 		}
 		if time.Since(start) < maxShortage && !l.isBacklogged {
+			time.Sleep(resourceCheckInterval)
 			continue
 		}
 		_ = l.SetDeadline(time.Now().Add(resourceCheckInterval))
 		tcp, err := l.accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return nil, false
-		}
-		if err == nil && l.awaitResources(tcp) {
+		case err != nil: // nobody waits
+			time.Sleep(resourceCheckInterval)
+		case l.awaitResources(tcp):
 			return tcp, true
 		}
 	}
@@ -130,41 +131,23 @@
 	return time.Duration(min(maxWaitShare*float64(ttl), maxTTLMs) * float64(time.Millisecond))
 }
 
-// reject answers a connection's request, if one has begun to arrive, and closes it.
+// reject answers a connection's request, if one has begun to arrive, and closes it. What has arrived is read first: a close over unread
+// bytes would discard the answer.
 func (l *listener) reject(tcp *net.TCPConn) {
 	l.onRefuse("no room for the connection")
-	if l.isTLS || peekTCP(tcp, make([]byte, 1)) <= 0 {
-		_ = tcp.Close()
-		return
-	}
-	if l.rejecting.Load() >= maxRejecting {
-		l.answerRejected(tcp, 0)
-		return
-	}
-	l.rejecting.Add(1)
-	go func() {
-		defer l.rejecting.Add(-1)
-		l.answerRejected(tcp, rejectionLinger)
-	}()
-}
-
-// answerRejected reads what has arrived, so that the close does not discard the answer, and what arrives for that long after it.
-func (l *listener) answerRejected(tcp *net.TCPConn, linger time.Duration) {
 	defer func() { _ = tcp.Close() }()
 	buffer := make([]byte, trailingBufferBytes)
-	for read := 0; read < maxRejectedBytes && peekTCP(tcp, buffer[:1]) > 0; {
+	total := 0
+	for total < maxRejectedBytes && peekTCP(tcp, buffer[:1]) > 0 {
 		n, err := tcp.Read(buffer)
 		if err != nil {
 			return
 		}
-		read += n
+		total += n
 	}
-	_ = tcp.SetDeadline(time.Now().Add(linger + resourceCheckInterval))
-	_, _ = tcp.Write([]byte(rejectionText))
-	_ = tcp.CloseWrite()
-	for {
-		if _, err := tcp.Read(buffer); err != nil {
-			return
-		}
+	if l.isTLS || total == 0 {
+		return
 	}
+	_ = tcp.SetWriteDeadline(time.Now().Add(rejectionTimeout))
+	_, _ = tcp.Write([]byte(rejectionText))
 }
