--- a/cmd/pearknot/faultydiscovery_test.go
+++ b/cmd/pearknot/faultydiscovery_test.go
@@ -46,8 +46,11 @@
 	closeListener   func()               // closes the current listener
 }
 
-func newFaultyDiscovery(t testing.TB, version uint64, list string) *faultyDiscovery {
-	discovery := &faultyDiscovery{t: t, address: reserveAddress(t), version: version, list: list, changed: make(chan struct{}), firstCalledWith: map[uint64]time.Time{}, closeListener: func() {}}
+// firstListVersion is the version of the list with which a discovery service starts.
+const firstListVersion = 41
+
+func newFaultyDiscovery(t testing.TB, list string) *faultyDiscovery {
+	discovery := &faultyDiscovery{t: t, address: reserveAddress(t), version: firstListVersion, list: list, changed: make(chan struct{}), firstCalledWith: map[uint64]time.Time{}, closeListener: func() {}}
 	discovery.setMode(discoveryHealthy)
 	t.Cleanup(func() { discovery.setMode(discoveryRefusing) })
 	return discovery
--- a/cmd/pearknot/idleclients_test.go
+++ b/cmd/pearknot/idleclients_test.go
@@ -92,7 +92,7 @@
 		t.Cleanup(s.Close)
 		entries = append(entries, strings.Replace(endpointEntry(s.Listener.Addr().String(), "up"), "s-1", fmt.Sprint("s-", k+1), 1))
 	}
-	list := newFaultyDiscovery(t, 41, entries[0])
+	list := newFaultyDiscovery(t, entries[0])
 	// With so short an askWithin the node calls again within 1.5 s of any failed call, which leaves a busy machine 4.5 s of
 	// the 6 s below.
 	file := writeConfig(t, list, 192, limit, entries[0], strings.NewReplacer("subscribe", mode, `"askWithin":10000`, `"askWithin":3000`).Replace(settings))
--- a/cmd/pearknot/incarnation_test.go
+++ b/cmd/pearknot/incarnation_test.go
@@ -75,7 +75,7 @@
 				old := startIncarnation(t, "127.0.0.1:0")
 				address := old.listener.Addr().String()
 				entry := endpointEntry(address, "up")
-				list := newFaultyDiscovery(t, 41, entry)
+				list := newFaultyDiscovery(t, entry)
 				_, nodeAddress, stderr := launch(t, "serve", "-config", writeConfig(t, list, 64, 256, entry, form.settings))
 				log := followLog(t, stderr)
 				node := &testNode{t: t, address: nodeAddress}
--- a/cmd/pearknot/memory_test.go
+++ b/cmd/pearknot/memory_test.go
@@ -108,7 +108,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = os.RemoveAll(dir) })
 	node := &crowdNode{testNode: &testNode{t: t}, dir: dir, backends: backends}
-	node.file = writeConfig(t, newFaultyDiscovery(t, 41, known), memoryMB, descriptors, known, settings)
+	node.file = writeConfig(t, newFaultyDiscovery(t, known), memoryMB, descriptors, known, settings)
 	text, err := os.ReadFile(node.file)
 	require.NoError(t, err)
 	text = bytes.Replace(text, []byte(`"listen":"127.0.0.1:0"`), fmt.Appendf(nil, `"control":"127.0.0.1:0","listen":%q`, reserveAddress(t)), 1)
--- a/cmd/pearknot/ready_fixture_test.go
+++ b/cmd/pearknot/ready_fixture_test.go
@@ -33,7 +33,7 @@
 	backend := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	t.Cleanup(backend.Close)
 	entry := endpointEntry(backend.Listener.Addr().String(), "up")
-	node := &restartedNode{t: t, list: newFaultyDiscovery(t, 41, entry)}
+	node := &restartedNode{t: t, list: newFaultyDiscovery(t, entry)}
 	node.file = writeConfig(t, node.list, 192, 256, entry, strings.Replace(settings, "subscribe", mode, 1))
 	// The address is the test's own, so that no connection from elsewhere on this machine takes its port.
 	node.replaceInConfig(`"listen":"127.0.0.1:0"`, fmt.Sprintf(`"listen":"127.%d.%d.1:0"`, 100+os.Getpid()%100, os.Getpid()/100%250))
--- a/cmd/pearknot/slowbackend_test.go
+++ b/cmd/pearknot/slowbackend_test.go
@@ -39,7 +39,7 @@
 	known := strings.Join(entries, ",")
 	fixture := newTLSFixture(t)
 	tlsFile, tlsAddress := fixture.writeTLSFile("n1")
-	_, address, stderr := launch(t, "serve", "--tls", tlsFile, "-config", writeConfig(t, newFaultyDiscovery(t, 41, known), 192, mostDescriptors, known, settings))
+	_, address, stderr := launch(t, "serve", "--tls", tlsFile, "-config", writeConfig(t, newFaultyDiscovery(t, known), 192, mostDescriptors, known, settings))
 	followLog(t, stderr)
 	fixture.waitForSerial(tlsAddress, func(string) bool { return true })
 	return map[string]func(context.Context) (net.Conn, error){"plain": tcpDial(address), "TLS": tlsDial(tlsAddress, fixture.clientTLS)}
--- a/internal/serve/hotrestart.go
+++ b/internal/serve/hotrestart.go
@@ -416,8 +416,8 @@
 // verbLookUpID is the call by which a process asks the other one whether it knows a request's id. The answer is answerKnownID if it does.
 // A process of an earlier build answers with an error, and knows none.
 const (
-	verbLookUpID  admin.Verb = "request-id"
-	answerKnownID            = "known"
+	verbLookUpID  = admin.Verb("request-id")
+	answerKnownID = "known"
 )
 
 // lookUpID is the server's IDLookup.
