Test fixture: members get ports that no connection and no other test can take

Trace: the fixture listened on port 0, closed, and gave the port to a member that bound it a little later; the port is one that the system gives to connections and to other tests' listeners meanwhile. Change: ports are counted up from 12000, below the system's range, and none is given out twice in a process. What the tests check is unchanged. The tests of clusters, voters, members and peers pass (34 s).

--- a/cmd/pearknot/cluster_fixture_test.go
+++ b/cmd/pearknot/cluster_fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -70,14 +71,27 @@
 "kinds":["m"],"loadReport":{"fields":["mean_ms"],"via":"inline"},"registryMode":"subscribe","rules":{"askWithin":10000,
 "coldFrom":0.3,"drainGrace":500,"fallMultiple":4,"overloadFor":2000,"warmWithin":9000},"tenants":[],"zones":["a"]}`
 
-// freeAddress returns an address for a member, on a loopback address that only this test process uses. On 127.0.0.1, a process
-// of another test once took the port before the member listened there, and answered in its place.
+// firstMemberPort is below the ports that the system gives to connections, which could otherwise take a member's before it listens.
+const firstMemberPort = 12000
+
+var memberPorts atomic.Int64 // that this process has given out
+
+// freeAddress returns an address for a member, on a loopback address that only this test process uses, and with a port that no other
+// test of the process gets. On 127.0.0.1, a process of another test once took the port before the member listened there, and
+// answered in its place.
 func freeAddress(t testing.TB) string {
 	pid := os.Getpid()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x3f, pid>>8&0xff, 2+pid&0x7f))
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		port := firstMemberPort + memberPorts.Add(1)
+		address := fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>16&0x3f, pid>>8&0xff, 2+pid&0x7f, port)
+		l, err := net.Listen("tcp", address)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		require.NoError(t, err)
+		require.NoError(t, l.Close())
+		return address
+	}
 }
 
 func newTestCluster(t *testing.T, size, replicas int) *testCluster {
