--- a/internal/lab/knownred/gotest.go
+++ b/internal/lab/knownred/gotest.go
@@ -21,9 +21,6 @@
 	testNotEnded = ""
 )
 
-// packageTimeout is the longest time for the tests of one package: those of cmd/pearknot start real processes for minutes.
-const packageTimeout = "25m"
-
 // testEvent is a line of go test -json.
 type testEvent struct {
 	Action, Package, Test, Output string
@@ -43,7 +40,7 @@
 
 // runTests runs go test and prints what it would print without -json, package by package.
 func runTests(out io.Writer, args ...string) ([]*packageResult, error) {
-	command := exec.Command("go", append([]string{"test", "-json", "-count=1", "-timeout=" + packageTimeout}, args...)...)
+	command := exec.Command("go", append([]string{"test", "-json", "-count=1"}, args...)...)
 	command.Stderr = os.Stderr
 	events, err := command.StdoutPipe()
 	if err != nil {
