Failing test: slow writers first in the queue delay the answers of others

A client that writes its head slowly is held beyond the budgets for 0.4 of its time to live, 1.6 s, counted from the last bytes that it sent, and the listener forgets that others wait.

--- a/cmd/pearknot/memory_test.go
+++ b/cmd/pearknot/memory_test.go
@@ -151,7 +151,7 @@
 	t := node.t
 	crowd := &crowd{dial: node.dial, kinds: kinds, size: crowdSize}
 	stop := crowd.start()
-	others := node.sendBeside(crowdDuration)
+	others := node.sendBeside(crowdDuration, otherTTL)
 	stop()
 	assertMemoryWithin(t, node.memory, leastMemoryMB)
 	require.False(t, node.log.hasEnded(), "the node still runs")
@@ -171,9 +171,9 @@
 	return fmt.Sprintf("%d after %d ms", o.status, o.elapsed.Milliseconds())
 }
 
-// sendBeside sends a request every 100 ms for a time, each on a new connection, and returns their outcomes. A connection that ends
-// without an answer is no outcome: a node may close one that it has not read from, and the request is sent again.
-func (node *crowdNode) sendBeside(duration time.Duration) []otherRequest {
+// sendBeside sends a request with that time to live every 100 ms for a time, each on a new connection, and returns their outcomes. A
+// connection that ends without an answer is no outcome: a node may close one that it has not read from, and the request is sent again.
+func (node *crowdNode) sendBeside(duration, ttl time.Duration) []otherRequest {
 	var pending []chan otherRequest
 	for until, k := time.Now().Add(duration), 0; time.Now().Before(until); k++ {
 		outcome := make(chan otherRequest, 1)
@@ -181,8 +181,9 @@
 		go func() {
 			start := time.Now()
 			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * otherTTL}
-			for time.Since(start) < otherTTL+answerSlack {
-				status, _, _, err := node.send(client, "GET", fmt.Sprintf("other-%d-%d", k, time.Since(start)), "check", fmt.Sprint((otherTTL - time.Since(start)).Milliseconds()))
+			for time.Since(start) < ttl+answerSlack {
+				leftMs := max((ttl - time.Since(start)).Milliseconds(), 1)
+				status, _, _, err := node.send(client, "GET", fmt.Sprintf("other-%d-%d", k, time.Since(start)), "check", fmt.Sprint(leftMs))
 				if err == nil {
 					outcome <- otherRequest{status, time.Since(start)}
 					return
