Bound how long a waiting request holds up the queue behind it

Cause: one connection at a time is accepted beyond the budgets, and it waited for 0.4 of its own time to live, whatever waited behind it. Of a client that goes on writing, the age was counted from its last bytes, so it never seemed to have waited; and the listener took the backlog for over after each such connection. Change: the length of the kernel's queue (TCP_INFO of the listener) tells whether others wait. While they do, a complete request waits for 1 s at most, and one that is still arriving for its share of the half second in which the queue is emptied, which also keeps a crowd that connects again from spinning. A backlog lasts until the queue is empty. What has arrived is judged by the framing parser, bodies included.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -45,7 +45,9 @@
 	isTLS         bool
 	draining      atomic.Bool
 
-	isBacklogged bool // the latest connection had waited in the queue for maxShortage; only Accept uses it
+	// Only Accept uses these.
+	isBacklogged bool   // a connection had waited in the queue for maxShortage, and the queue has not been empty since
+	peekBuffer   []byte // for the requests of waiting connections
 }
 
 // Accept returns the next admitted connection. It returns net.ErrClosed also when the queue is empty after drain.
@@ -65,7 +67,7 @@
 			}
 			return nil, err
 		}
-		l.isBacklogged = requestAge(tcp) > maxShortage
+		l.isBacklogged = requestAge(tcp) > maxShortage || l.isBacklogged && tcpinfo.QueueLength(l.TCPListener) > 0
 		conn := newClientConn(tcp, l.budget)
 		conn.admitter = l.admitter
 		conn.reservation = connReservation{budget: l.memory, connection: l.connectionBytes(), evict: l.evict}
--- a/internal/server/overflow.go
+++ b/internal/server/overflow.go
@@ -13,8 +13,8 @@
 
 // When clients use all descriptors or memory that they may, further connections wait in the kernel's queue. A request that waits there
 // must get its answer in time. After maxShortage the next connection is therefore accepted beyond the budgets, one at a time, and
-// its request is rejected once it has waited for maxWaitShare of its time to live. Connections behind it have mostly waited as
-// long by then, and are rejected one after the other.
+// its request is rejected once it has waited for long enough. What those behind it have sent can't be seen, so that while there are any, it
+// waits for maxBlockingWait at most.
 const (
 	// maxShortage is how long connections may have to wait for room before further ones are accepted to be rejected.
 	maxShortage = 500 * time.Millisecond
@@ -23,14 +23,18 @@
 	// half of the time would come late for a retry.
 	maxWaitShare = 0.4
 
+	// maxBlockingWait is how long a request waits while others wait behind it.
+	maxBlockingWait = time.Second
+
 	// maxSilentWait is how long a connection waits whose client has sent nothing, or no time to live.
 	maxSilentWait = 500 * time.Millisecond
 
-	// resourceCheckInterval is the time between two looks for room.
-	resourceCheckInterval = 2 * time.Millisecond
+	// maxQueueTime is the time within which a queue of requests that are still arriving is emptied. How long such a request has waited
+	// is not known.
+	maxQueueTime = 500 * time.Millisecond
 
-	// peekedBytes is how much of a waiting request is looked at: its time to live is near its beginning.
-	peekedBytes = 2 << 10
+	// resourceCheckInterval is the longest time between two looks for room.
+	resourceCheckInterval = 2 * time.Millisecond
 
 	// maxRejectedBytes is how much of a rejected request is read before it is answered.
 	maxRejectedBytes = 256 << 10
@@ -41,23 +45,32 @@
 
 const rejectionText = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.500\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
+// waitingRequest is what is known of the request on a connection that waits for room.
+type waitingRequest struct {
+	isComplete bool          // it has arrived completely
+	isArriving bool          // a part of it has
+	maxWait    time.Duration // if no other connection waits
+}
+
 // awaitResources waits until a descriptor and memory are available for a connection that has been accepted, and takes them. It reports
 // false if the connection was closed because there was no room in time.
 func (l *listener) awaitResources(tcp *net.TCPConn) bool {
-	var maxWait time.Duration
-	for start := time.Now(); ; time.Sleep(resourceCheckInterval) {
+	var request waitingRequest
+	for start := time.Now(); ; {
 		acquired, isClosed := l.tryAcquire()
 		if acquired {
 			return true
 		}
-		waited := max(time.Since(start), requestAge(tcp))
-		if maxWait <= maxSilentWait { // the request may have arrived meanwhile
-			maxWait = l.maxWait(tcp)
+		if !request.isComplete {
+			request = l.inspect(tcp)
 		}
-		if isClosed || waited > maxWait {
+		waited := max(time.Since(start), requestAge(tcp))
+		left := l.maxWait(request) - waited
+		if isClosed || left <= 0 {
 			l.reject(tcp)
 			return false
 		}
+		time.Sleep(min(left, resourceCheckInterval))
 	}
 }
 
@@ -107,19 +120,41 @@
 	return time.Duration(info.Last_data_recv) * time.Millisecond
 }
 
-// maxWait returns how long a connection may wait, by what its client has sent. What TLS has encrypted can't be looked at.
-func (l *listener) maxWait(tcp *net.TCPConn) time.Duration {
+// maxWait returns how long a request may wait for room.
+func (l *listener) maxWait(request waitingRequest) time.Duration {
+	waitingBehind := tcpinfo.QueueLength(l.TCPListener)
+	switch {
+	case waitingBehind == 0:
+		return request.maxWait
+	case request.isArriving:
+		return maxQueueTime / time.Duration(waitingBehind)
+	}
+	return min(request.maxWait, maxBlockingWait)
+}
+
+// inspect looks at what a client has sent, without reading it. What TLS has encrypted can't be looked at.
+func (l *listener) inspect(tcp *net.TCPConn) waitingRequest {
 	if l.isTLS {
-		return handshakeTimeout
+		return waitingRequest{maxWait: handshakeTimeout}
 	}
-	buffer := make([]byte, peekedBytes)
-	head := buffer[:max(peekTCP(tcp, buffer), 0)]
-	isIncomplete := len(head) < len(buffer) && !bytes.Contains(head, []byte("\r\n\r\n"))
-	if isIncomplete && l.isBacklogged {
-		return 0 // those behind it wait, and it might be written for seconds
+	if l.peekBuffer == nil {
+		l.peekBuffer = make([]byte, maxHeaderBytes)
 	}
-	name := []byte("\r\n" + upstream.ExpiresHeader + ":")
-	_, value, found := bytes.Cut(head, name)
+	data := l.peekBuffer[:max(peekTCP(tcp, l.peekBuffer), 0)]
+	var parsed framing
+	parsed.observe(data)
+	bodyBytesUnseen := tcpinfo.UnreadBytes(tcp) - int64(len(data))
+	isComplete := parsed.requestEnded || parsed.stage == stageBody && parsed.bodyLeft <= bodyBytesUnseen
+	return waitingRequest{
+		isComplete: isComplete,
+		isArriving: len(data) > 0 && !isComplete,
+		maxWait:    maxWaitOf(data),
+	}
+}
+
+// maxWaitOf returns how long a request with that beginning may wait, by its time to live.
+func maxWaitOf(head []byte) time.Duration {
+	_, value, found := bytes.Cut(head, []byte("\r\n"+upstream.ExpiresHeader+":"))
 	if !found {
 		return maxSilentWait
 	}
--- a/internal/tcpinfo/tcpinfo.go
+++ b/internal/tcpinfo/tcpinfo.go
@@ -16,6 +16,15 @@
 	return info, err == nil
 }
 
+// QueueLength returns the number of connections that wait to be accepted from a listener; 0 if the system does not tell.
+func QueueLength(listener syscall.Conn) int {
+	info, ok := Get(listener)
+	if !ok {
+		return 0
+	}
+	return int(info.Unacked) // of a listening socket
+}
+
 // UnreadBytes returns the number of bytes that have arrived on a connection and have not been read; 0 if the system does not
 // tell.
 func UnreadBytes(conn syscall.Conn) (count int64) {
