Failing test: an id that comes again after its process has ended runs twice

Seven forms with two real processes: the client has left, has its answer or has lost its connection with a process that was killed; sent before or after the new process started. In all seven the id's second request is served (200 in place of 409) and runs again (2 attempts at the backends in place of 1). Also an id that comes again after its answer runs again at the same process.

--- a/cmd/pearknot/replay_test.go
+++ b/cmd/pearknot/replay_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,10 +38,7 @@
 				}
 				conn = node.connectTo(second)
 				sendPayment(t, conn, "twice")
-				_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
-				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-				require.NoError(t, err)
-				assert.Equal(t, http.StatusConflict, response.StatusCode)
+				assert.Equal(t, http.StatusConflict, readStatus(t, conn))
 				assert.Equal(t, 1, node.startedAttempts("twice"))
 			})
 		}
@@ -48,8 +46,11 @@
 }
 
 // sendPayment sends an at-most-once request whose answer is held.
-func sendPayment(t *testing.T, conn net.Conn, id string) {
-	_, err := io.WriteString(conn, "POST /hold HTTP/1.1\r\nHost: s\r\nX-Trace-Id: "+id+"\r\nX-Qos: pay\r\nX-Expires-In-Ms: 4000\r\nContent-Length: 0\r\n\r\n")
+func sendPayment(t *testing.T, conn net.Conn, id string) { sendPaymentTo(t, conn, "/hold", id) }
+
+// sendPaymentTo sends an at-most-once request.
+func sendPaymentTo(t *testing.T, conn net.Conn, path, id string) {
+	_, err := io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: s\r\nX-Trace-Id: "+id+"\r\nX-Qos: pay\r\nX-Expires-In-Ms: 4000\r\nContent-Length: 0\r\n\r\n")
 	require.NoError(t, err)
 }
 
@@ -105,3 +106,75 @@
 	}
 	return count
 }
+
+// replayForm is a way in which an at-most-once request's id comes again.
+type replayForm struct {
+	path             string // of the first request: whether its answer is held
+	clientLeaves     bool
+	beginsBefore     bool // it is sent before the new process starts
+	processIsKilled  bool // the old process gets a SIGKILL before the id comes again; if not, it is told to end
+	secondAtOldFirst bool // the id comes again at the old process, before that ends
+}
+
+// The id of an at-most-once request that may have run comes again, at the process that had it or at the one that has replaced that. It runs
+// once, whether the first client has left, has its answer, or has lost its connection with the process.
+func TestIDRunsOnceWhenProcessHasEnded(t *testing.T) {
+	for _, form := range []replayForm{
+		{path: "/hold", clientLeaves: true, beginsBefore: true},
+		{path: "/hold", clientLeaves: true},
+		{path: "/hold", clientLeaves: true, beginsBefore: true, processIsKilled: true},
+		{path: "/hold", beginsBefore: true, processIsKilled: true},
+		{path: "/hold", processIsKilled: true},
+		{path: "/api", beginsBefore: true},
+		{path: "/api", processIsKilled: true, secondAtOldFirst: true},
+	} {
+		t.Run(fmt.Sprintf("%+v", form), func(t *testing.T) { playReplay(t, form) })
+	}
+}
+
+func playReplay(t *testing.T, form replayForm) {
+	node := startCrowdNode(t, 64, nil)
+	old := node.process
+	if !form.beginsBefore {
+		node.startProcess()
+	}
+	conn := node.connectTo(old.Process.Pid)
+	sendPaymentTo(t, conn, form.path, "twice")
+	require.Eventually(t, func() bool { return node.startedAttempts("twice") == 1 }, 5*time.Second, time.Millisecond)
+	switch {
+	case form.path == "/api":
+		assert.Equal(t, http.StatusOK, readStatus(t, conn))
+	case form.clientLeaves:
+		require.NoError(t, conn.Close())
+		time.Sleep(100 * time.Millisecond)
+	}
+	if form.secondAtOldFirst {
+		conn = node.connectTo(old.Process.Pid)
+		sendPaymentTo(t, conn, form.path, "twice")
+		assert.Equal(t, http.StatusConflict, readStatus(t, conn))
+	}
+	if form.beginsBefore {
+		node.startProcess()
+	}
+	if form.processIsKilled {
+		require.NoError(t, old.Process.Kill())
+	} else {
+		require.NoError(t, old.Process.Signal(syscall.SIGTERM))
+	}
+	_ = old.Wait()
+	conn = node.connectTo(node.process.Process.Pid)
+	sendPaymentTo(t, conn, form.path, "twice")
+	assert.Equal(t, http.StatusConflict, readStatus(t, conn))
+	assert.Equal(t, 1, node.startedAttempts("twice"))
+	sendPaymentTo(t, node.connectTo(node.process.Process.Pid), "/api", "another") // others are served
+	require.Eventually(t, func() bool { return node.startedAttempts("another") == 1 }, 5*time.Second, time.Millisecond)
+}
+
+// readStatus returns the status of the answer on a connection.
+func readStatus(t *testing.T, conn net.Conn) int {
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
