Remember the ids of requests that must not run twice, across an upgrade

Cause: an id was remembered only if its request had ended without an outcome, only until its time to live was over, and only by its own process; the other one asked for it as long as both ran. Change: the id of each request that must not run twice (at-most-once or with a key, not in the request log) is remembered when it ends, unless the request was rejected before any attempt: the latest 8,192, without a time. During an upgrade the question to the other process is a claim, which that remembers; a rejected request releases it. A successor gets the known ids and the open ones with the state (a new field, which earlier builds ignore; their processes answer the claim with an error, as the question before). A rejected request's id may come again (test). The fixture of the upgrade tests sent the same ids in each of its loads, against the protocol (an id is new with every request); it now numbers the loads. TestRequestNotTakenIsNotAnswered's stand-in for a deployment has its class.

--- a/cmd/pearknot/upgrade_fixture_test.go
+++ b/cmd/pearknot/upgrade_fixture_test.go
@@ -36,6 +36,7 @@
 	clientErrors []string       // of clients' requests
 	rejected     []string       // ids
 	sent         atomic.Int64
+	loads        int // that were started
 }
 
 func newUpgradeFixture(t *testing.T) *upgradeFixture {
@@ -118,6 +119,8 @@
 func (fixture *upgradeFixture) startLoad(clients int) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var all sync.WaitGroup
+	fixture.loads++
+	load := fixture.loads
 	for c := range clients {
 		all.Go(func() {
 			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: c%3 == 0}, Timeout: 10 * time.Second}
@@ -126,7 +129,7 @@
 			defer pace.Stop()
 			for k := 0; ctx.Err() == nil; k++ {
 				<-pace.C
-				id := fmt.Sprintf("%d-%d", c, k)
+				id := fmt.Sprintf("%d-%d-%d", load, c, k)
 				request, _ := http.NewRequest("POST", "http://"+fixture.address+"/api", strings.NewReader("paid"))
 				request.Header = http.Header{"X-Trace-Id": {id}, "X-Qos": {"pay"}, "X-Expires-In-Ms": {"4000"}}
 				response, err := client.Do(request)
--- a/internal/hotrestart/link.go
+++ b/internal/hotrestart/link.go
@@ -108,6 +108,13 @@
 	}
 }
 
+// Notify executes a call in the other process without waiting for its result.
+func (l *Link) Notify(c Call) {
+	if err := l.conn.send(message{Kind: kindCall, Call: &c}); err != nil {
+		l.Close()
+	}
+}
+
 // addPending registers the result channel of a call and returns the call's number.
 func (l *Link) addPending(result chan message) uint64 {
 	l.mu.Lock()
--- a/internal/hotrestart/messages.go
+++ b/internal/hotrestart/messages.go
@@ -41,17 +41,18 @@
 	Zones            []string       `json:"Zones"` // indexed by the zones in List
 	Kinds            []string       `json:"Kinds"` // indexed by the kinds in List
 	List             discovery.List `json:"List"`
-	BackendNames     []string       `json:"Names"`  // of the backends in BalancerSnapshot, in their order
-	BalancerSnapshot []byte         `json:"Module"` // as encoded by package snapshot; empty if there is none
-	KnownNames       []string       `json:"Known"`  // of all backends that have ever been in the endpoint list
-	CordonedNames    []string       `json:"Banned"` // of backends that an operator has cordoned
-	QuiescedMs       *float64       `json:"Away"`   // time since the node was quiesced, ms; nil if it is not
+	BackendNames     []string       `json:"Names"`                // of the backends in BalancerSnapshot, in their order
+	BalancerSnapshot []byte         `json:"Module"`               // as encoded by package snapshot; empty if there is none
+	KnownNames       []string       `json:"Known"`                // of all backends that have ever been in the endpoint list
+	CordonedNames    []string       `json:"Banned"`               // of backends that an operator has cordoned
+	QuiescedMs       *float64       `json:"Away"`                 // time since the node was quiesced, ms; nil if it is not
+	RequestIDs       []uint64       `json:"RequestIDs,omitempty"` // hashes of the ids of requests that must not run twice and may have run
 }
 
 // Call is an operator's call that one process forwards to the other.
 type Call struct {
 	Verb  string `json:"Verb"`
-	ID    string `json:"ID"`    // of a backend
+	ID    string `json:"ID"`    // of a backend or a request
 	Force bool   `json:"Force"` // the sender knows the ID, so the receiver accepts it even if it is unknown there
 }
 
--- a/internal/serve/hotrestart.go
+++ b/internal/serve/hotrestart.go
@@ -119,7 +119,7 @@
 	names := r.config.deploymentNames
 	if !reflect.DeepEqual(state.Zones, names.Zones) || !reflect.DeepEqual(state.Kinds, names.Kinds) {
 		r.log.Warn("predecessor's state not restored: zones or kinds differ")
-		return &hotrestart.State{KnownNames: state.KnownNames, CordonedNames: state.CordonedNames, QuiescedMs: state.QuiescedMs}
+		return &hotrestart.State{KnownNames: state.KnownNames, CordonedNames: state.CordonedNames, QuiescedMs: state.QuiescedMs, RequestIDs: state.RequestIDs}
 	}
 	return state
 }
@@ -135,6 +135,7 @@
 	if err != nil {
 		r.log.Warn("predecessor's balancer state not restored, starting fresh", "error", err)
 	}
+	r.server.RememberIDHashes(state.RequestIDs)
 	if state.QuiescedMs != nil {
 		r.server.SetQuiescedSince(true, time.Now().Add(-clock.Duration(*state.QuiescedMs)))
 	}
@@ -231,6 +232,7 @@
 		BalancerSnapshot: learned.BalancerSnapshot,
 		KnownNames:       learned.KnownNames,
 		CordonedNames:    learned.CordonedNames,
+		RequestIDs:       r.server.IDHashes(),
 	}
 	if elapsed, isQuiesced := r.server.QuiescedFor(); isQuiesced {
 		ms := float64(elapsed.Microseconds()) / 1e3
@@ -387,11 +389,14 @@
 // handleCall executes a call in this process only.
 func (r *restartCoordinator) handleCall(ctx context.Context, call hotrestart.Call) (string, error) {
 	switch verb := admin.Verb(call.Verb); verb {
-	case verbLookUpID:
-		if r.server.KnowsID(call.ID) {
+	case verbClaimID:
+		if r.server.ClaimID(call.ID) {
 			return answerKnownID, nil
 		}
 		return "", nil
+	case verbReleaseID:
+		r.server.ReleaseID(call.ID)
+		return "", nil
 	case admin.Cordon:
 		return r.setCordoned(ctx, call, true, "out")
 	case admin.Uncordon:
@@ -413,23 +418,6 @@
 	return "", errUnknownCall
 }
 
-// verbLookUpID is the call by which a process asks the other one whether it knows a request's id. The answer is answerKnownID if it does.
-// A process of an earlier build answers with an error, and knows none.
-const (
-	verbLookUpID  = admin.Verb("request-id")
-	answerKnownID = "known"
-)
-
-// lookUpID is the server's IDLookup.
-func (r *restartCoordinator) lookUpID(ctx context.Context, id string) (isKnown bool, err error) {
-	other := r.otherProcess()
-	if other == nil {
-		return false, nil
-	}
-	text, err := other.Call(ctx, hotrestart.Call{Verb: string(verbLookUpID), ID: id})
-	return text == answerKnownID, err
-}
-
 // setCordoned cordons or uncordons a backend and returns text as the answer.
 func (r *restartCoordinator) setCordoned(ctx context.Context, call hotrestart.Call, cordoned bool, text string) (string, error) {
 	if err := r.node.Cordon(ctx, call.ID, cordoned, call.Force); err != nil {
--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -166,7 +166,7 @@
 	p.watch.OnList, p.watch.OnFailure = p.node.EndpointsChanged, p.node.PollFailed
 	p.server = server.New(p.node, p.config.deployment, p.clock, p.budget, p.log)
 	p.server.LimitMemory(p.memory)
-	p.server.LookUpIDs(p.restart.lookUpID)
+	p.server.ShareIDs(p.restart)
 	if err := p.enableAdmission(); err != nil {
 		return err
 	}
--- a/internal/server/disconnect_test.go
+++ b/internal/server/disconnect_test.go
@@ -322,7 +322,7 @@
 	conn, _ := connPair(t)
 	srv := &Server{log: slog.New(slog.DiscardHandler), clock: clock.New(), budget: conn.budget, ids: newRequestIDs(),
 		admitter: &connectionAdmitter{controller: admission.New(admission.DefaultLimits(16))}}
-	srv.deployment.Store(&config.Deployment{Classes: []string{"check"}})
+	srv.deployment.Store(&config.Deployment{Classes: []string{"check"}, BalancerConfig: &balancer.Config{Classes: make([]balancer.Class, 1)}})
 	for name, evict := range map[string]func(){
 		"evicted": func() { conn.admissionID, conn.admitter = 7, srv.admitter }, // which does not have the connection any more
 		"closed":  func() { conn.admissionID, conn.closed = 0, true },
--- a/internal/server/handler.go
+++ b/internal/server/handler.go
@@ -30,10 +30,11 @@
 	defer reservation.release()
 	defer conn.reservation.releaseHead()
 	request, refusal := s.decode(w, r, conn, reservation)
+	var claim *idClaim
 	if refusal == nil {
-		refusal = s.claimID(r.Context(), id, request)
+		claim, refusal = s.claimID(r.Context(), id, request)
 	}
-	if refusal == errOutOfMemory || refusal == errNotLookedUp {
+	if refusal == errOutOfMemory || refusal == errNotClaimed {
 		s.logRefusal(refusal.reason)
 		s.writeAnswer(w, conn, node.Answer{Status: node.Rejected})
 		return
@@ -44,7 +45,7 @@
 		s.writeResponse(w, conn, refusal.status, []byte(refusal.reason+"\n"))
 		return
 	}
-	defer s.ids.release(id)
+	defer claim.release()
 	if !conn.beginRequest(request.Streamed) {
 		// The request was not accepted. If this handler returned, net/http would send a 200, which could still reach the
 		// client while the connection is being closed.
@@ -57,10 +58,10 @@
 		return
 	}
 	if request.Logged != nil {
-		s.serveLogged(w, r, conn, request)
+		s.serveLogged(w, r, conn, request, claim)
 		return
 	}
-	s.serveRequest(w, r, conn, request)
+	s.serveRequest(w, r, conn, request, claim)
 }
 
 // recoverHandler answers a request whose handler panicked with 500, which tells the client that the request may have run.
@@ -118,7 +119,7 @@
 
 // serveRequest passes a request to the node and writes its answer. If too many requests are open, or the server is quiesced
 // and rejects new ones, it rejects the request before the balancer sees it, so no part of it has been sent.
-func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, conn *clientConn, request *node.Request) {
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, conn *clientConn, request *node.Request, claim *idClaim) {
 	openRequests := s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
 	s.lastRequestAt.Store(time.Now().UnixMilli())
@@ -133,7 +134,7 @@
 		return
 	}
 	bodyClock := conn.bodyClock.Load() // before the body is read on, which clears the field at the body's end
-	deadline := request.Deadline
+	claim.mayHaveRun = true
 	s.node.Submit(request)
 	answer, answered := s.awaitAnswer(r.Context(), conn, bodyClock, request)
 	if !answered {
@@ -141,9 +142,7 @@
 		// A client that has closed only its sending side may still read.
 		answer = node.Answer{Status: node.Failed}
 	}
-	if answer.Status == node.Failed {
-		s.rememberIfUncertain(r.Header.Get(idHeader), request, deadline)
-	}
+	claim.mayHaveRun = answer.Status != node.Rejected
 	s.writeAnswer(w, conn, answer)
 }
 
--- a/internal/server/replay_test.go
+++ b/internal/server/replay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"crypto/tls"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -93,3 +95,33 @@
 		node.NewBalancer, &discovery.List{Complete: true, Endpoints: []discovery.Endpoint{{Name: "s", Address: address, State: balancer.BackendReady, Weight: 1}}})
 	return srv
 }
+
+// The id of a request that was rejected before any attempt may come again: it is served.
+func TestIDOfRejectedRequestIsServed(t *testing.T) {
+	backend := startSlowBackend(t)
+	srv := startAtMostOnceServer(t, backend.Addr().String())
+	close(backend.release)
+	srv.quiesce.rejecting.Store(true)
+	reader := bufio.NewReader(connectAndSend(t, srv, requestText("again", 0)))
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	srv.quiesce.rejecting.Store(false)
+	requireServed(t, bufio.NewReader(connectAndSend(t, srv, requestText("again", 0))))
+	assert.Equal(t, []string{"again"}, backend.requestIDs())
+}
+
+// No more than the maximum number of ids is remembered: the oldest is forgotten.
+func TestRememberedIDsAreBounded(t *testing.T) {
+	ids := newRequestIDs()
+	for k := range 2 * maxRememberedIDs {
+		id := fmt.Sprint(k)
+		require.True(t, ids.reserve(id))
+		ids.release(id, true)
+	}
+	assert.Len(t, ids.hashes(), maxRememberedIDs)
+	assert.Len(t, ids.remembered, maxRememberedIDs)
+	assert.False(t, ids.claim(fmt.Sprint(maxRememberedIDs-1)))
+	assert.True(t, ids.claim(fmt.Sprint(maxRememberedIDs+1)))
+	assert.Equal(t, xxhash.Sum64String(fmt.Sprint(maxRememberedIDs+1)), ids.hashes()[0], "the oldest first")
+}
--- a/internal/server/requestids.go
+++ b/internal/server/requestids.go
@@ -12,32 +12,38 @@
 	"pearknot/internal/node"
 )
 
-// An id belongs to one request: clients give each request a new one, also a retry. Two open requests with one id would run as
-// two, and so would a request whose id comes again after its client has left, or after it was answered as failed, while its attempt
-// may still run. The ids of such at-most-once requests are therefore remembered until their time to live is over, and during a
-// hot restart the node's other process is asked for the ids that it knows.
+// An id belongs to one request: clients give each request a new one, also a retry. A request whose id comes again would run as two. The ids of
+// requests that must not run twice are therefore remembered, unless they were rejected before any attempt. During a hot restart each
+// process of the node claims such an id at the other one before it runs the request, so that either knows it whichever ends first.
 const (
-	// maxUncertainIDs is the number of ids that are remembered. Beyond it the oldest is forgotten.
-	maxUncertainIDs = 8192
+	// maxRememberedIDs is the number of ids of ended requests, and of requests of the node's other process, that are
+	// remembered. Beyond it the oldest is forgotten.
+	maxRememberedIDs = 8192
 
 	// otherProcessTimeout bounds the time to ask the node's other process.
 	otherProcessTimeout = 250 * time.Millisecond
 )
 
-// IDLookup asks the node's other process whether it knows an id. It reports false if there is no other process.
-type IDLookup func(ctx context.Context, id string) (isKnown bool, err error)
+// OtherProcess shares ids with the node's other process, if there is one.
+type OtherProcess interface {
+	// ClaimID asks the other process to remember an id. It reports whether that knows it already.
+	ClaimID(ctx context.Context, id string) (isKnown bool, err error)
 
-// requestIDs are the ids of open requests, and of ended ones that may still run.
+	// ReleaseID tells the other process that the request with the id has not run.
+	ReleaseID(id string)
+}
+
+// requestIDs are the ids of open requests, and of others that may have run.
 type requestIDs struct {
-	mu        sync.Mutex
-	open      map[string]struct{}
-	uncertain map[uint64]time.Time // by hash, with the time until which it is remembered
-	oldest    []uint64             // the hashes in the order in which they were added, as a ring
-	next      int                  // place of the next one in the ring
+	mu         sync.Mutex
+	open       map[string]bool // whether the request must not run twice
+	remembered map[uint64]struct{}
+	oldest     []uint64 // the remembered hashes in the order in which they were added, as a ring; some may be forgotten
+	next       int      // place of the next one in the ring
 }
 
 func newRequestIDs() *requestIDs {
-	return &requestIDs{open: map[string]struct{}{}, uncertain: map[uint64]time.Time{}}
+	return &requestIDs{open: map[string]bool{}, remembered: map[uint64]struct{}{}}
 }
 
 // reserve reserves a request's id until release. It reports false if the id is known.
@@ -47,21 +53,43 @@
 	if ids.isKnown(id) {
 		return false
 	}
-	ids.open[id] = struct{}{}
+	ids.open[id] = false
 	return true
 }
 
-func (ids *requestIDs) release(id string) {
+// setRunsOnce marks a reserved id as that of a request that must not run twice.
+func (ids *requestIDs) setRunsOnce(id string) {
+	ids.mu.Lock()
+	defer ids.mu.Unlock()
+	ids.open[id] = true
+}
+
+// release ends the reservation of an id. If the request must not run again, its id is remembered.
+func (ids *requestIDs) release(id string, mustRemember bool) {
 	ids.mu.Lock()
 	defer ids.mu.Unlock()
 	delete(ids.open, id)
+	if mustRemember {
+		ids.remember(xxhash.Sum64String(id))
+	}
+}
+
+// claim remembers an id of the node's other process. It reports whether it is known already.
+func (ids *requestIDs) claim(id string) (isKnown bool) {
+	ids.mu.Lock()
+	defer ids.mu.Unlock()
+	if ids.isKnown(id) {
+		return true
+	}
+	ids.remember(xxhash.Sum64String(id))
+	return false
 }
 
-// contains reports whether the id is that of an open request, or of an ended one that may still run.
-func (ids *requestIDs) contains(id string) bool {
+// forget forgets a remembered id.
+func (ids *requestIDs) forget(id string) {
 	ids.mu.Lock()
 	defer ids.mu.Unlock()
-	return ids.isKnown(id)
+	delete(ids.remembered, xxhash.Sum64String(id))
 }
 
 // isKnown must be called with the lock held.
@@ -69,69 +97,125 @@
 	if _, isOpen := ids.open[id]; isOpen {
 		return true
 	}
-	until, isUncertain := ids.uncertain[xxhash.Sum64String(id)]
-	return isUncertain && time.Now().Before(until)
+	_, isRemembered := ids.remembered[xxhash.Sum64String(id)]
+	return isRemembered
 }
 
-// remember remembers the id of a request that may still run.
-func (ids *requestIDs) remember(id string, until time.Time) {
-	ids.mu.Lock()
-	defer ids.mu.Unlock()
-	hash := xxhash.Sum64String(id)
-	ids.uncertain[hash] = until
-	if len(ids.oldest) < maxUncertainIDs {
+// remember must be called with the lock held.
+func (ids *requestIDs) remember(hash uint64) {
+	if _, isRemembered := ids.remembered[hash]; isRemembered {
+		return
+	}
+	ids.remembered[hash] = struct{}{}
+	if len(ids.oldest) < maxRememberedIDs {
 		ids.oldest = append(ids.oldest, hash)
 		return
 	}
-	delete(ids.uncertain, ids.oldest[ids.next])
+	delete(ids.remembered, ids.oldest[ids.next])
 	ids.oldest[ids.next] = hash
-	ids.next = (ids.next + 1) % maxUncertainIDs
+	ids.next = (ids.next + 1) % maxRememberedIDs
 }
 
-// LookUpIDs sets how the node's other process is asked for an id. It is called before Serve.
-func (s *Server) LookUpIDs(lookup IDLookup) { s.lookUpID = lookup }
+// hashes returns the hashes of the remembered ids, the oldest first, and of the open requests that must not run twice.
+func (ids *requestIDs) hashes() (hashes []uint64) {
+	ids.mu.Lock()
+	defer ids.mu.Unlock()
+	for k := range ids.oldest {
+		hash := ids.oldest[(ids.next+k)%len(ids.oldest)]
+		if _, isRemembered := ids.remembered[hash]; isRemembered {
+			hashes = append(hashes, hash)
+		}
+	}
+	for id, runsOnce := range ids.open {
+		if runsOnce {
+			hashes = append(hashes, xxhash.Sum64String(id))
+		}
+	}
+	return hashes
+}
+
+// ShareIDs sets the node's other process. It is called before Serve.
+func (s *Server) ShareIDs(other OtherProcess) { s.otherProcess = other }
+
+// ClaimID remembers an id of the node's other process. It reports whether this process knows it already.
+func (s *Server) ClaimID(id string) (isKnown bool) { return s.ids.claim(id) }
 
-// KnowsID reports whether this process has, or had, a request with the id that may still run.
-func (s *Server) KnowsID(id string) bool { return s.ids.contains(id) }
+// ReleaseID forgets an id of the node's other process, whose request has not run.
+func (s *Server) ReleaseID(id string) { s.ids.forget(id) }
+
+// IDHashes returns the hashes of the ids that a successor process has to know.
+func (s *Server) IDHashes() []uint64 { return s.ids.hashes() }
+
+// RememberIDHashes remembers the ids of the predecessor process.
+func (s *Server) RememberIDHashes(hashes []uint64) {
+	s.ids.mu.Lock()
+	defer s.ids.mu.Unlock()
+	for _, hash := range hashes {
+		s.ids.remember(hash)
+	}
+}
 
 // errKnownID means that the id belongs to another request. The text is part of the protocol; an op is a request.
 var errKnownID = &requestError{409, "the id of an open op"}
 
-// claimID reserves the id of a request. It returns why the request is refused, or nil. An at-most-once request whose id can't be looked
-// up at the node's other process is rejected, which is harmless.
-func (s *Server) claimID(ctx context.Context, id string, request *node.Request) *requestError {
+// errNotClaimed means that the node's other process did not answer. The client gets the answer of a rejected request.
+var errNotClaimed = &requestError{503, "the node's other process does not answer"}
+
+// idClaim is a request's hold on its id.
+type idClaim struct {
+	server     *Server
+	id         string
+	runsOnce   bool
+	mayHaveRun bool // an attempt may have run, or may still run
+}
+
+// claimID reserves the id of a request until its claim is released. It returns why the request is refused, or nil.
+func (s *Server) claimID(ctx context.Context, id string, request *node.Request) (*idClaim, *requestError) {
 	if !s.ids.reserve(id) {
-		return errKnownID
+		return nil, errKnownID
 	}
-	if s.lookUpID == nil || !s.isAtMostOnce(request) {
+	claim := &idClaim{server: s, id: id}
+	if refusal := claim.share(ctx, request); refusal != nil {
+		claim.release()
+		return nil, refusal
+	}
+	return claim, nil
+}
+
+// share claims the id at the node's other process, if the request must not run twice. It returns why the request is refused, or nil. If the
+// other process does not answer, the request is rejected, which is harmless.
+func (c *idClaim) share(ctx context.Context, request *node.Request) *requestError {
+	if !c.server.runsOnce(request) {
+		return nil
+	}
+	c.runsOnce = true
+	c.server.ids.setRunsOnce(c.id)
+	if c.server.otherProcess == nil {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, otherProcessTimeout)
 	defer cancel()
-	isKnown, err := s.lookUpID(ctx, id)
+	isKnown, err := c.server.otherProcess.ClaimID(ctx, c.id)
 	switch {
 	case isKnown:
-		s.ids.release(id)
+		c.runsOnce = false // the other process keeps the id
 		return errKnownID
 	case errors.Is(err, context.DeadlineExceeded):
-		s.ids.release(id)
-		return errNotLookedUp
+		return errNotClaimed
 	}
 	return nil
 }
 
-// errNotLookedUp means that the node's other process did not answer. The client gets the answer of a rejected request.
-var errNotLookedUp = &requestError{503, "the node's other process does not answer"}
-
-// isAtMostOnce reports whether the request must not run twice and nothing but its id tells a repetition.
-func (s *Server) isAtMostOnce(request *node.Request) bool {
-	class := request.Config.Classes[request.Class]
-	return class.Idempotency == balancer.AtMostOnce && request.Logged == nil
+// release gives the id up.
+func (c *idClaim) release() {
+	c.server.ids.release(c.id, c.runsOnce && c.mayHaveRun)
+	if c.runsOnce && !c.mayHaveRun && c.server.otherProcess != nil {
+		c.server.otherProcess.ReleaseID(c.id)
+	}
 }
 
-// rememberIfUncertain remembers the id of an at-most-once request that has ended without an outcome.
-func (s *Server) rememberIfUncertain(id string, request *node.Request, deadline float64) {
-	if s.isAtMostOnce(request) {
-		s.ids.remember(id, s.clock.Time(deadline))
-	}
+// runsOnce reports whether the request must not run twice and nothing but its id tells a repetition.
+func (s *Server) runsOnce(request *node.Request) bool {
+	class := request.Config.Classes[request.Class]
+	return class.Idempotency != balancer.Idempotent && request.Logged == nil
 }
--- a/internal/server/requestlogging.go
+++ b/internal/server/requestlogging.go
@@ -93,7 +93,7 @@
 //
 // Rejecting the request here is safe for every class: either nothing has been submitted, or the request that was submitted
 // has itself been rejected. Rejections always carry Retry-After, see retryAfterMs.
-func (s *Server) serveLogged(w http.ResponseWriter, r *http.Request, conn *clientConn, request *node.Request) {
+func (s *Server) serveLogged(w http.ResponseWriter, r *http.Request, conn *clientConn, request *node.Request, claim *idClaim) {
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
 	s.lastRequestAt.Store(time.Now().UnixMilli())
@@ -121,7 +121,7 @@
 			}
 			continue // another request has taken the key meanwhile
 		case result == requestlog.NoQuorum && !isSubmitted:
-			s.serveWithoutQuorum(w, r, conn, request)
+			s.serveWithoutQuorum(w, r, conn, request, claim)
 			return
 		case s.writeLookupResult(w, conn, result, final):
 			return
@@ -135,13 +135,20 @@
 }
 
 // serveWithoutQuorum handles a request that has not been submitted and whose log has no quorum, by the policy of its class.
-func (s *Server) serveWithoutQuorum(w http.ResponseWriter, r *http.Request, conn *clientConn, request *node.Request) {
-	if request.Logged.ProceedWithoutQuorum {
-		request.Logged = nil
-		s.serveRequest(w, r, conn, request)
+func (s *Server) serveWithoutQuorum(w http.ResponseWriter, r *http.Request, conn *clientConn, request *node.Request, claim *idClaim) {
+	if !request.Logged.ProceedWithoutQuorum {
+		s.writeAnswer(w, conn, node.Answer{Status: node.Rejected, RetryAfter: 2 * requestlog.PeerTimeoutMs})
 		return
 	}
-	s.writeAnswer(w, conn, node.Answer{Status: node.Rejected, RetryAfter: 2 * requestlog.PeerTimeoutMs})
+	request.Logged = nil // from here on its id alone tells a repetition
+	switch refusal := claim.share(r.Context(), request); refusal {
+	case nil:
+		s.serveRequest(w, r, conn, request, claim)
+	case errKnownID:
+		s.writeResponse(w, conn, refusal.status, []byte(refusal.reason+"\n"))
+	default:
+		s.writeAnswer(w, conn, node.Answer{Status: node.Rejected})
+	}
 }
 
 // writeLookupResult writes the answer that the result of a lookup determines. It writes nothing and reports false if the
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -86,7 +86,7 @@
 	idleConns map[net.Conn]time.Time // connections without a request, with the time since when
 
 	ids              *requestIDs
-	lookUpID         IDLookup // nil if the node has no other process
+	otherProcess     OtherProcess // nil if ids are not shared
 	incompleteBodies incompleteBodies
 	malformedLog     *throttledlog.Throttle
 	refusedLog       *throttledlog.Throttle
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -183,7 +183,7 @@
 	srv.openRequests.Store(1)
 	recorder := httptest.NewRecorder()
 	conn, _ := connPair(t)
-	srv.serveRequest(recorder, httptest.NewRequest("GET", "/api", nil), conn, nil)
+	srv.serveRequest(recorder, httptest.NewRequest("GET", "/api", nil), conn, nil, &idClaim{})
 	assert.Equal(t, http.StatusServiceUnavailable, recorder.Code)
 	assert.Equal(t, "1.500", recorder.Header().Get("Retry-After"))
 	assert.Equal(t, int64(1), srv.openRequests.Load())
