Listeners of sockets and challenges go on after errors of accept that pass

After ENOBUFS, ENOMEM, EPROTO, EPERM, ENETDOWN, EHOSTUNREACH and ETIMEDOUT, which Linux documents for accept as passing, a node's and a member's control socket and the challenge server ended for the process's life, and the agent ended as a whole. Change: package listeners has the rule that the node's client listener had, and an Accept that follows it, for all of these. The TLS listener's own retry could no longer be reached and is gone.

The budgets' calls that block were used by tests alone and are gone, with the condition variables and memory.Budget's Close. The tests check the calls that are in use: refused, counted as waiting once, granted after a release, closed.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,6 +16,7 @@
 	"pearknot/internal/clock"
 	"pearknot/internal/controlsocket"
 	"pearknot/internal/fleet"
+	"pearknot/internal/listeners"
 	"pearknot/internal/mailbox"
 )
 
@@ -107,7 +108,7 @@
 	server := controlsocket.NewServer(a.api())
 	failed := make(chan error, 1)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listeners.Retry(listener)); !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
 		}
 	}()
--- a/internal/controlsocket/listener.go
+++ b/internal/controlsocket/listener.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"pearknot/internal/listeners"
 )
 
 // maxConnections bounds the concurrent connections of a control socket, because a node has few descriptors to spare.
@@ -43,7 +45,7 @@
 
 // LimitConnections limits a listener to maxConnections open connections. Further ones wait in the listener's queue.
 func LimitConnections(listener net.Listener) net.Listener {
-	return &limitedListener{listener, make(chan struct{}, maxConnections)}
+	return &limitedListener{listeners.Retry(listener), make(chan struct{}, maxConnections)}
 }
 
 type limitedListener struct {
--- a/internal/descriptors/descriptors.go
+++ b/internal/descriptors/descriptors.go
@@ -20,8 +20,7 @@
 	onShortage func()
 
 	mu             sync.Mutex
-	available      *sync.Cond // signalled when a descriptor is released
-	limit          int        // for clients and backends together
+	limit          int // for clients and backends together
 	clients        int
 	backends       int
 	clientWaiting  bool // a client waits for a descriptor
@@ -32,9 +31,7 @@
 // New returns the budget of a process that may open limit descriptors. onShortage is called whenever a descriptor is needed
 // and none is available; it must not block and must not call the budget.
 func New(limit int, onShortage func()) *Budget {
-	b := &Budget{limit: connectionLimit(limit), onShortage: onShortage}
-	b.available = sync.NewCond(&b.mu)
-	return b
+	return &Budget{limit: connectionLimit(limit), onShortage: onShortage}
 }
 
 // connectionLimit returns the number of the process's descriptors that clients and backends may use.
@@ -50,7 +47,6 @@
 	if isExceeded {
 		b.onShortage()
 	}
-	b.available.Broadcast()
 }
 
 // inUse must be called with the lock held.
@@ -81,24 +77,6 @@
 	return b.clients
 }
 
-// AcquireClient waits until a descriptor for a client is available and takes it. It returns false if the budget was closed.
-// Meanwhile the client waits in the listener's queue, and is accepted as soon as another client's connection closes.
-func (b *Budget) AcquireClient() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for !b.closed && (b.clients >= b.maxClients() || b.inUse() >= b.limit) {
-		b.clientWaiting = true
-		b.onShortage()
-		b.available.Wait()
-	}
-	b.clientWaiting = false
-	if b.closed {
-		return false
-	}
-	b.clients++
-	return true
-}
-
 // TryAcquireClient takes a descriptor for a client if one is available. If not, it counts as a waiting client until the next call.
 func (b *Budget) TryAcquireClient() (acquired, closed bool) {
 	b.mu.Lock()
@@ -136,9 +114,8 @@
 
 func (b *Budget) release(count *int) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	*count--
-	b.mu.Unlock()
-	b.available.Signal()
 }
 
 // HasWaitingClient reports whether a client waits for a descriptor.
@@ -169,10 +146,9 @@
 	return b.clients > b.maxClients()*3/4
 }
 
-// Close makes all current and future calls of AcquireClient return false.
+// Close ends the waiting for descriptors: from now on TryAcquireClient reports that the budget is closed.
 func (b *Budget) Close() {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.closed = true
-	b.mu.Unlock()
-	b.available.Broadcast()
 }
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -24,11 +24,9 @@
 	onShortage func()
 
 	mu                sync.Mutex
-	available         *sync.Cond // signalled when a connection's bytes are released or the limits change
 	limits            Limits
 	used              Limits
 	connectionWaiting bool // a connection waits for its bytes
-	closed            bool
 }
 
 // Limits are numbers of bytes in the two parts of a Budget.
@@ -40,9 +38,7 @@
 // NewBudget returns a budget without a limit. onShortage is called whenever a connection has to wait; it must not block and must
 // not call the budget.
 func NewBudget(onShortage func()) *Budget {
-	b := &Budget{onShortage: onShortage, limits: Limits{Connections: math.MaxInt64, Buffers: math.MaxInt64}}
-	b.available = sync.NewCond(&b.mu)
-	return b
+	return &Budget{onShortage: onShortage, limits: Limits{Connections: math.MaxInt64, Buffers: math.MaxInt64}}
 }
 
 // SetLimits changes the limits. What is reserved beyond them is not taken back, but onShortage is called.
@@ -54,31 +50,10 @@
 	if isExceeded {
 		b.onShortage()
 	}
-	b.available.Broadcast()
-}
-
-// AcquireConnection waits until a connection's bytes are available, and reserves them. It returns false if the budget was closed.
-// The first connection gets its bytes whatever the limit is, so that a node with too little memory still serves.
-func (b *Budget) AcquireConnection(bytes int64) bool {
-	if b == nil {
-		return true
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for !b.closed && !b.hasRoomForConnection(bytes) {
-		b.connectionWaiting = true
-		b.onShortage()
-		b.available.Wait()
-	}
-	b.connectionWaiting = false
-	if b.closed {
-		return false
-	}
-	b.used.Connections += bytes
-	return true
 }
 
 // TryAcquireConnection reserves a connection's bytes if they are available. If not, a connection counts as waiting until the next call.
+// The first connection gets its bytes whatever the limit is, so that a node with too little memory still serves.
 func (b *Budget) TryAcquireConnection(bytes int64) bool {
 	if b == nil {
 		return true
@@ -109,7 +84,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.used.Connections -= bytes
-	b.available.Signal()
 }
 
 // TryAcquire reserves the bytes of a buffer if they are available.
@@ -204,14 +178,3 @@
 	defer b.mu.Unlock()
 	return b.used, b.limits
 }
-
-// Close makes all current and future calls of AcquireConnection return false.
-func (b *Budget) Close() {
-	if b == nil {
-		return
-	}
-	b.mu.Lock()
-	b.closed = true
-	b.mu.Unlock()
-	b.available.Broadcast()
-}
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -14,30 +13,31 @@
 	b.SetLimits(Limits{Connections: 100, Buffers: 50})
 	assert.True(t, b.TryAcquire(50))
 	assert.False(t, b.TryAcquire(1))
-	assert.True(t, b.AcquireConnection(100))
-	accepted := make(chan bool)
-	go func() { accepted <- b.AcquireConnection(60) }()
-	assert.Eventually(t, b.HasWaitingConnection, 5*time.Second, time.Millisecond)
+	assert.True(t, b.TryAcquireConnection(100))
+	assert.False(t, b.TryAcquireConnection(60))
+	assert.True(t, b.HasWaitingConnection())
 	b.Release(50)
+	assert.False(t, b.TryAcquireConnection(60))
 	assert.True(t, b.HasWaitingConnection())
 	b.ReleaseConnection(40)
+	assert.False(t, b.TryAcquireConnection(60))
 	b.ReleaseConnection(60)
-	assert.True(t, <-accepted)
+	assert.True(t, b.TryAcquireConnection(60))
+	assert.False(t, b.HasWaitingConnection())
 	assert.Equal(t, 1, shortages)
 	used, _ := b.Usage()
 	assert.Equal(t, Limits{Connections: 60}, used)
 }
 
-// A limit that is too small for any connection still lets one in, and a closed budget none.
-func TestFirstConnectionAndClose(t *testing.T) {
+// A limit that is too small for any connection still lets one in, and no other beside it.
+func TestFirstConnection(t *testing.T) {
 	b := NewBudget(func() {})
 	b.SetLimits(Limits{})
-	assert.True(t, b.AcquireConnection(10))
-	done := make(chan bool)
-	go func() { done <- b.AcquireConnection(10) }()
-	assert.Eventually(t, b.HasWaitingConnection, 5*time.Second, time.Millisecond)
-	b.Close()
-	assert.False(t, <-done)
+	assert.True(t, b.TryAcquireConnection(10))
+	assert.False(t, b.TryAcquireConnection(10))
+	assert.True(t, b.HasWaitingConnection())
+	b.ReleaseConnection(10)
+	assert.True(t, b.TryAcquireConnection(10))
 }
 
 func TestWaitMakesRoom(t *testing.T) {
@@ -51,7 +51,7 @@
 func TestNilBudgetHasNoLimit(t *testing.T) {
 	var b *Budget
 	assert.True(t, b.TryAcquire(1<<40))
-	assert.True(t, b.AcquireConnection(1<<40))
+	assert.True(t, b.TryAcquireConnection(1<<40))
 	b.Release(1 << 40)
 	b.ReleaseConnection(1 << 40)
 	assert.False(t, b.HasWaitingConnection())
--- a/internal/serve/drain.go
+++ b/internal/serve/drain.go
@@ -59,7 +59,6 @@
 		unanswered = p.server.DrainForHandoff(handoffDeadline)
 	}
 	p.budget.Close()
-	p.memory.Close()
 	p.node.Stop()
 	p.log.Info("node stopped", "unanswered", unanswered)
 }
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -11,9 +11,8 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"pearknot/internal/descriptors"
+	"pearknot/internal/listeners"
 	"pearknot/internal/memory"
 	"pearknot/internal/tcpinfo"
 )
@@ -94,23 +93,12 @@
 			continue
 		}
 		tcp, err := l.accept()
-		if err == nil || endsListener(err) {
+		if err == nil || listeners.IsFinal(err) {
 			return tcp, err
 		}
 		l.onAcceptError(err)
-		time.Sleep(acceptRetryDelay)
-	}
-}
-
-// endsListener reports whether Accept can't succeed after an error: the listener is closed, has drained, or is none. Any other error
-// concerns one connection, or the system has run out of something for a moment.
-func endsListener(err error) bool {
-	for _, end := range []error{net.ErrClosed, os.ErrDeadlineExceeded, unix.EBADF, unix.EINVAL, unix.ENOTSOCK, unix.EOPNOTSUPP} {
-		if errors.Is(err, end) {
-			return true
-		}
+		time.Sleep(listeners.RetryDelay)
 	}
-	return false
 }
 
 // drain makes Accept end once no connection has arrived for listenerQuietPeriod.
--- a/internal/server/disconnect_test.go
+++ b/internal/server/disconnect_test.go
@@ -277,7 +277,7 @@
 	require.Eventually(t, func() bool { return budget.Clients() == 2 }, 10*time.Second, time.Millisecond, "both listeners wait")
 	acquired := 0
 	for budget.Clients() < budget.MaxClients() {
-		require.True(t, budget.AcquireClient())
+		requireClientDescriptor(t, budget)
 		acquired++
 	}
 	first := connectAndSend(t, srv, "") // gets the descriptor that the listener has acquired already
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -37,11 +37,18 @@
 	accepted, err := listener.Accept()
 	require.NoError(t, err)
 	budget := descriptors.New(64, func() {})
-	require.True(t, budget.AcquireClient())
+	requireClientDescriptor(t, budget)
 	t.Cleanup(func() { _ = client.Close() })
 	return newClientConn(accepted.(*net.TCPConn), budget), client
 }
 
+// requireClientDescriptor takes a descriptor for a client.
+func requireClientDescriptor(t *testing.T, budget *descriptors.Budget) {
+	t.Helper()
+	acquired, _ := budget.TryAcquireClient()
+	require.True(t, acquired)
+}
+
 func TestDecode(t *testing.T) {
 	srv := &Server{clock: clock.New()}
 	srv.deployment.Store(&config.Deployment{Classes: []string{"check", "pay_out"}, Tenants: []string{"one", "two"}})
--- a/internal/server/tlslistener.go
+++ b/internal/server/tlslistener.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"slices"
 	"sync"
@@ -16,9 +15,6 @@
 	// handshakeTimeout is the timeout of a whole handshake.
 	handshakeTimeout = 2 * time.Second
 
-	// acceptRetryDelay is the wait after an Accept that failed because a resource was exhausted.
-	acceptRetryDelay = 5 * time.Millisecond
-
 	// A client's first message arrives right after its connection, and its second a round trip later. A handshake whose
 	// client has not sent the first after silentEvictionAge, or the second after stalledEvictionAge, may be evicted.
 	silentEvictionAge  = 100 * time.Millisecond
@@ -121,11 +117,6 @@
 	var running sync.WaitGroup
 	for {
 		conn, err := l.inner.Accept()
-		var netErr net.Error
-		if errors.As(err, &netErr) && netErr.Temporary() { //nolint:staticcheck // as in net/http: descriptors may be exhausted
-			time.Sleep(acceptRetryDelay)
-			continue
-		}
 		if err != nil {
 			running.Wait()
 			l.err = err
