Test slow backends during an upgrade, and payments at full speed under ever new ids

Now a node is upgraded while backends drip answers for 2.5 s and read 3 MiB requests at 256 kB a second, plain and over TLS, with a length and in chunks, sent before the new process starts, while both serve and after the SIGTERM (144 clients).

--- a/cmd/pearknot/crowd_fixture_test.go
+++ b/cmd/pearknot/crowd_fixture_test.go
@@ -30,6 +30,11 @@
 	shortAnswer = "done"
 	longAnswer  = 4 << 20 // bytes
 	heldAnswer  = 2500 * time.Millisecond
+
+	// An answer that drips takes as long as a held one.
+	dripParts = 10
+	dripBytes = 8 << 10
+	dripPause = heldAnswer / dripParts
 )
 
 // memoryWatch samples the memory that the system counts of a node: the resident memory of its processes, summed, and the files
@@ -138,6 +143,14 @@
 
 // ServeHTTP implements http.Handler. It reads the request to its end first, as a backend does.
 func (backend *crowdBackend) ServeHTTP(rw http.ResponseWriter, request *http.Request) {
+	if request.URL.Path == "/slowread" {
+		part := make([]byte, 64<<10)
+		for range 12 { // longer than the request's time to live
+			_, _ = io.ReadFull(request.Body, part)
+			time.Sleep(250 * time.Millisecond)
+		}
+		return
+	}
 	if _, err := io.Copy(io.Discard, request.Body); err != nil {
 		return
 	}
@@ -170,6 +183,15 @@
 			rw.Header().Set(fmt.Sprint("F", k), "")
 		}
 		fmt.Fprint(rw, shortAnswer)
+	case "/drip":
+		if request.Header.Get("X-Form") == "length" {
+			rw.Header().Set("Content-Length", strconv.Itoa(dripParts*dripBytes))
+		}
+		for range dripParts {
+			_, _ = rw.Write(block[:dripBytes])
+			_ = http.NewResponseController(rw).Flush()
+			time.Sleep(dripPause)
+		}
 	case "/hold":
 		<-time.After(heldAnswer)
 		fmt.Fprint(rw, shortAnswer)
--- a/cmd/pearknot/flood_test.go
+++ b/cmd/pearknot/flood_test.go
@@ -30,6 +30,7 @@
 	}
 	for name, request := range map[string]func(k int) string{
 		"requests":        func(k int) string { return head(fmt.Sprint("f", k), "check", "") },
+		"payments":        func(k int) string { return head(fmt.Sprint("f", k), "pay", "") },
 		"one id":          func(int) string { return head("same", "check", "") },
 		"unknown classes": func(k int) string { return head(fmt.Sprint("f", k), fmt.Sprint("class-", k), "") },
 		"new customers":   func(k int) string { return head(fmt.Sprint("f", k), "check", fmt.Sprintf("X-Customer: c%d\r\n", k)) },
