--- a/cmd/pearknot/memory_test.go
+++ b/cmd/pearknot/memory_test.go
@@ -48,6 +48,11 @@
 	t.Run("all kinds, over TLS", func(t *testing.T) {
 		startCrowdNode(t, leastMemoryMB, newTLSFixture(t)).playCrowd(kinds)
 	})
+	for _, backendCount := range []int{40, 500} {
+		t.Run(fmt.Sprint("all kinds, backends: ", backendCount), func(t *testing.T) {
+			startCrowdNodeBefore(t, backendCount, leastMemoryMB, mostDescriptors, nil).playCrowd(kinds)
+		})
+	}
 }
 
 // A node stays within its memory limit while it is upgraded amid a crowd: the limit holds for both processes together.
@@ -96,9 +101,15 @@
 }
 
 func startCrowdNodeWith(t *testing.T, memoryMB, descriptors int, fixture *tlsFixture) *crowdNode {
+	const backendCount = 2
+	return startCrowdNodeBefore(t, backendCount, memoryMB, descriptors, fixture)
+}
+
+// startCrowdNodeBefore starts a node before that many backends.
+func startCrowdNodeBefore(t *testing.T, backendCount, memoryMB, descriptors int, fixture *tlsFixture) *crowdNode {
 	var entries []string
 	var backends []*crowdBackend
-	for k := range 2 {
+	for k := range backendCount {
 		backend := newCrowdBackend(t)
 		backends = append(backends, backend)
 		entries = append(entries, strings.Replace(endpointEntry(backend.Listener.Addr().String(), "up"), "s-1", fmt.Sprint("s-", k+1), 1))
