Allow for backends, and connections to them, in the plan of the memory

Callers saw: with hundreds of backends and 32 MB a crowd took a node over its limit. Cause: the plan took what the live heap has beyond the clients' reservations for all that is not theirs. Clients use less than they have reserved, so that the difference was below zero under a crowd, and the stacks of the backends' goroutines are in no heap. Change: backends are counted (memory.Budget) and connections to them are (descriptors.Budget); the plan leaves at least 6 kB for each backend and 8 kB for each connection, whatever clients have reserved. It is made four times a second, since a crowd opens connections to backends within one.

--- a/internal/descriptors/descriptors.go
+++ b/internal/descriptors/descriptors.go
@@ -77,6 +77,13 @@
 	return b.clients
 }
 
+// Backends returns the number of descriptors that connections to backends use.
+func (b *Budget) Backends() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.backends
+}
+
 // TryAcquireClient takes a descriptor for a client if one is available. If not, it counts as a waiting client until the next call.
 func (b *Budget) TryAcquireClient() (acquired, closed bool) {
 	b.mu.Lock()
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -27,6 +27,7 @@
 	limits            Limits
 	used              Limits
 	connectionWaiting bool // a connection waits for its bytes
+	backends          int  // that the process knows
 }
 
 // Limits are numbers of bytes in the two parts of a Budget.
@@ -135,6 +136,27 @@
 	b.used.Buffers -= bytes
 }
 
+// AddBackends counts backends that the process has learned of, or forgotten if count is negative. Their memory is no client's: a Plan allows
+// for it.
+func (b *Budget) AddBackends(count int) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.backends += count
+}
+
+// Backends returns the number of backends that the process knows.
+func (b *Budget) Backends() int {
+	if b == nil {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.backends
+}
+
 // HasWaitingConnection reports whether a connection waits for its bytes.
 func (b *Budget) HasWaitingConnection() bool {
 	if b == nil {
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -74,3 +74,14 @@
 	assert.Positive(t, tooSmall.Clients.Connections)
 	assert.Positive(t, tooSmall.RuntimeBytes)
 }
+
+// Backends and connections to them leave clients less, however much these have reserved without using it.
+func TestPlanAllowsForBackends(t *testing.T) {
+	const limit, fileBytes, allConnections = 32 << 20, 11 << 20, 25 << 20
+	const unreserved = -8 << 20
+	few := NewPlan(limit, fileBytes, OtherBytes(unreserved, 0, 0), allConnections)
+	many := NewPlan(limit, fileBytes, OtherBytes(unreserved, 500, 200), allConnections)
+	freed := few.Clients.Connections + few.Clients.Buffers - many.Clients.Connections - many.Clients.Buffers
+	backends := 500*backendBytes + 200*backendConnBytes
+	assert.InDelta(t, liveShare*float64(backends), freed, 2)
+}
--- a/internal/memory/plan.go
+++ b/internal/memory/plan.go
@@ -12,9 +12,13 @@
 	// stacks of threads, and what the runtime frees a little later than it should.
 	nativeReserve = 1 << 20
 
-	// runtimeBase is the least memory of a node without clients that the Go runtime counts.
+	// runtimeBase is the least memory of a node without clients and backends that the Go runtime counts.
 	runtimeBase = 4 << 20
 
+	// backendBytes and backendConnBytes are the memory of a backend, and of a connection to one.
+	backendBytes     = 6 << 10
+	backendConnBytes = 8 << 10
+
 	// liveShare is the share of the runtime's memory that may be in use. The rest is for garbage: with less of it, the
 	// collector would use too much processor time.
 	liveShare = 0.7
@@ -36,12 +40,18 @@
 	Clients      Limits // of the Budget
 }
 
-// NewPlan divides limit bytes. fileBytes is the resident memory of the process that the Go runtime does not count, liveBytes what the
+// OtherBytes returns the memory that the Go runtime counts for anything but clients: what of its live heap these have not reserved, or more
+// if that is too little for the backends and the connections to them. Clients use less than they have reserved at times.
+func OtherBytes(unreserved int64, backends, backendConns int) int64 {
+	return max(unreserved, runtimeBase+int64(backends)*backendBytes) + int64(backendConns)*backendConnBytes
+}
+
+// NewPlan divides limit bytes. fileBytes is the resident memory of the process that the Go runtime does not count, otherBytes what the
 // runtime holds for anything but clients, such as backends and logged requests, and allConnections what all connections take
 // that the process has descriptors for.
-func NewPlan(limit, fileBytes, liveBytes, allConnections int64) Plan {
+func NewPlan(limit, fileBytes, otherBytes, allConnections int64) Plan {
 	runtimeBytes := max(limit-fileBytes-nativeReserve, minRuntimeBytes)
-	clientBytes := max(int64(liveShare*float64(runtimeBytes-max(liveBytes, runtimeBase))), minClientBytes)
+	clientBytes := max(int64(liveShare*float64(runtimeBytes-max(otherBytes, runtimeBase))), minClientBytes)
 	connections := min(int64(connectionShare*float64(clientBytes)), allConnections)
 	return Plan{RuntimeBytes: runtimeBytes, Clients: Limits{Connections: connections, Buffers: clientBytes - connections}}
 }
--- a/internal/serve/memory.go
+++ b/internal/serve/memory.go
@@ -17,7 +17,7 @@
 
 const (
 	// planInterval is the time between two adjustments of the division of the memory.
-	planInterval = time.Second
+	planInterval = 250 * time.Millisecond
 
 	// exitTimeout bounds the time between the end of a predecessor's link and that of its process.
 	exitTimeout       = 2 * time.Second
@@ -45,9 +45,10 @@
 		return
 	}
 	used, _ := r.memory.Usage()
-	liveBytes := memory.LiveBytes() - used.Connections - used.Buffers
+	unreserved := memory.LiveBytes() - used.Connections - used.Buffers
+	otherBytes := memory.OtherBytes(unreserved, r.memory.Backends(), r.budget.Backends())
 	allConnections := int64(r.budget.MaxClients()) * server.ConnectionBytes(r.servesTLS)
-	plan := memory.NewPlan(limit, memory.ResidentFileBytes(), liveBytes, allConnections)
+	plan := memory.NewPlan(limit, memory.ResidentFileBytes(), otherBytes, allConnections)
 	if plan.IsNear(r.memoryPlan) {
 		return
 	}
--- a/internal/upstream/backend.go
+++ b/internal/upstream/backend.go
@@ -46,6 +46,7 @@
 		idleTimer:               time.NewTimer(time.Hour),
 		invalidReportLogLimiter: rate.Sometimes{Interval: invalidReportLogInterval},
 	}
+	config.Memory.AddBackends(1)
 	go b.run()
 	return b
 }
@@ -92,6 +93,7 @@
 }
 
 func (b *Backend) run() {
+	defer b.config.Memory.AddBackends(-1)
 	var messages []func()
 	for !b.closing || b.activeCalls > 0 {
 		select {
