Count quiet times and waits for clients from the monotonic clock

A step of the wall clock forward by a second ended a shutdown's serving early and made every body that is being read the slowest, to be evicted where memory is short; a step back kept the serving up to its maximum and exempted bodies. Not played: no wall clock was stepped, since that would step the machine's. Change: clock.AtomicTime shares a time with its monotonic reading.

--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -20,11 +20,11 @@
 // calls Drain, or DrainForHandoff if another process has replaced this one.
 func (s *Server) ServeUntilQuiet(maxWait time.Duration, isHandedOff func() bool) {
 	s.shuttingDown.Store(true)
-	s.lastRequestAt.Store(time.Now().UnixMilli())
+	s.lastRequestAt.Store(time.Now())
 	start := time.Now()
 	for time.Since(start) < maxWait && !isHandedOff() {
-		sinceRequest := time.Since(time.UnixMilli(s.lastRequestAt.Load()))
-		if time.Since(start) > shutdownQuietPeriod && sinceRequest > shutdownQuietPeriod && s.openRequests.Load() == 0 {
+		lastRequestAt, _ := s.lastRequestAt.Load()
+		if time.Since(start) > shutdownQuietPeriod && time.Since(lastRequestAt) > shutdownQuietPeriod && s.openRequests.Load() == 0 {
 			break
 		}
 		time.Sleep(listenerQuietPeriod)
--- a/internal/server/handler.go
+++ b/internal/server/handler.go
@@ -122,7 +122,7 @@
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, conn *clientConn, request *node.Request, claim *idClaim) {
 	openRequests := s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
-	s.lastRequestAt.Store(time.Now().UnixMilli())
+	s.lastRequestAt.Store(time.Now())
 	deployment := s.deployment.Load()
 	maxOpen := int64(deployment.MaxOpenRequests)
 	if maxOpen > 0 && openRequests > maxOpen || s.quiesce.rejecting.Load() {
--- a/internal/server/memory.go
+++ b/internal/server/memory.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"pearknot/internal/clock"
 	"pearknot/internal/memory"
 )
 
@@ -239,20 +240,26 @@
 
 // clientWait is how long the reader of a body has waited for its client.
 type clientWait struct {
-	total atomic.Int64 // ns, of complete reads
-	since atomic.Int64 // start of the read in progress, Unix ns; 0 if there is none
+	total atomic.Int64     // ns, of complete reads
+	since clock.AtomicTime // start of the read in progress, if there is one
 }
 
-func (w *clientWait) begin(now time.Time) { w.since.Store(now.UnixNano()) }
+func (w *clientWait) begin(now time.Time) { w.since.Store(now) }
 
 func (w *clientWait) end(now time.Time) {
-	w.total.Add(now.UnixNano() - w.since.Swap(0))
+	w.total.Add(int64(w.inProgress(now)))
+	w.since.Clear()
 }
 
 func (w *clientWait) at(now time.Time) time.Duration {
-	wait := w.total.Load()
-	if since := w.since.Load(); since != 0 {
-		wait += now.UnixNano() - since
+	return time.Duration(w.total.Load()) + w.inProgress(now)
+}
+
+// inProgress returns how long the read in progress has taken.
+func (w *clientWait) inProgress(now time.Time) time.Duration {
+	since, isReading := w.since.Load()
+	if !isReading {
+		return 0
 	}
-	return time.Duration(wait)
+	return now.Sub(since)
 }
--- a/internal/server/requestlogging.go
+++ b/internal/server/requestlogging.go
@@ -96,7 +96,7 @@
 func (s *Server) serveLogged(w http.ResponseWriter, r *http.Request, conn *clientConn, request *node.Request, claim *idClaim) {
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
-	s.lastRequestAt.Store(time.Now().UnixMilli())
+	s.lastRequestAt.Store(time.Now())
 	logged := request.Logged // the node may change the field once it has the request
 	request.Deadline -= answerRecordMs
 	ctx, cancel := context.WithDeadline(r.Context(), s.clock.Time(request.Deadline))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -74,12 +74,12 @@
 	requestLogging *RequestLogging     // nil if no request is logged
 	serveDone      chan struct{}       // closed when Serve has ended
 
-	outOfService  atomic.Bool  // set by an operator or the agent
-	shuttingDown  atomic.Bool  // the health check fails, unless handedOff is set
-	draining      atomic.Bool  // responses ask clients to close their connections
-	handedOff     atomic.Bool  // another process has replaced this one: the node stays in service
-	quiesce       quiesce      // whether clients' connections are closed while the node keeps running
-	lastRequestAt atomic.Int64 // Unix ms
+	outOfService  atomic.Bool // set by an operator or the agent
+	shuttingDown  atomic.Bool // the health check fails, unless handedOff is set
+	draining      atomic.Bool // responses ask clients to close their connections
+	handedOff     atomic.Bool // another process has replaced this one: the node stays in service
+	quiesce       quiesce     // whether clients' connections are closed while the node keeps running
+	lastRequestAt clock.AtomicTime
 	openRequests  atomic.Int64 // accepted requests without a response
 
 	mu        sync.Mutex
