--- a/cmd/pearknot/soak_test.go
+++ b/cmd/pearknot/soak_test.go
@@ -26,6 +26,9 @@
 	soakSeedsVariable = "PEARKNOT_SOAK_SEEDS"
 	soakSeeds         = 3
 
+	// firstSeedOverTLS is the first seed whose crowd, if it has one, connects over TLS.
+	firstSeedOverTLS = 51
+
 	soakDuration = 14 * time.Second
 	soakClients  = 12
 
@@ -67,7 +70,11 @@
 	random := rand.New(rand.NewPCG(seed, 69))
 	memoryMB := []int{leastMemoryMB, 64, 192}[random.IntN(3)]
 	descriptors := []int{256, mostDescriptors}[random.IntN(2)]
-	s := &soak{crowdNode: startCrowdNodeWith(t, memoryMB, descriptors, nil), random: random, answers: map[int]int{}}
+	var crowdTLS *tlsFixture
+	if seed >= firstSeedOverTLS {
+		crowdTLS = newTLSFixture(t)
+	}
+	s := &soak{crowdNode: startCrowdNodeWith(t, memoryMB, descriptors, crowdTLS), random: random, answers: map[int]int{}}
 	s.allowsNew.Store(true)
 	var all sync.WaitGroup
 	for k := range soakClients {
