Send calls to a successor only after the state that it waits for

The new process served beside the old one without its state, and what lay in the old one's queue was reset when that ended. Cause: the link to a successor can be called as soon as the successor has said hello, before the state is collected. A payment that arrived then asked the successor for its id (since ids are shared between the processes), or an operator called, and the successor took that message for the state. Change: calls wait until the state has been sent, or the link has ended; that a state can't be collected ends the link.

--- a/internal/hotrestart/connect.go
+++ b/internal/hotrestart/connect.go
@@ -68,6 +68,7 @@
 		return nil, nil, fmt.Errorf("hot restart: %w", err)
 	}
 	link := newLink(conn, handleCall, onDescriptorLimit)
+	link.open()
 	go func() { _ = link.run() }()
 	return link, state, nil
 }
--- a/internal/hotrestart/hotrestart_test.go
+++ b/internal/hotrestart/hotrestart_test.go
@@ -213,3 +213,56 @@
 	require.NotNil(t, state)
 	assert.Equal(t, []string{"s-1"}, state.KnownNames)
 }
+
+// Calls to a successor that has connected, such as for requests that arrive meanwhile, come after the state that it waits for.
+func TestCallsToSuccessorFollowTheState(t *testing.T) {
+	path := socketPath(t)
+	var listener *Listener
+	collecting, called := make(chan bool), make(chan error, 1)
+	predecessor := Predecessor{Name: "n1", Log: slog.New(slog.DiscardHandler), OnSuccessorGone: func() {},
+		CollectState: func(context.Context) (*State, error) {
+			close(collecting)
+			time.Sleep(100 * time.Millisecond) // in which calls are made
+			return &State{KnownNames: []string{"s-1"}}, nil
+		}}
+	listener, err := Listen(path, predecessor)
+	require.NoError(t, err)
+	t.Cleanup(listener.Close)
+	go func() {
+		<-collecting
+		link := listener.Successor()
+		go link.Notify(Call{Verb: "release"})
+		_, err := link.Call(context.Background(), Call{Verb: "claim"})
+		called <- err
+	}()
+	calls := make(chan string, 2)
+	link, state, err := Connect(t.Context(), path, "n1", nil, func(_ context.Context, c Call) (string, error) { calls <- c.Verb; return "", nil }, func(int) {})
+	require.NoError(t, err)
+	t.Cleanup(link.Close)
+	assert.Equal(t, []string{"s-1"}, state.KnownNames)
+	assert.NoError(t, <-called)
+	assert.ElementsMatch(t, []string{"claim", "release"}, []string{<-calls, <-calls})
+}
+
+// A call to a successor whose state can't be collected ends with the link.
+func TestCallToSuccessorWithoutStateEnds(t *testing.T) {
+	path := socketPath(t)
+	collecting := make(chan bool)
+	listener, err := Listen(path, Predecessor{Name: "n1", Log: slog.New(slog.DiscardHandler), OnSuccessorGone: func() {},
+		CollectState: func(context.Context) (*State, error) {
+			close(collecting)
+			time.Sleep(50 * time.Millisecond)
+			return nil, errors.New("no state")
+		}})
+	require.NoError(t, err)
+	t.Cleanup(listener.Close)
+	called := make(chan error, 1)
+	go func() {
+		<-collecting
+		_, err := listener.Successor().Call(context.Background(), Call{Verb: "claim"})
+		called <- err
+	}()
+	_, _, err = Connect(t.Context(), path, "n1", nil, handleAtSuccessor, func(int) {})
+	assert.Error(t, err)
+	assert.ErrorIs(t, <-called, ErrNoPeer)
+}
--- a/internal/hotrestart/link.go
+++ b/internal/hotrestart/link.go
@@ -27,6 +27,7 @@
 	handleCall        CallHandler
 	onDescriptorLimit func(descriptors int) // nil in the predecessor
 
+	opened        chan struct{} // closed when the other process may get calls: a successor, when it has got the state
 	peerReady     chan struct{} // closed when the other process, a successor, serves clients
 	peerReadyOnce sync.Once
 	done          chan struct{}
@@ -41,6 +42,7 @@
 		conn:              conn,
 		handleCall:        handleCall,
 		onDescriptorLimit: onDescriptorLimit,
+		opened:            make(chan struct{}),
 		peerReady:         make(chan struct{}),
 		done:              make(chan struct{}),
 		pending:           map[uint64]chan message{},
@@ -85,9 +87,27 @@
 // Close closes the link.
 func (l *Link) Close() { _ = l.conn.Close() }
 
+// open lets calls be sent.
+func (l *Link) open() { close(l.opened) }
+
+// awaitOpen waits until calls may be sent. It returns ErrNoPeer if the link ends before.
+func (l *Link) awaitOpen(ctx context.Context) error {
+	select {
+	case <-l.opened:
+		return nil
+	case <-l.done:
+		return ErrNoPeer
+	case <-ctx.Done():
+		return fmt.Errorf("the node's other process is not connected yet: %w", ctx.Err())
+	}
+}
+
 // Call executes a call in the other process and returns its text or error. If the link ends meanwhile, it returns ErrNoPeer.
 // Callers need not treat that as a failure: no other process is left in which the call would have to be executed.
 func (l *Link) Call(ctx context.Context, c Call) (text string, err error) {
+	if err := l.awaitOpen(ctx); err != nil {
+		return "", err
+	}
 	result := make(chan message, 1)
 	number := l.addPending(result)
 	defer l.removePending(number)
@@ -110,6 +130,11 @@
 
 // Notify executes a call in the other process without waiting for its result.
 func (l *Link) Notify(c Call) {
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	defer cancel()
+	if l.awaitOpen(ctx) != nil {
+		return
+	}
 	if err := l.conn.send(message{Kind: kindCall, Call: &c}); err != nil {
 		l.Close()
 	}
@@ -135,8 +160,7 @@
 
 // run receives messages until the link ends, and returns the error that ended it.
 func (l *Link) run() error {
-	defer close(l.done)
-	defer l.Close()
+	defer l.end()
 	for {
 		m, err := l.conn.receive()
 		if err != nil {
@@ -162,6 +186,12 @@
 	}
 }
 
+// end closes the link for good.
+func (l *Link) end() {
+	l.Close()
+	close(l.done)
+}
+
 // serveCall executes a call and sends its result.
 func (l *Link) serveCall(number uint64, c Call) {
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
--- a/internal/hotrestart/listener.go
+++ b/internal/hotrestart/listener.go
@@ -109,8 +109,10 @@
 	}
 	defer l.removeSuccessor()
 	if err := l.sendState(conn); err != nil {
+		link.end()
 		return err
 	}
+	link.open()
 	return link.run()
 }
 
--- a/internal/hotrestart/messages.go
+++ b/internal/hotrestart/messages.go
@@ -4,6 +4,7 @@
 //  1. The predecessor listens at the socket. The successor connects and sends a hello.
 //  2. The predecessor answers with its state: the endpoint list and the learned state of the backends. It answers busy
 //     instead if it already has a successor, and other if the hello is from another node or has another Version.
+//     Calls to the successor wait until it has the state.
 //  3. The successor sends ready once it serves clients. The predecessor should not be stopped before that.
 //  4. While it drains, the predecessor reports how many descriptors it may still have open; the successor may use the rest.
 //  5. Until one of them ends, each forwards operators' calls to the other, so that both have the same state.
