An id handed over with the state and claimed after it is not refused

Cause: a payment that has reserved its id when the state for a successor is collected is told to that with the state; its claim follows, since calls wait for the state, and the successor knew the id already. Change: a process tells its own ids from those that the other process has told it of. A claim is refused only for an own one; each process refuses what it knows from the other. A release by the other process forgets none of the own ids. Evidence: TestIDOfRequestDuringHandoffIsNotRefused makes the order happen: 409 before, none now.

--- a/internal/server/replay_test.go
+++ b/internal/server/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/tls"
 	"fmt"
 	"io"
@@ -125,3 +126,33 @@
 	assert.True(t, ids.claim(fmt.Sprint(maxRememberedIDs+1)))
 	assert.Equal(t, xxhash.Sum64String(fmt.Sprint(maxRememberedIDs+1)), ids.hashes()[0], "the oldest first")
 }
+
+// successorServer is the other process of a server whose state is handed over between the reservation of an id and its claim.
+type successorServer struct{ predecessor, successor *Server }
+
+func (s successorServer) ClaimID(_ context.Context, id string) (bool, error) {
+	s.successor.RememberIDHashes(s.predecessor.IDHashes())
+	return s.successor.ClaimID(id), nil
+}
+
+func (s successorServer) ReleaseID(id string) { s.successor.ReleaseID(id) }
+
+// The id of a request that arrives while the state is handed over reaches the successor twice. It is not refused, and the same id at the
+// successor is, until the request turns out not to have run.
+func TestIDOfRequestDuringHandoffIsNotRefused(t *testing.T) {
+	predecessor, successor := &Server{ids: newRequestIDs()}, &Server{ids: newRequestIDs()}
+	predecessor.ShareIDs(successorServer{predecessor, successor})
+	request := &node.Request{Request: balancer.Request{Config: &balancer.Config{Classes: []balancer.Class{{Idempotency: balancer.AtMostOnce}}}}}
+	claim, refusal := predecessor.claimID(t.Context(), "once", request)
+	require.Nil(t, refusal)
+	_, refusal = successor.claimID(t.Context(), "once", request)
+	assert.Equal(t, errKnownID, refusal)
+	claim.release()
+	claim, refusal = successor.claimID(t.Context(), "once", request)
+	require.Nil(t, refusal)
+	assert.True(t, successor.ClaimID("once"), "an id of its own")
+	claim.mayHaveRun = true
+	claim.release()
+	successor.ReleaseID("once")
+	assert.True(t, successor.ClaimID("once"), "the other process can't release it")
+}
--- a/internal/server/requestids.go
+++ b/internal/server/requestids.go
@@ -37,13 +37,13 @@
 type requestIDs struct {
 	mu         sync.Mutex
 	open       map[string]bool // whether the request must not run twice
-	remembered map[uint64]struct{}
-	oldest     []uint64 // the remembered hashes in the order in which they were added, as a ring; some may be forgotten
-	next       int      // place of the next one in the ring
+	remembered map[uint64]bool // by hash; whether the request was this process's own
+	oldest     []uint64        // the remembered hashes in the order in which they were added, as a ring; some may be forgotten
+	next       int             // place of the next one in the ring
 }
 
 func newRequestIDs() *requestIDs {
-	return &requestIDs{open: map[string]bool{}, remembered: map[uint64]struct{}{}}
+	return &requestIDs{open: map[string]bool{}, remembered: map[uint64]bool{}}
 }
 
 // reserve reserves a request's id until release. It reports false if the id is known.
@@ -70,26 +70,31 @@
 	defer ids.mu.Unlock()
 	delete(ids.open, id)
 	if mustRemember {
-		ids.remember(xxhash.Sum64String(id))
+		ids.remember(xxhash.Sum64String(id), true)
 	}
 }
 
-// claim remembers an id of the node's other process. It reports whether it is known already.
+// claim remembers an id of the node's other process. It reports whether it is that of a request of this process. The other process may have
+// told of the id already, with the state that it handed over.
 func (ids *requestIDs) claim(id string) (isKnown bool) {
 	ids.mu.Lock()
 	defer ids.mu.Unlock()
-	if ids.isKnown(id) {
+	hash := xxhash.Sum64String(id)
+	if _, isOpen := ids.open[id]; isOpen || ids.remembered[hash] {
 		return true
 	}
-	ids.remember(xxhash.Sum64String(id))
+	ids.remember(hash, false)
 	return false
 }
 
-// forget forgets a remembered id.
+// forget forgets a remembered id of the node's other process.
 func (ids *requestIDs) forget(id string) {
 	ids.mu.Lock()
 	defer ids.mu.Unlock()
-	delete(ids.remembered, xxhash.Sum64String(id))
+	hash := xxhash.Sum64String(id)
+	if isOwn := ids.remembered[hash]; !isOwn {
+		delete(ids.remembered, hash)
+	}
 }
 
 // isKnown must be called with the lock held.
@@ -102,11 +107,12 @@
 }
 
 // remember must be called with the lock held.
-func (ids *requestIDs) remember(hash uint64) {
-	if _, isRemembered := ids.remembered[hash]; isRemembered {
+func (ids *requestIDs) remember(hash uint64, isOwn bool) {
+	wasOwn, isRemembered := ids.remembered[hash]
+	ids.remembered[hash] = isOwn || wasOwn
+	if isRemembered {
 		return
 	}
-	ids.remembered[hash] = struct{}{}
 	if len(ids.oldest) < maxRememberedIDs {
 		ids.oldest = append(ids.oldest, hash)
 		return
@@ -137,7 +143,7 @@
 // ShareIDs sets the node's other process. It is called before Serve.
 func (s *Server) ShareIDs(other OtherProcess) { s.otherProcess = other }
 
-// ClaimID remembers an id of the node's other process. It reports whether this process knows it already.
+// ClaimID remembers an id of the node's other process. It reports whether this process has, or had, a request with it.
 func (s *Server) ClaimID(id string) (isKnown bool) { return s.ids.claim(id) }
 
 // ReleaseID forgets an id of the node's other process, whose request has not run.
@@ -151,7 +157,7 @@
 	s.ids.mu.Lock()
 	defer s.ids.mu.Unlock()
 	for _, hash := range hashes {
-		s.ids.remember(hash)
+		s.ids.remember(hash, false)
 	}
 }
 
