--- /dev/null
+++ b/review/rig/client.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// request is a client's request: an unsafe one, of fee-payment.
+type request struct {
+	id, key string
+	ttl     time.Duration
+	body    string
+	rate    int           // bytes of the body a second; 0 writes it at once
+	leaves  time.Duration // after which the client leaves, counted from the last byte; 0 stays
+	isRetry bool
+}
+
+// answer is what a client got: a status and a body, or why there is none.
+type answer struct {
+	status int
+	body   string
+	err    error
+}
+
+func (a answer) String() string {
+	if a.err != nil {
+		return "no answer: " + a.err.Error()
+	}
+	return fmt.Sprintf("%d %q", a.status, strings.TrimSpace(a.body))
+}
+
+// bodySlice is the time between two writes of a body.
+const bodySlice = 50 * time.Millisecond
+
+// lateness is by how much a final answer may come after its time: from then on it is lost.
+const lateness = 500 * time.Millisecond
+
+// send sends a request to a node on a connection of its own, and waits for its answer.
+func send(r *rig, to *node, q request) answer {
+	got := exchange(r, to, q)
+	r.note("client: key %s, request %s at %s: %v", q.key, q.id, to.name, got)
+	return got
+}
+
+func exchange(r *rig, to *node, q request) answer {
+	conn, err := net.DialTimeout("tcp", to.address, time.Second)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer conn.Close()
+	head := fmt.Sprintf("POST /api HTTP/1.1\r\nHost: service.internal\r\nX-Trace-Id: %s\r\nX-Qos: fee-payment\r\nX-Expires-In-Ms: %d\r\n"+
+		"Idempotency-Key: %s\r\nContent-Length: %d\r\n", q.id, q.ttl.Milliseconds(), q.key, len(q.body))
+	if q.isRetry {
+		head += "X-Second-Try: 1\r\n"
+	}
+	r.note("client: key %s, request %s to %s: sends", q.key, q.id, to.name)
+	if _, err := io.WriteString(conn, head+"\r\n"); err != nil {
+		return answer{err: err}
+	}
+	if err := writeBody(conn, q); err != nil {
+		return answer{err: err}
+	}
+	wait := q.ttl + lateness
+	if q.leaves > 0 {
+		wait = q.leaves
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return answer{err: err}
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, string(body), err}
+}
+
+func writeBody(conn net.Conn, q request) error {
+	part := len(q.body)
+	if q.rate > 0 {
+		part = q.rate * int(bodySlice) / int(time.Second)
+	}
+	for rest := q.body; rest != ""; {
+		size := min(part, len(rest))
+		if _, err := io.WriteString(conn, rest[:size]); err != nil {
+			return err
+		}
+		if rest = rest[size:]; rest != "" {
+			time.Sleep(bodySlice)
+		}
+	}
+	return nil
+}
