Review case 7: a node told to end leaves requests that wait for their key unanswered

Cause: a drain shortens the deadlines of the requests that were submitted to the node. One whose Idempotency-Key is in flight at another node waits in the server until its own deadline, which may lie after the end of the drain.

Added: case 7: half of the backends hang, clients ask again with their keys at another node, and that node gets SIGTERM.

--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -23,6 +23,7 @@
 // cases are the cases by name.
 var cases = map[string]func(*rig) error{
 	"key-across-reload": keyAcrossReload,
+	"wait-at-restart":   waitAtRestart,
 }
 
 func main() {
