--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -10,9 +10,10 @@
 	"time"
 )
 
-// request is a client's request: an unsafe one, of fee-payment.
+// request is a client's request. One of fee-payment is unsafe to repeat, and has a body; the others are safe.
 type request struct {
 	id, key string
+	class   string // fee-payment if empty
 	ttl     time.Duration
 	body    string
 	rate    int           // bytes of the body a second; 0 writes it at once
@@ -24,6 +25,7 @@
 type answer struct {
 	status int
 	body   string
+	marker string // the node's Pearknot-Answer, if there is one
 	err    error
 }
 
@@ -31,6 +33,12 @@
 	if a.err != nil {
 		return "no answer: " + a.err.Error()
 	}
+	if len(a.body) > 200 {
+		return fmt.Sprintf("%d, %d bytes", a.status, len(a.body))
+	}
+	if a.marker != "" {
+		return fmt.Sprintf("%d, %d bytes, Pearknot-Answer: %s", a.status, len(a.body), a.marker)
+	}
 	return fmt.Sprintf("%d %q", a.status, strings.TrimSpace(a.body))
 }
 
@@ -53,8 +61,11 @@
 		return answer{err: err}
 	}
 	defer conn.Close()
-	head := fmt.Sprintf("POST /api HTTP/1.1\r\nHost: service.internal\r\nX-Trace-Id: %s\r\nX-Qos: fee-payment\r\nX-Expires-In-Ms: %d\r\n"+
-		"Idempotency-Key: %s\r\nContent-Length: %d\r\n", q.id, q.ttl.Milliseconds(), q.key, len(q.body))
+	head := fmt.Sprintf("GET /api HTTP/1.1\r\nHost: service.internal\r\nX-Qos: %s\r\n", q.class)
+	if q.class == "" {
+		head = fmt.Sprintf("POST /api HTTP/1.1\r\nHost: service.internal\r\nX-Qos: fee-payment\r\nContent-Length: %d\r\n", len(q.body))
+	}
+	head += fmt.Sprintf("X-Trace-Id: %s\r\nX-Expires-In-Ms: %d\r\nIdempotency-Key: %s\r\n", q.id, q.ttl.Milliseconds(), q.key)
 	if q.isRetry {
 		head += "X-Second-Try: 1\r\n"
 	}
@@ -78,7 +89,7 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return answer{response.StatusCode, string(body), err}
+	return answer{response.StatusCode, string(body), response.Header.Get("Pearknot-Answer"), err}
 }
 
 func writeBody(conn net.Conn, q request) error {
--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -157,9 +157,22 @@
 		return
 	}
 	time.Sleep(b.work)
+	if request.Header.Get("X-Qos") == "class-report" {
+		fmt.Fprint(w, report(key))
+		return
+	}
 	fmt.Fprintf(w, "%s has run %s\n", b.name, key)
 }
 
+// reportBytes is the size of a report.
+const reportBytes = 200 << 10
+
+// report returns the answer to a request of class-report: a long one, the same at all backends.
+func report(key string) string {
+	line := "report " + key + "\n"
+	return strings.Repeat(line, reportBytes/len(line))
+}
+
 func (d *deployment) runsOf(key string) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -180,8 +193,8 @@
 }
 
 // startWithPeers starts three nodes that take over each other's requests, and waits until their logs are complete. Requests of
-// fee-payment survive their node.
-func (d *deployment) startWithPeers(classes []class) error {
+// the protected classes survive their node.
+func (d *deployment) startWithPeers(classes []class, protected ...string) error {
 	if err := os.WriteFile(filepath.Join(d.rig.dir, "peers.key"), []byte(strings.Repeat("5a", 32)+"\n"), 0o600); err != nil {
 		return err
 	}
@@ -202,7 +215,9 @@
 			control: filepath.Join(d.rig.dir, name+".sock")})
 		peers += fmt.Sprintf("[[member]]\nname = %q\naddress = %q\n", name, link)
 	}
-	peers += "[[category]]\nname = \"fee-payment\"\nsurvive = \"finish\"\n"
+	for _, name := range protected {
+		peers += fmt.Sprintf("[[category]]\nname = %q\nsurvive = \"finish\"\n", name)
+	}
 	file := filepath.Join(d.rig.dir, "peers.toml")
 	if err := os.WriteFile(file, []byte(peers), 0o600); err != nil {
 		return err
--- /dev/null
+++ b/review/rig/pause.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// answerOfPause: clients ask n1 for reports, and n2 stands still for a moment while their answers come. Each report that is served has to
+// be the one that the backend made.
+func answerOfPause(r *rig) error {
+	d, err := newDeployment(r, 4, 250*time.Millisecond)
+	if err != nil {
+		return err
+	}
+	if err := d.startWithPeers(himalClasses, "fee-payment", "class-report"); err != nil {
+		return err
+	}
+	const reports = 12
+	answers := make([]answer, reports)
+	var clients sync.WaitGroup
+	for i := range reports {
+		clients.Go(func() {
+			answers[i] = send(r, d.nodes[0], request{id: fmt.Sprintf("a%015d", i), key: fmt.Sprintf("report-%d", i), class: "class-report", ttl: 6 * time.Second})
+		})
+	}
+	time.Sleep(150 * time.Millisecond)
+	if r.trouble {
+		r.note("SIGSTOP to n2")
+		d.nodes[1].process.signal(syscall.SIGSTOP)
+	}
+	time.Sleep(500 * time.Millisecond)
+	if r.trouble {
+		d.nodes[1].process.signal(syscall.SIGCONT)
+		r.note("SIGCONT to n2")
+	}
+	clients.Wait()
+	for i, got := range answers {
+		if want := report(fmt.Sprintf("report-%d", i)); got.err == nil && got.status == 200 && got.body != want {
+			r.breaks("lost: report-%d was served with what no backend made for it: %d of %d bytes", i, len(got.body), len(want))
+		}
+	}
+	return nil
+}
--- a/review/rig/restart.go
+++ b/review/rig/restart.go
@@ -14,7 +14,7 @@
 	if err != nil {
 		return err
 	}
-	if err := d.startWithPeers(himalClasses); err != nil {
+	if err := d.startWithPeers(himalClasses, "fee-payment"); err != nil {
 		return err
 	}
 	for _, b := range d.backends[:2] {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(*rig) error{
 	"key-across-reload": keyAcrossReload,
 	"wait-at-restart":   waitAtRestart,
+	"answer-of-pause":   answerOfPause,
 }
 
 func main() {
