--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -16,9 +17,10 @@
 	class   string // fee-payment if empty
 	ttl     time.Duration
 	body    string
-	rate    int           // bytes of the body a second; 0 writes it at once
-	leaves  time.Duration // after which the client leaves, counted from the last byte; 0 stays
+	rate    int // bytes of the body a second; 0 writes it at once
 	isRetry bool
+
+	resetAfter time.Duration // after which the network resets the connection, counted from the last byte; 0 is never
 }
 
 // answer is what a client got: a status and a body, or why there is none.
@@ -42,6 +44,8 @@
 	return fmt.Sprintf("%d %q", a.status, strings.TrimSpace(a.body))
 }
 
+var errReset = errors.New("the connection was reset")
+
 // bodySlice is the time between two writes of a body.
 const bodySlice = 50 * time.Millisecond
 
@@ -77,8 +81,9 @@
 		return answer{err: err}
 	}
 	wait := q.ttl + lateness
-	if q.leaves > 0 {
-		wait = q.leaves
+	if q.resetAfter > 0 {
+		time.Sleep(q.resetAfter)
+		return answer{err: errors.Join(errReset, conn.(*net.TCPConn).SetLinger(0))}
 	}
 	if err := conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
 		return answer{err: err}
--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -57,34 +57,22 @@
 	nodes     []*node
 	options   string // of the command line
 
+	longReports bool // the answers to requests of class-report are long
+
 	mu   sync.Mutex
 	runs map[string]int // how often a request has begun at a backend, by its key
 }
 
 // node is a node of the deployment.
 type node struct {
-	name, address, config, control string
-	process                        *process
+	name, host, address, config, control string
+	process                              *process
 }
 
 // backend is a stand-in for a backend. It begins a request when its last byte has come, and answers after its work.
 type backend struct {
-	name    string
-	work    time.Duration
-	mu      sync.Mutex
-	hanging bool // it takes requests and answers none
-}
-
-func (b *backend) setHanging() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.hanging = true
-}
-
-func (b *backend) isHanging() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.hanging
+	name string
+	work time.Duration
 }
 
 // newDeployment starts discovery and backends.
@@ -138,7 +126,7 @@
 	_ = json.NewEncoder(w).Encode(answer)
 }
 
-// handle runs a request at a backend. Running work goes on when a node gives up.
+// handle runs a request at a backend.
 func (d *deployment) handle(b *backend, w http.ResponseWriter, request *http.Request) {
 	if _, err := io.Copy(io.Discard, request.Body); err != nil {
 		return // it has not come completely
@@ -149,21 +137,27 @@
 	count := d.runs[key]
 	d.mu.Unlock()
 	d.rig.note("%s: runs key %s, request %s: run %d of this key", b.name, key, id, count)
-	if b.isHanging() {
-		select {
-		case <-d.rig.ended:
-		case <-request.Context().Done():
-		}
-		return
+	work := b.work
+	if strings.HasPrefix(key, costly) {
+		work *= costlyFactor
 	}
-	time.Sleep(b.work)
-	if request.Header.Get("X-Qos") == "class-report" {
+	select { // running work goes on when a node gives up
+	case <-time.After(work):
+	case <-d.rig.ended:
+	}
+	if d.longReports && request.Header.Get("X-Qos") == "class-report" {
 		fmt.Fprint(w, report(key))
 		return
 	}
 	fmt.Fprintf(w, "%s has run %s\n", b.name, key)
 }
 
+// costly is the beginning of the keys of requests that cost a multiple of the usual work.
+const (
+	costly       = "costly-"
+	costlyFactor = 26
+)
+
 // reportBytes is the size of a report.
 const reportBytes = 200 << 10
 
@@ -173,6 +167,13 @@
 	return strings.Repeat(line, reportBytes/len(line))
 }
 
+// keys returns how many keys have begun at a backend.
+func (d *deployment) keys() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.runs)
+}
+
 func (d *deployment) runsOf(key string) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -192,28 +193,36 @@
 	return os.Rename(n.config+".new", n.config)
 }
 
+// addNodes names three nodes, each at a loopback address of its own.
+func (d *deployment) addNodes() error {
+	for i := range 3 {
+		name, host := fmt.Sprintf("n%d", i+1), fmt.Sprintf("127.0.%d.1", i+1)
+		address, err := freeAddress(host)
+		if err != nil {
+			return err
+		}
+		d.nodes = append(d.nodes, &node{name: name, host: host, address: address, config: filepath.Join(d.rig.dir, name+".json"),
+			control: filepath.Join(d.rig.dir, name+".sock")})
+	}
+	return nil
+}
+
 // startWithPeers starts three nodes that take over each other's requests, and waits until their logs are complete. Requests of
 // the protected classes survive their node.
 func (d *deployment) startWithPeers(classes []class, protected ...string) error {
 	if err := os.WriteFile(filepath.Join(d.rig.dir, "peers.key"), []byte(strings.Repeat("5a", 32)+"\n"), 0o600); err != nil {
 		return err
 	}
-	const count = 3
 	peers := "fleet = \"review\"\nkey_file = \"peers.key\"\ncopies = 3\n"
-	for i := range count {
-		host := fmt.Sprintf("127.0.%d.1", i+1)
-		address, err := freeAddress(host)
-		if err != nil {
-			return err
-		}
-		link, err := freeAddress(host)
+	if err := d.addNodes(); err != nil {
+		return err
+	}
+	for _, n := range d.nodes {
+		link, err := freeAddress(n.host)
 		if err != nil {
 			return err
 		}
-		name := fmt.Sprintf("n%d", i+1)
-		d.nodes = append(d.nodes, &node{name: name, address: address, config: filepath.Join(d.rig.dir, name+".json"),
-			control: filepath.Join(d.rig.dir, name+".sock")})
-		peers += fmt.Sprintf("[[member]]\nname = %q\naddress = %q\n", name, link)
+		peers += fmt.Sprintf("[[member]]\nname = %q\naddress = %q\n", n.name, link)
 	}
 	for _, name := range protected {
 		peers += fmt.Sprintf("[[category]]\nname = %q\nsurvive = \"finish\"\n", name)
@@ -223,6 +232,21 @@
 		return err
 	}
 	d.options = " --peers " + file
+	if err := d.startNodes(classes); err != nil {
+		return err
+	}
+	for _, n := range d.nodes {
+		if err := await(n.name+": logs complete", 20*time.Second, func() bool {
+			return exec.Command("bin/pearknot", "peers", n.control).Run() == nil
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startNodes starts the nodes, and waits until the front would take them in.
+func (d *deployment) startNodes(classes []class) error {
 	for _, n := range d.nodes {
 		if err := d.writeConfig(n, settings(classes)); err != nil {
 			return err
@@ -246,9 +270,9 @@
 	return err
 }
 
-// awaitNode waits until the front would take a node in, and its logs are complete.
+// awaitNode waits until the front would take a node in.
 func (d *deployment) awaitNode(n *node) error {
-	if err := await(n.name+": ready", 20*time.Second, func() bool {
+	return await(n.name+": ready", 20*time.Second, func() bool {
 		client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 		response, err := client.Get("http://" + n.address + "/_health")
 		if err != nil {
@@ -256,11 +280,6 @@
 		}
 		defer response.Body.Close()
 		return response.StatusCode == http.StatusOK
-	}); err != nil {
-		return err
-	}
-	return await(n.name+": logs complete", 20*time.Second, func() bool {
-		return exec.Command("bin/pearknot", "peers", n.control).Run() == nil
 	})
 }
 
--- a/review/rig/pause.go
+++ b/review/rig/pause.go
@@ -14,6 +14,7 @@
 	if err != nil {
 		return err
 	}
+	d.longReports = true
 	if err := d.startWithPeers(himalClasses, "fee-payment", "class-report"); err != nil {
 		return err
 	}
--- a/review/rig/reload.go
+++ b/review/rig/reload.go
@@ -4,11 +4,12 @@
 	"fmt"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
-// keyAcrossReload: clients send payments slowly, all nodes get settings without another class meanwhile, and the clients lose
-// their connections and ask again with their keys. No payment may run twice.
+// keyAcrossReload: clients send payments slowly to n1, and all nodes get settings without another class meanwhile. n1 is killed while it
+// has the payments in hand, and the clients ask again with their keys at n2. No payment may run twice.
 func keyAcrossReload(r *rig) error {
 	d, err := newDeployment(r, 4, 400*time.Millisecond)
 	if err != nil {
@@ -22,9 +23,7 @@
 	for i := range payments {
 		clients.Go(func() {
 			q := request{id: fmt.Sprintf("a%015d", i), key: fmt.Sprintf("pay-%d", i), ttl: 4 * time.Second, body: strings.Repeat("x", 48<<10), rate: 64000}
-			first := q
-			first.leaves = 100 * time.Millisecond
-			if got := send(r, d.nodes[0], first); got.err == nil {
+			if got := send(r, d.nodes[0], q); got.err == nil {
 				return // it has its answer
 			}
 			q.id, q.isRetry = fmt.Sprintf("b%015d", i), true
@@ -37,6 +36,11 @@
 			return err
 		}
 	}
+	if err := await("the payments at the backends", 3*time.Second, func() bool { return d.keys() == payments }); err != nil {
+		return err
+	}
+	r.note("SIGKILL to n1")
+	d.nodes[0].process.signal(syscall.SIGKILL)
 	clients.Wait()
 	time.Sleep(time.Second)
 	for i := range payments {
