Review case 7: a client gets another's answer if a second answer comes 12 ms late

Cause: a connection to a backend is used again 10 ms after an answer if nothing has arrived on it. A second answer that arrives after the next request was written is taken for that request's.

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -54,12 +54,13 @@
 
 // send sends a request to a node on a connection of its own, and waits for its answer.
 func send(r *rig, to *node, q request) answer {
-	got := exchange(r, to, q)
+	r.note("client: key %s, request %s to %s: sends", q.key, q.id, to.name)
+	got := exchange(to, q)
 	r.note("client: key %s, request %s at %s: %v", q.key, q.id, to.name, got)
 	return got
 }
 
-func exchange(r *rig, to *node, q request) answer {
+func exchange(to *node, q request) answer {
 	conn, err := net.DialTimeout("tcp", to.address, time.Second)
 	if err != nil {
 		return answer{err: err}
@@ -73,7 +74,6 @@
 	if q.isRetry {
 		head += "X-Second-Try: 1\r\n"
 	}
-	r.note("client: key %s, request %s to %s: sends", q.key, q.id, to.name)
 	if _, err := io.WriteString(conn, head+"\r\n"); err != nil {
 		return answer{err: err}
 	}
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -25,6 +25,7 @@
 	"key-across-reload": keyAcrossReload,
 	"wait-at-restart":   waitAtRestart,
 	"answer-of-pause":   answerOfPause,
+	"second-answers":    secondAnswers,
 }
 
 func main() {
