Review case 10: an upgrade cuts off long answers that are still given and read

Cause: the old process of an upgrade ends 3.6 s after SIGTERM at the latest, and closes the answers that are being read then. They are not passed on to the new process.

--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -66,6 +66,7 @@
 // node is a node of the deployment.
 type node struct {
 	name, host, address, config, control string
+	admin                                string // the second address; empty if there is none
 	process                              *process
 }
 
@@ -182,8 +183,12 @@
 
 // writeConfig writes a node's configuration, whole or not at all.
 func (d *deployment) writeConfig(n *node, s object) error {
-	data, err := json.Marshal(object{"name": n.name, "listen": n.address, "discovery": d.discovery, "seed": "8c1f30d27a5be964",
-		"limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 512}, "known": d.list, "settings": s})
+	content := object{"name": n.name, "listen": n.address, "discovery": d.discovery, "seed": "8c1f30d27a5be964",
+		"limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 512}, "known": d.list, "settings": s}
+	if n.admin != "" {
+		content["control"] = n.admin
+	}
+	data, err := json.Marshal(content)
 	if err != nil {
 		return err
 	}
@@ -266,7 +271,11 @@
 // startNode starts a node with the deploy file's command.
 func (d *deployment) startNode(n *node) (err error) {
 	line := "trap '' HUP; exec bin/pearknot serve" + d.options + " --control " + n.control
-	n.process, err = d.rig.launch(n.name, line, "ROUTER_CONFIG="+n.config, "TMPDIR="+d.rig.dir)
+	dir := filepath.Join(d.rig.dir, n.name) // of the node's processes alone
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	n.process, err = d.rig.launch(n.name, line, "ROUTER_CONFIG="+n.config, "TMPDIR="+dir)
 	return err
 }
 
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -26,6 +26,7 @@
 	"wait-at-restart":   waitAtRestart,
 	"answer-of-pause":   answerOfPause,
 	"second-answers":    secondAnswers,
+	"stream-at-upgrade": streamAtUpgrade,
 }
 
 func main() {
