Review case 8: more reports, so that some are always answered during the pause

Cause: with twelve reports at four backends, one run of ten had none in the log of the stopped node whose backend answered in that time.

Changed: forty reports, 20 ms apart, eight backends; the pause of 0.5 s and the check are as they were.

--- a/review/rig/pause.go
+++ b/review/rig/pause.go
@@ -10,7 +10,7 @@
 // answerOfPause: clients ask n1 for reports, and n2 stands still for a moment while their answers come. Each report that is served has to
 // be the one that the backend made.
 func answerOfPause(r *rig) error {
-	d, err := newDeployment(r, 4, 250*time.Millisecond)
+	d, err := newDeployment(r, 8, 250*time.Millisecond)
 	if err != nil {
 		return err
 	}
@@ -18,15 +18,18 @@
 	if err := d.startWithPeers(himalClasses, "fee-payment", "class-report"); err != nil {
 		return err
 	}
-	const reports = 12
+	const reports = 40
 	answers := make([]answer, reports)
 	var clients sync.WaitGroup
-	for i := range reports {
-		clients.Go(func() {
-			answers[i] = send(r, d.nodes[0], request{id: fmt.Sprintf("a%015d", i), key: fmt.Sprintf("report-%d", i), class: "class-report", ttl: 6 * time.Second})
-		})
-	}
-	time.Sleep(150 * time.Millisecond)
+	clients.Go(func() {
+		for i := range reports {
+			clients.Go(func() {
+				answers[i] = send(r, d.nodes[0], request{id: fmt.Sprintf("a%015d", i), key: fmt.Sprintf("report-%d", i), class: "class-report", ttl: 6 * time.Second})
+			})
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+	time.Sleep(300 * time.Millisecond)
 	if r.trouble {
 		r.note("SIGSTOP to n2")
 		d.nodes[1].process.signal(syscall.SIGSTOP)
