Review stand-ins: a short temporary folder, and no process left if they are killed

Cause: a socket's path is bounded, so that a long TMPDIR would have kept a hot restart from happening; and the nodes went on when the program that plays a case was killed.

The checks are as they were.

--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -49,7 +50,10 @@
 			status = 2
 		}
 	}()
-	dir, err := os.MkdirTemp("", "pk")
+	dir, err := os.MkdirTemp("/tmp", "pk") // short: the length of a socket's path is bounded
+	if err != nil {
+		dir, err = os.MkdirTemp("", "pk")
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
@@ -151,15 +155,18 @@
 	command := exec.Command("/bin/sh", "-c", line)
 	command.Env = append(os.Environ(), env...)
 	command.Stdout, command.Stderr = log, log
-	if err := command.Start(); err != nil {
-		return nil, errors.Join(err, log.Close())
-	}
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // if this program is killed
 	p := &process{name: name, command: command, done: make(chan struct{})}
-	r.mu.Lock()
-	r.processes = append(r.processes, p)
-	r.mu.Unlock()
+	started := make(chan error)
 	go func() {
-		err := command.Wait()
+		runtime.LockOSThread() // the process ends with the thread that started it
+		defer runtime.UnlockOSThread()
+		err := command.Start()
+		started <- err
+		if err != nil {
+			return
+		}
+		err = command.Wait()
 		p.state = "status 0"
 		if err != nil {
 			p.state = err.Error()
@@ -167,6 +174,12 @@
 		_ = log.Close()
 		close(p.done)
 	}()
+	if err := <-started; err != nil {
+		return nil, errors.Join(err, log.Close())
+	}
+	r.mu.Lock()
+	r.processes = append(r.processes, p)
+	r.mu.Unlock()
 	r.note("%s: started: %s", name, line)
 	return p, nil
 }
