Review case 8: a pause of 0.4 s, shorter than any election time-out

That another leader was elected is a conjecture.

Changed: the pause, further inside the limit that the claim quotes. The check is as it was.

--- a/review/rig/pause.go
+++ b/review/rig/pause.go
@@ -34,7 +34,7 @@
 		r.note("SIGSTOP to n2")
 		d.nodes[1].process.signal(syscall.SIGSTOP)
 	}
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(400 * time.Millisecond)
 	if r.trouble {
 		d.nodes[1].process.signal(syscall.SIGCONT)
 		r.note("SIGCONT to n2")
